platform: a thin whole path on the users' platform

Cause: the daemon spoke its own ports and protocols only, so every request on the platform got 404.

Change: platform/ decodes settings, configuration, registry, requests and answers; lib/http1 frames messages strictly; lib/relay holds the tables and decisions; the daemon relays with one thread.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -23,11 +23,13 @@
 mod probe;
 mod probes;
 mod problem;
+mod relay;
 mod run;
 mod shares;
 mod start;
 
 pub use answer::{Answer, Head, PieceError, View};
 pub use logs::start as start_logs;
+pub use relay::{RelayError, run_relay};
 pub use run::{RunError, run};
 pub use start::{StartError, read_settings};
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! `poplarvaled`, the daemon of poplarvale.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 #[global_allocator]
@@ -11,8 +12,9 @@
     xflags::xflags! {
         /// Serves callers, operators and other daemons.
         cmd poplarvaled {
-            /// File with the settings.
-            required --settings file: PathBuf
+            /// File with the settings; without it, the platform's settings file is
+            /// taken from the environment and the daemon relays on the platform.
+            optional --settings file: PathBuf
         }
     }
 }
@@ -20,7 +22,14 @@
 #[actix_web::main]
 async fn main() -> ExitCode {
     let flags = flags::Poplarvaled::from_env_or_exit();
-    let settings = match poplarvaled::read_settings(&flags.settings) {
+    match flags.settings {
+        Some(file) => run_embedded(file).await,
+        None => run_on_platform().await,
+    }
+}
+
+async fn run_embedded(file: PathBuf) -> ExitCode {
+    let settings = match poplarvaled::read_settings(&file) {
         Ok(settings) => settings,
         Err(report) => {
             eprintln!("{report:?}");
@@ -36,3 +45,19 @@
         }
     }
 }
+
+async fn run_on_platform() -> ExitCode {
+    let variable = poplarvale_platform::SETTINGS_VARIABLE;
+    let Some(path) = std::env::var_os(variable) else {
+        eprintln!("give --settings FILE, or set {variable} to the platform's settings file");
+        return ExitCode::from(2);
+    };
+    poplarvaled::start_logs("info");
+    match poplarvaled::run_relay(&PathBuf::from(path)).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/relay.rs
@@ -0,0 +1,23 @@
+//! Relays callers' requests to endpoints, on a platform that keeps the
+//! configuration and the list of endpoints.
+//!
+//! One thread runs everything: the daemon has a quarter of a core, and handing
+//! requests between threads would cost wake-ups and locks. A caller's connection
+//! is one task that also carries its request's exchange with an endpoint, so when
+//! the caller leaves, the task drops the endpoint's connection and with it the
+//! work there.
+
+mod attempt;
+mod caller;
+mod client;
+mod exchange;
+mod probe;
+mod run;
+mod serve;
+mod state;
+mod stream;
+mod upstream;
+mod watch;
+mod wire;
+
+pub use run::{RelayError, run as run_relay};
--- /dev/null
+++ b/daemon/src/relay/attempt.rs
@@ -0,0 +1,228 @@
+//! One sending of a request to one endpoint.
+
+use std::rc::Rc;
+use std::time::Instant as Std;
+
+use bytes::Bytes;
+use poplarvale_lib::http1::{Request, Response};
+use poplarvale_lib::relay::ask::Ask;
+use poplarvale_lib::relay::catalog::{Route, Service, Team};
+use poplarvale_lib::relay::place::{self, Choice, Wanted};
+use poplarvale_platform::{Outbound, request_head};
+use tokio::net::tcp::WriteHalf;
+use tokio::time::{Instant, timeout_at};
+
+use super::exchange::{Answer, Fault, exchange, whole_body};
+use super::state::State;
+use super::stream::{Passed, Patience, StreamEnd, pass_on};
+use super::wire::Wire;
+
+/// Longest answer that is not a stream, in bytes; it is held whole, so that one
+/// that breaks off can still be asked for elsewhere.
+const MOST_ANSWER: usize = 4 * 1024 * 1024;
+/// Status of an answer whose body is a stream.
+const OK: u16 = 200;
+
+/// A request that is being served.
+#[derive(Debug)]
+pub(crate) struct Job<'r> {
+    pub(crate) request: &'r Request,
+    pub(crate) body: &'r Bytes,
+    pub(crate) ask: &'r Ask,
+    pub(crate) route: &'r Route,
+    pub(crate) team: Option<&'r Team>,
+    pub(crate) service: &'r Service,
+    pub(crate) rank: u8,
+    pub(crate) deadline: Instant,
+}
+
+/// How a sending ended.
+#[derive(Debug)]
+pub(crate) enum Ended {
+    /// A whole answer that is not a stream.
+    Whole(Response, Bytes),
+    /// The stream is out to its end.
+    Streamed,
+    /// The endpoint states that it did not run the request.
+    NotRun,
+    /// Nothing left for the endpoint.
+    NotSent,
+    /// It may have run.
+    Broken(Fault),
+    /// The caller takes nothing more.
+    CallerGone,
+}
+
+/// Keeps a request booked at an endpoint until it is dropped, however the task
+/// that carries it ends.
+#[derive(Debug)]
+struct Booked {
+    state: Rc<State>,
+    endpoint: poplarvale_lib::EndpointId,
+    number: u64,
+}
+
+impl Drop for Booked {
+    fn drop(&mut self) {
+        if let Some(row) = self.state.board.borrow_mut().get_mut(&self.endpoint) {
+            row.end(self.number);
+            row.evidence.nothing();
+        }
+    }
+}
+
+impl Booked {
+    fn note(&self, change: impl FnOnce(&mut poplarvale_lib::relay::board::Endpoint)) {
+        if let Some(row) = self.state.board.borrow_mut().get_mut(&self.endpoint) {
+            change(row);
+        }
+    }
+}
+
+/// Sends a request to the chosen endpoint and brings its answer.
+pub(crate) async fn attempt(
+    state: &Rc<State>,
+    job: &Job<'_>,
+    choice: &Choice,
+    passed: &mut Passed,
+    write: &mut WriteHalf<'_>,
+    patience: Patience,
+) -> Ended {
+    let booked = book(state, job, choice);
+    let Some(address) = state.board.borrow().get(&choice.id).map(|row| row.listing.address) else {
+        return Ended::NotSent;
+    };
+    let (mut wire, kept) = match state.upstreams.get(address).await {
+        Ok(wire) => wire,
+        Err(error) => {
+            let out = state
+                .board
+                .borrow_mut()
+                .get_mut(&choice.id)
+                .is_some_and(|row| row.evidence.unreached(Std::now()));
+            log::info!(
+                "send: {} not connected to {}, {error}, left out: {out}.",
+                job.ask.id, choice.id
+            );
+            return Ended::NotSent;
+        }
+    };
+    let bytes = head_and_body(job, choice, passed);
+    let sent = exchange(&mut wire, &bytes, &job.ask.id);
+    let answer = match timeout_at(patience.first.min(patience.deadline), sent).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(Fault::NotSent)) => return Ended::NotSent,
+        Ok(Err(fault)) => {
+            failed(&booked, job, choice, fault, kept);
+            return Ended::Broken(fault);
+        }
+        Err(_elapsed) => {
+            failed(&booked, job, choice, Fault::Broken, kept);
+            return Ended::Broken(Fault::Broken);
+        }
+    };
+    if answer.said.not_run {
+        booked.note(|row| row.full = Some(Std::now() + FULL));
+        finish(state, address, wire, &answer).await;
+        return Ended::NotRun;
+    }
+    let is_stream = job.route.repeat.is_stream() && answer.head.status == OK;
+    let ended = if is_stream && answer.said.sealed {
+        let number = booked.number;
+        let began = || booked.note(|row| row.began(number, Std::now()));
+        match pass_on(&mut wire, &answer, passed, write, patience, began).await {
+            StreamEnd::Whole => Ended::Streamed,
+            StreamEnd::CallerGone => return Ended::CallerGone,
+            StreamEnd::Broken => Ended::Broken(Fault::Broken),
+        }
+    } else {
+        whole(&mut wire, &answer, patience).await
+    };
+    match &ended {
+        Ended::Broken(fault) => failed(&booked, job, choice, *fault, kept),
+        Ended::Whole(head, _) if head.status >= 500 => {
+            booked.note(|row| {
+                row.evidence.bad(Std::now());
+            });
+            keep(state, address, wire, &answer);
+        }
+        _ => {
+            booked.note(|row| row.evidence.good());
+            keep(state, address, wire, &answer);
+        }
+    }
+    ended
+}
+
+/// How long an endpoint that said it is full gets nothing; its queue empties by a
+/// request every few milliseconds.
+const FULL: std::time::Duration = std::time::Duration::from_millis(60);
+
+fn book(state: &Rc<State>, job: &Job<'_>, choice: &Choice) -> Booked {
+    let number = state.number();
+    let wanted = Wanted {
+        service: job.service,
+        prompt: job.ask.prompt.as_ref(),
+        zone: &state.site.zone,
+        avoid: &[],
+        now: Std::now(),
+    };
+    place::book(&mut state.board.borrow_mut(), &wanted, choice, number);
+    Booked {
+        state: Rc::clone(state),
+        endpoint: choice.id.clone(),
+        number,
+    }
+}
+
+fn head_and_body(job: &Job<'_>, choice: &Choice, passed: &Passed) -> Bytes {
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    let mut bytes = request_head(
+        job.request,
+        &Outbound {
+            endpoint: &choice.id,
+            team: job.team.map(|team| team.name.as_str()),
+            left,
+            rank: job.ask.prompt.is_some().then_some(job.rank),
+            resume: passed.begun.then(|| passed.events.last()).flatten(),
+            body: job.body.len(),
+        },
+    );
+    bytes.extend_from_slice(job.body);
+    bytes.freeze()
+}
+
+async fn whole(wire: &mut Wire, answer: &Answer, patience: Patience) -> Ended {
+    let body = whole_body(wire, &answer.head, MOST_ANSWER);
+    match timeout_at(patience.first.min(patience.deadline), body).await {
+        Ok(Ok(body)) if answer.head.status >= 300 || answer.said.sealed => {
+            Ended::Whole(answer.head.clone(), body)
+        }
+        Ok(Ok(_)) => Ended::Broken(Fault::Wrong),
+        Ok(Err(_)) | Err(_) => Ended::Broken(Fault::Broken),
+    }
+}
+
+fn failed(booked: &Booked, job: &Job<'_>, choice: &Choice, fault: Fault, kept: bool) {
+    let mut out = false;
+    booked.note(|row| out = row.evidence.bad(Std::now()));
+    log::info!(
+        "send: {} failed at {}, {fault}, kept connection: {kept}, left out: {out}.",
+        job.ask.id, choice.id
+    );
+}
+
+/// Reads a refusal's body, so that its connection can be used again.
+async fn finish(state: &Rc<State>, address: std::net::SocketAddr, mut wire: Wire, answer: &Answer) {
+    let limit = Instant::now() + FULL;
+    let body = whole_body(&mut wire, &answer.head, MOST_ANSWER);
+    if let Ok(Ok(_)) = timeout_at(limit, body).await {
+        keep(state, address, wire, answer);
+    }
+}
+
+fn keep(state: &Rc<State>, address: std::net::SocketAddr, wire: Wire, answer: &Answer) {
+    if answer.head.keep && answer.sent && wire.buffer.is_empty() {
+        state.upstreams.put(address, wire, answer.said.idle);
+    }
+}
--- /dev/null
+++ b/daemon/src/relay/run.rs
@@ -0,0 +1,151 @@
+//! Runs a relaying daemon from its start to its orderly end.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use error_stack::{Report, ResultExt as _};
+use poplarvale_lib::relay::site::Site;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::caller::serve_caller;
+use super::probe::serve_probe;
+use super::state::State;
+use super::watch::follow;
+
+/// Connections that may wait to be accepted; a burst after a restart must not
+/// overflow it, as the next try of a dropped opening packet comes seconds later.
+const BACKLOG: u32 = 1024;
+/// How long before SIGKILL the process ends by itself, so that it ends in order.
+const SPARE: Duration = Duration::from_millis(400);
+/// Least time from SIGTERM to the end: the balancer needs two questions, a second
+/// apart, to send nobody new.
+const LEAST_END: Duration = Duration::from_millis(2800);
+/// How often a daemon that ends looks whether all answers are out.
+const END_LOOK: Duration = Duration::from_millis(50);
+/// How often the tables are cleaned.
+const CLEAN: Duration = Duration::from_millis(500);
+
+/// What a relaying daemon failed at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RelayError {
+    /// Reading its settings.
+    #[error("the settings could not be used")]
+    Settings,
+    /// Listening at an address.
+    #[error("the daemon could not listen at its addresses")]
+    Listen,
+    /// Waiting for signals.
+    #[error("the daemon could not wait for signals")]
+    Signals,
+}
+
+/// Reads the platform's settings file.
+fn read_site(path: &Path) -> Result<Site, Report<RelayError>> {
+    let text = fs::read_to_string(path).change_context(RelayError::Settings)?;
+    poplarvale_platform::read_settings(&text).change_context(RelayError::Settings)
+}
+
+/// Runs until SIGTERM, and then until the last answer is out.
+///
+/// # Errors
+/// If the settings cannot be used or an address not be listened at.
+pub async fn run(path: &Path) -> Result<(), Report<RelayError>> {
+    let site = read_site(path)?;
+    log::info!("daemon: {} starts in zone {}.", site.name, site.zone);
+    let callers = listen(site.callers)?;
+    let ready = listen(site.ready)?;
+    let state = State::new(site);
+
+    actix_web::rt::spawn(follow(Rc::clone(&state)));
+    actix_web::rt::spawn(accept(Rc::clone(&state), callers, serve_caller));
+    actix_web::rt::spawn(accept(Rc::clone(&state), ready, serve_probe));
+    actix_web::rt::spawn(clean(Rc::clone(&state)));
+
+    wait_for_end(&state, path).await?;
+    drained(&state).await;
+    log::info!("daemon: ends with {} requests in progress.", state.active.get());
+    Ok(())
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, Report<RelayError>> {
+    let bound = || -> std::io::Result<TcpListener> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    bound().change_context(RelayError::Listen)
+}
+
+/// Serves each connection of a listener by a task of its own.
+async fn accept<F>(state: Rc<State>, listener: TcpListener, serve: fn(Rc<State>, TcpStream) -> F)
+where
+    F: Future<Output = ()> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                actix_web::rt::spawn(serve(Rc::clone(&state), stream));
+            }
+            Err(error) => {
+                // Out of descriptors, most likely; trying at once would only spin.
+                log::warn!("daemon: no connection accepted, {error}.");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn clean(state: Rc<State>) {
+    loop {
+        tokio::time::sleep(CLEAN).await;
+        let now = Instant::now();
+        state.upstreams.expire(now);
+        for id in state.board.borrow_mut().expire(now) {
+            log::info!("board: endpoint {id} did not come back.");
+        }
+    }
+}
+
+/// Waits for SIGTERM or SIGINT. SIGHUP reads the settings again; addresses and the
+/// zone stay, as another address needs another process.
+async fn wait_for_end(state: &State, path: &Path) -> Result<(), Report<RelayError>> {
+    let mut term = signal(SignalKind::terminate()).change_context(RelayError::Signals)?;
+    let mut int = signal(SignalKind::interrupt()).change_context(RelayError::Signals)?;
+    let mut hup = signal(SignalKind::hangup()).change_context(RelayError::Signals)?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => match read_site(path) {
+                Ok(site) => log::info!("daemon: settings of {} read again.", site.name),
+                Err(error) => log::warn!("daemon: new settings not used, {error:?}."),
+            },
+        }
+    }
+    let now = Instant::now();
+    state.ending.set(Some(now + state.site.bounds.grace));
+    state.told.notify_waiters();
+    log::info!("daemon: shutting down with {} requests.", state.active.get());
+    Ok(())
+}
+
+/// Waits until all answers are out, at most until the process would be killed.
+async fn drained(state: &State) {
+    let Some(end) = state.ending.get() else {
+        return;
+    };
+    let least = end - state.site.bounds.grace + LEAST_END;
+    loop {
+        let now = Instant::now();
+        let idle = state.active.get() == 0 && now >= least;
+        if idle || now + SPARE >= end {
+            return;
+        }
+        tokio::time::sleep(END_LOOK).await;
+    }
+}
--- /dev/null
+++ b/daemon/src/relay/watch.rs
@@ -0,0 +1,194 @@
+//! Follows the configuration and the list of endpoints in the store.
+//!
+//! Every daemon follows both itself. The store answers at once when something
+//! changes, and calls cost, so after an answer the next watch waits a little and
+//! then gets all that came meanwhile in one.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use poplarvale_lib::relay::board::Changed;
+use poplarvale_lib::relay::listing::Listing;
+use poplarvale_platform::{
+    CONFIG_KEY, Change, Item, REGISTRY, Reply, StoreError, range, read_config, read_listing,
+    read_range, read_watched, watch,
+};
+
+use super::client::{CallError, Client};
+use super::state::State;
+
+/// How long the store may hold a watch open.
+const WAIT: Duration = Duration::from_secs(10);
+/// How much longer than that an answer may take: its way and a slow store.
+const SLACK: Duration = Duration::from_millis(1500);
+/// How long a list may take to be read.
+const READ: Duration = Duration::from_secs(2);
+/// Pause between watches. An endpoint that leaves must get nothing new two seconds
+/// later; entries are renewed every second or so, and each watch is paid for.
+const PAUSE: Duration = Duration::from_millis(600);
+/// Pause after a failed call, doubled after each further one up to the most.
+const RETRY: Duration = Duration::from_millis(150);
+const MOST_RETRY: Duration = Duration::from_millis(900);
+/// Outage from which on missing entries may belong to living endpoints: half of
+/// the three intervals after which the registry drops a silent endpoint.
+const OUTAGE: Duration = Duration::from_millis(1500);
+/// Beginning of all keys that are followed.
+const FOLLOWED: &str = "";
+
+#[derive(Debug, thiserror::Error)]
+enum WatchError {
+    #[error("{0}")]
+    Call(#[from] CallError),
+    #[error("{0}")]
+    Store(#[from] StoreError),
+}
+
+/// Follows the store until the process ends.
+pub(crate) async fn follow(state: Rc<State>) {
+    let mut client = Client::new(state.site.store);
+    let mut revision = None;
+    let mut heard = Instant::now();
+    let mut pause = RETRY;
+    let mut failing = false;
+    loop {
+        let step = match revision {
+            None => read_all(&state, &mut client, heard).await,
+            Some(after) => watch_once(&state, &mut client, after).await,
+        };
+        match step {
+            Ok(next) => {
+                if failing {
+                    log::info!("store: back after {:?}.", heard.elapsed());
+                    failing = false;
+                }
+                revision = Some(next);
+                heard = Instant::now();
+                pause = RETRY;
+                tokio::time::sleep(PAUSE).await;
+            }
+            Err(error) => {
+                if !failing {
+                    log::warn!("store: away, {error}.");
+                    failing = true;
+                }
+                if matches!(error, WatchError::Store(StoreError::Compacted)) {
+                    log::info!("store: its history is gone, everything is read anew.");
+                    revision = None;
+                    continue;
+                }
+                // After an outage the whole list is read: a removal may have been missed.
+                if heard.elapsed() > OUTAGE {
+                    revision = None;
+                }
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(MOST_RETRY);
+            }
+        }
+    }
+}
+
+/// Reads the configuration and the whole list; gives the revision to go on from.
+async fn read_all(
+    state: &State,
+    client: &mut Client,
+    heard: Instant,
+) -> Result<u64, WatchError> {
+    let (items, revision) = list(client, CONFIG_KEY).await?;
+    for item in &items {
+        take_config(state, item);
+    }
+    let (items, _) = list(client, REGISTRY).await?;
+    let now = Instant::now();
+    let mut board = state.board.borrow_mut();
+    if state.listed.get() && now.duration_since(heard) > OUTAGE {
+        board.registry_back(now);
+    }
+    let listings = items.iter().filter_map(listing).collect();
+    for (id, change) in board.replace(listings, now) {
+        tell(&id, change);
+    }
+    state.listed.set(true);
+    Ok(revision)
+}
+
+/// Reads all pages of a list, with the revision of the first.
+async fn list(client: &mut Client, prefix: &str) -> Result<(Vec<Item>, u64), WatchError> {
+    let mut all: Vec<Item> = Vec::new();
+    let mut first = None;
+    loop {
+        let after = all.last().map(|item| item.key.clone()).unwrap_or_default();
+        let reply = client.call(&range(prefix, &after, false), READ).await?;
+        let (items, more, revision) = read_range(&reply)?;
+        let first = *first.get_or_insert(revision);
+        let empty = items.is_empty();
+        all.extend(items);
+        if !more || empty {
+            return Ok((all, first));
+        }
+    }
+}
+
+async fn watch_once(state: &State, client: &mut Client, after: u64) -> Result<u64, WatchError> {
+    let call = watch(FOLLOWED, after, WAIT);
+    let reply: Reply = client.call(&call, WAIT + SLACK).await?;
+    let watched = read_watched(&reply)?;
+    for change in &watched.changes {
+        take_change(state, change);
+    }
+    Ok(watched.revision)
+}
+
+fn take_change(state: &State, change: &Change) {
+    let now = Instant::now();
+    match change {
+        Change::Put(item) if item.key == CONFIG_KEY => take_config(state, item),
+        Change::Put(item) if item.key.starts_with(REGISTRY) => {
+            if let Some(listing) = listing(item) {
+                let id = listing.id.clone();
+                tell(&id, state.board.borrow_mut().put(listing));
+            }
+        }
+        Change::Gone(key) => {
+            if let Some(id) = key.strip_prefix(REGISTRY) {
+                tell(id, state.board.borrow_mut().gone(id, now));
+            }
+        }
+        Change::Put(_) => {}
+    }
+}
+
+fn tell(id: &str, change: Changed) {
+    match change {
+        Changed::Joined => log::info!("board: endpoint {id} joined."),
+        Changed::Left => log::info!("board: endpoint {id} leaves."),
+        Changed::Doubted => log::info!("board: endpoint {id} is doubtful."),
+        Changed::Nothing => {}
+    }
+}
+
+/// Brings a newer configuration into force; an older one is never taken.
+fn take_config(state: &State, item: &Item) {
+    let catalog = match read_config(&item.value) {
+        Ok(catalog) => catalog,
+        Err(error) => {
+            log::warn!("config: revision {} skipped, {error}.", item.revision);
+            return;
+        }
+    };
+    let mut held = state.catalog.borrow_mut();
+    if held.as_ref().is_none_or(|held| held.version < catalog.version) {
+        log::info!("config: version {} in force.", catalog.version);
+        *held = Some(Rc::new(catalog));
+    }
+}
+
+fn listing(item: &Item) -> Option<Listing> {
+    let id = item.key.strip_prefix(REGISTRY)?;
+    match read_listing(id, &item.value) {
+        Ok(listing) => Some(listing),
+        Err(error) => {
+            log::debug!("board: entry {id} skipped, {error}.");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/http1/head.rs
@@ -0,0 +1,217 @@
+//! Heads of requests and responses.
+
+use bytes::{Bytes, BytesMut};
+
+use super::Fields;
+
+/// Most header fields of a message.
+const MOST_FIELDS: usize = 96;
+/// Longest head of a response, in bytes; endpoints send a few hundred.
+const RESPONSE_HEAD: usize = 32 * 1024;
+
+/// Why a head is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum HeadError {
+    /// Not a head in the protocol.
+    #[error("the head is not in the protocol")]
+    Malformed,
+    /// Longer than allowed, or more fields.
+    #[error("the head is larger than allowed")]
+    TooLarge,
+    /// Where the body ends can be read in two ways.
+    #[error("the framing of the body is contradictory")]
+    Framing,
+}
+
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// There is no body.
+    None,
+    /// A stated number of bytes.
+    Length(u64),
+    /// Chunks, the last of them empty.
+    Chunked,
+    /// The end of the connection; responses only.
+    Close,
+}
+
+/// Head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Method.
+    pub method: Bytes,
+    /// Path and query, as received.
+    pub target: Bytes,
+    /// Header fields.
+    pub fields: Fields,
+    /// How the body ends.
+    pub framing: Framing,
+    /// Whether the sender keeps the connection open afterwards.
+    pub keep: bool,
+}
+
+/// Head of a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Response {
+    /// Status code.
+    pub status: u16,
+    /// Header fields.
+    pub fields: Fields,
+    /// How the body ends.
+    pub framing: Framing,
+    /// Whether the sender keeps the connection open afterwards.
+    pub keep: bool,
+}
+
+impl Request {
+    /// Takes a whole head off the buffer; `None` if it is not all there yet.
+    ///
+    /// # Errors
+    /// If the bytes are not a head of at most `most` bytes with clear framing.
+    pub fn take(buffer: &mut BytesMut, most: usize) -> Result<Option<Self>, HeadError> {
+        let mut slots = [httparse::EMPTY_HEADER; MOST_FIELDS];
+        let mut parsed = httparse::Request::new(&mut slots);
+        let Some(len) = whole(parsed.parse(buffer), buffer.len(), most)? else {
+            return Ok(None);
+        };
+        check_lines(&buffer[..len])?;
+        let (Some(method), Some(path), Some(minor)) = (parsed.method, parsed.path, parsed.version)
+        else {
+            return Err(HeadError::Malformed);
+        };
+        let base = buffer.as_ptr() as usize;
+        let method = span(base, method.as_bytes());
+        let target = span(base, path.as_bytes());
+        let spans = spans(base, parsed.headers);
+        let head = buffer.split_to(len).freeze();
+        let fields = cut(&head, &spans);
+        let framing = match body_framing(&fields)? {
+            Some(Framing::Chunked) if minor == 0 => return Err(HeadError::Framing),
+            Some(framing) => framing,
+            None => Framing::None,
+        };
+        Ok(Some(Self {
+            method: head.slice(method.0..method.1),
+            target: head.slice(target.0..target.1),
+            framing,
+            keep: keeps(&fields, minor),
+            fields,
+        }))
+    }
+}
+
+impl Response {
+    /// Takes a whole head off the buffer; `None` if it is not all there yet.
+    ///
+    /// # Errors
+    /// If the bytes are not a head with clear framing.
+    pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>, HeadError> {
+        let mut slots = [httparse::EMPTY_HEADER; MOST_FIELDS];
+        let mut parsed = httparse::Response::new(&mut slots);
+        let Some(len) = whole(parsed.parse(buffer), buffer.len(), RESPONSE_HEAD)? else {
+            return Ok(None);
+        };
+        let (Some(status), Some(minor)) = (parsed.code, parsed.version) else {
+            return Err(HeadError::Malformed);
+        };
+        let base = buffer.as_ptr() as usize;
+        let spans = spans(base, parsed.headers);
+        let head = buffer.split_to(len).freeze();
+        let fields = cut(&head, &spans);
+        let framing = match body_framing(&fields)? {
+            _ if status < 200 || status == 204 || status == 304 => Framing::None,
+            Some(framing) => framing,
+            None => Framing::Close,
+        };
+        Ok(Some(Self {
+            status,
+            keep: keeps(&fields, minor) && framing != Framing::Close,
+            framing,
+            fields,
+        }))
+    }
+}
+
+/// Length of a head that is all there.
+fn whole(
+    parsed: httparse::Result<usize>,
+    held: usize,
+    most: usize,
+) -> Result<Option<usize>, HeadError> {
+    match parsed {
+        Ok(httparse::Status::Complete(len)) if len > most => Err(HeadError::TooLarge),
+        Ok(httparse::Status::Complete(len)) => Ok(Some(len)),
+        Ok(httparse::Status::Partial) if held > most => Err(HeadError::TooLarge),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(HeadError::TooLarge),
+        Err(_) => Err(HeadError::Malformed),
+    }
+}
+
+/// Refuses lines that end without a carriage return: parties differ on whether
+/// they end a line, so a field could be hidden from one of them.
+fn check_lines(head: &[u8]) -> Result<(), HeadError> {
+    let bare = |at: usize| head[at] == b'\n' && (at == 0 || head[at - 1] != b'\r');
+    if (0..head.len()).any(bare) {
+        return Err(HeadError::Malformed);
+    }
+    Ok(())
+}
+
+fn span(base: usize, part: &[u8]) -> (usize, usize) {
+    let from = part.as_ptr() as usize - base;
+    (from, from + part.len())
+}
+
+type Span = (usize, usize);
+
+fn spans(base: usize, headers: &[httparse::Header<'_>]) -> Vec<(Span, Span)> {
+    let pair = |header: &httparse::Header<'_>| {
+        (span(base, header.name.as_bytes()), span(base, header.value))
+    };
+    headers.iter().map(pair).collect()
+}
+
+fn cut(head: &Bytes, spans: &[(Span, Span)]) -> Fields {
+    let field = |(name, value): &(Span, Span)| {
+        (head.slice(name.0..name.1), head.slice(value.0..value.1))
+    };
+    Fields(spans.iter().map(field).collect())
+}
+
+/// The stated framing, if there is one and it can be read in one way only.
+fn body_framing(fields: &Fields) -> Result<Option<Framing>, HeadError> {
+    let mut lengths = fields.all("content-length");
+    let mut codings = fields.all("transfer-encoding");
+    let length = lengths.next();
+    let coding = codings.next();
+    if lengths.next().is_some() || codings.next().is_some() {
+        return Err(HeadError::Framing);
+    }
+    match (length, coding) {
+        (None, None) => Ok(None),
+        (Some(_), Some(_)) => Err(HeadError::Framing),
+        (None, Some(coding)) if coding.eq_ignore_ascii_case(b"chunked") => {
+            Ok(Some(Framing::Chunked))
+        }
+        (None, Some(_)) => Err(HeadError::Framing),
+        (Some(text), None) => {
+            let digits = !text.is_empty() && text.iter().all(u8::is_ascii_digit);
+            let text = std::str::from_utf8(text).ok().filter(|_| digits);
+            match text.and_then(|text| text.parse().ok()) {
+                Some(0) => Ok(Some(Framing::None)),
+                Some(length) => Ok(Some(Framing::Length(length))),
+                None => Err(HeadError::Framing),
+            }
+        }
+    }
+}
+
+fn keeps(fields: &Fields, minor: u8) -> bool {
+    if minor == 0 {
+        fields.lists("connection", "keep-alive")
+    } else {
+        !fields.lists("connection", "close")
+    }
+}
--- /dev/null
+++ b/lib/src/relay.rs
@@ -0,0 +1,24 @@
+//! Relaying requests byte for byte to endpoints, under one configuration.
+//!
+//! These are the decisions of a daemon that stands between callers and endpoints
+//! of a platform that keeps its configuration and its list of endpoints in a
+//! key-value service. An adapter decodes what the platform says into the types of
+//! [`catalog`] and [`listing`]; the daemon's connections act on what the other
+//! modules decide. Nothing here reads a socket or a clock.
+
+pub mod ask;
+pub mod board;
+pub mod budget;
+pub mod cache;
+pub mod catalog;
+pub mod digest;
+pub mod duty;
+pub mod engine;
+pub mod evidence;
+pub mod fleet;
+pub mod listing;
+pub mod place;
+pub mod quota;
+pub mod site;
+pub mod sse;
+pub mod usage;
--- /dev/null
+++ b/lib/src/relay/board.rs
@@ -0,0 +1,276 @@
+//! Table of endpoints: what the registry says, and what is in progress at each.
+//!
+//! The registry can be away, and entries lapse while it is. An entry that is
+//! missing right after its return may belong to an endpoint that lives and has
+//! not registered again yet; dropping it at once would empty the table and
+//! refuse every caller. It is kept as doubtful for [`RETURN`] and only then
+//! dropped. An entry that is removed while the registry is well, or marked as
+//! leaving, gets nothing more from that instant.
+
+use std::time::{Duration, Instant};
+
+use super::cache::Cache;
+use super::engine::Speed;
+use super::evidence::Evidence;
+use super::listing::Listing;
+use crate::EndpointId;
+
+/// How long an endpoint stays in use whose entry is missing after an outage of the
+/// registry. Entries of living endpoints are back within about two seconds, and
+/// one that left must get nothing two seconds after the registry tells so.
+pub const RETURN: Duration = Duration::from_millis(1800);
+
+/// Request in progress at an endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Flight {
+    /// Number of the request in this daemon.
+    pub number: u64,
+    /// Prompt tokens that the engine has to read.
+    pub own: f64,
+    /// Prompt tokens ahead of them when it was sent.
+    pub ahead: f64,
+    /// Tokens that it will hold in the KV cache at its end.
+    pub memory: u64,
+    /// When it was sent.
+    pub sent: Instant,
+    /// Whether its first event came.
+    pub began: bool,
+}
+
+/// Whether an endpoint may get requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Standing {
+    /// Registered.
+    Ready,
+    /// Its entry is missing since an outage; in use until this moment.
+    Doubtful(Instant),
+    /// It leaves; nothing new.
+    Leaving,
+}
+
+/// Load of an endpoint as others see it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Others {
+    /// Requests in progress from other daemons.
+    pub requests: u32,
+    /// Prompt tokens that they wait to have read.
+    pub tokens: f64,
+}
+
+/// One endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Endpoint {
+    /// Entry of the registry.
+    pub listing: Listing,
+    /// Whether it may get requests.
+    pub standing: Standing,
+    /// Requests in progress from this daemon, sorted by number.
+    pub flights: Vec<Flight>,
+    /// What other daemons have in progress.
+    pub others: Others,
+    /// Learned speed.
+    pub speed: Speed,
+    /// Evidence of failures.
+    pub evidence: Evidence,
+    /// Beginnings of prompts that it holds.
+    pub cache: Cache,
+    /// Until when it is taken as full because it said so.
+    pub full: Option<Instant>,
+}
+
+/// All endpoints, sorted by id.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Board {
+    rows: Vec<Endpoint>,
+    /// Until when missing entries are doubtful, after an outage.
+    settling: Option<Instant>,
+}
+
+/// What a change of the registry did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Changed {
+    /// A new endpoint.
+    Joined,
+    /// It gets nothing new from now on.
+    Left,
+    /// It is kept for a while though its entry is missing.
+    Doubted,
+    /// Nothing that matters.
+    Nothing,
+}
+
+impl Board {
+    /// All endpoints, sorted by id.
+    pub fn rows(&self) -> &[Endpoint] {
+        &self.rows
+    }
+
+    /// All endpoints, to be changed in place; ids must stay.
+    pub fn rows_mut(&mut self) -> &mut [Endpoint] {
+        &mut self.rows
+    }
+
+    /// An endpoint by its id.
+    pub fn get(&self, id: &str) -> Option<&Endpoint> {
+        self.find(id).ok().map(|at| &self.rows[at])
+    }
+
+    /// An endpoint by its id, to be changed.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Endpoint> {
+        self.find(id).ok().map(|at| &mut self.rows[at])
+    }
+
+    fn find(&self, id: &str) -> Result<usize, usize> {
+        self.rows
+            .binary_search_by(|row| row.listing.id.as_str().cmp(id))
+    }
+
+    /// Takes an entry in.
+    pub fn put(&mut self, listing: Listing) -> Changed {
+        let standing = if listing.leaving {
+            Standing::Leaving
+        } else {
+            Standing::Ready
+        };
+        match self.find(&listing.id) {
+            Err(at) => {
+                self.rows.insert(at, Endpoint::new(listing, standing));
+                Changed::Joined
+            }
+            Ok(at) => {
+                let row = &mut self.rows[at];
+                let reborn = row.listing.born != listing.born
+                    || row.listing.address != listing.address;
+                if reborn {
+                    // Another life under the same id knows nothing of the first.
+                    *row = Endpoint::new(listing, standing);
+                    return Changed::Joined;
+                }
+                let left = standing == Standing::Leaving && row.standing != Standing::Leaving;
+                row.standing = standing;
+                row.listing = listing;
+                if left { Changed::Left } else { Changed::Nothing }
+            }
+        }
+    }
+
+    /// Takes in that an entry is gone.
+    pub fn gone(&mut self, id: &str, now: Instant) -> Changed {
+        let settling = self.settling.filter(|until| now < *until);
+        let Some(row) = self.get_mut(id) else {
+            return Changed::Nothing;
+        };
+        match (row.standing, settling) {
+            (Standing::Leaving | Standing::Doubtful(_), _) => Changed::Nothing,
+            (Standing::Ready, Some(until)) => {
+                row.standing = Standing::Doubtful(until);
+                Changed::Doubted
+            }
+            (Standing::Ready, None) => {
+                row.standing = Standing::Leaving;
+                Changed::Left
+            }
+        }
+    }
+
+    /// Takes a whole list in; entries that are not in it are gone.
+    pub fn replace(&mut self, listings: Vec<Listing>, now: Instant) -> Vec<(EndpointId, Changed)> {
+        let mut changes = Vec::new();
+        let mut present: Vec<EndpointId> = listings.iter().map(|row| row.id.clone()).collect();
+        present.sort();
+        for listing in listings {
+            let id = listing.id.clone();
+            changes.push((id, self.put(listing)));
+        }
+        let ids: Vec<EndpointId> = self.rows.iter().map(|row| row.listing.id.clone()).collect();
+        for id in ids {
+            if present.binary_search(&id).is_err() {
+                let change = self.gone(&id, now);
+                changes.push((id, change));
+            }
+        }
+        changes.retain(|(_, change)| *change != Changed::Nothing);
+        changes
+    }
+
+    /// Notes that the registry is back after it was away or refused this daemon.
+    pub fn registry_back(&mut self, now: Instant) {
+        self.settling = Some(now + RETURN);
+    }
+
+    /// Drops doubtful endpoints whose time is over, and forgets those that left and
+    /// have nothing in progress. Gives the ids of the first.
+    pub fn expire(&mut self, now: Instant) -> Vec<EndpointId> {
+        let mut dropped = Vec::new();
+        for row in &mut self.rows {
+            if let Standing::Doubtful(until) = row.standing
+                && now >= until
+            {
+                row.standing = Standing::Leaving;
+                dropped.push(row.listing.id.clone());
+            }
+            row.speed.fade();
+        }
+        self.rows
+            .retain(|row| row.standing != Standing::Leaving || !row.flights.is_empty());
+        dropped
+    }
+}
+
+impl Endpoint {
+    fn new(listing: Listing, standing: Standing) -> Self {
+        Self {
+            listing,
+            standing,
+            flights: Vec::new(),
+            others: Others::default(),
+            speed: Speed::default(),
+            evidence: Evidence::default(),
+            cache: Cache::default(),
+            full: None,
+        }
+    }
+
+    /// Whether it may get requests, whatever its load.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.standing != Standing::Leaving && self.evidence.is_fit(now)
+    }
+
+    /// Requests in progress, from all daemons.
+    pub fn busy(&self) -> u32 {
+        self.flights.len() as u32 + self.others.requests
+    }
+
+    /// Prompt tokens that wait to be read, from all daemons.
+    pub fn backlog(&self) -> f64 {
+        let waiting = self.flights.iter().filter(|flight| !flight.began);
+        waiting.map(|flight| flight.own).sum::<f64>() + self.others.tokens
+    }
+
+    /// Tokens of memory that this daemon's requests will hold.
+    pub fn memory(&self) -> u64 {
+        self.flights.iter().map(|flight| flight.memory).sum()
+    }
+
+    /// Notes a request that is sent.
+    pub fn send(&mut self, flight: Flight) {
+        self.evidence.sent();
+        self.flights.push(flight);
+    }
+
+    /// Notes the first event of a request; teaches the engine's speed.
+    pub fn began(&mut self, number: u64, now: Instant) {
+        if let Some(flight) = self.flights.iter_mut().find(|row| row.number == number)
+            && !flight.began
+        {
+            flight.began = true;
+            let took = now.saturating_duration_since(flight.sent);
+            self.speed.learn(flight.own, flight.ahead, took);
+        }
+    }
+
+    /// Notes that a request is no longer in progress.
+    pub fn end(&mut self, number: u64) {
+        self.flights.retain(|flight| flight.number != number);
+    }
+}
--- /dev/null
+++ b/lib/src/relay/budget.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/lib/src/relay/place.rs
@@ -0,0 +1,190 @@
+//! Which endpoint gets a request.
+//!
+//! Load: long prompts among short ones, sessions whose prompts share a beginning,
+//! and many daemons that choose at the same time from stale figures. Choosing the
+//! fewest requests sends a short question behind a long prompt and reads shared
+//! beginnings again at every engine. Here the endpoint with the earliest predicted
+//! first event wins; for a session, all daemons agree without talk on a first
+//! choice by rendezvous hashing, and leave it only when another endpoint would
+//! answer noticeably sooner.
+
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::ask::Prompt;
+use super::board::{Board, Endpoint, Flight};
+use super::cache::{Chain, chains};
+use super::catalog::Service;
+use crate::EndpointId;
+
+/// What an endpoint in another zone must gain, in seconds. Crossing costs about 3 ms
+/// for the way and back and is paid for by the byte.
+const OTHER_ZONE: f64 = 0.006;
+/// Advantage that the first choice of a session has, as a share of the time that
+/// reading its shared beginning takes.
+const PRESUMED: f64 = 0.8;
+/// Price of one more running request at an engine, in seconds of its own answer:
+/// each lengthens all steps of the others by about a fortieth.
+const RUNNING: f64 = 0.002;
+/// Share of an engine's places that daemons fill before they take it as full; what
+/// other daemons sent since their last digest fills the rest.
+const FILL: f64 = 1.0;
+/// Requests that a plain endpoint may have waiting for each of its slots; its own
+/// queue is four times its slots, shared by all daemons.
+const QUEUE: f64 = 2.0;
+
+/// What is asked of the board.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'r> {
+    /// Service.
+    pub service: &'r Service,
+    /// Prompt; `None` for plain requests.
+    pub prompt: Option<&'r Prompt>,
+    /// Zone of this daemon.
+    pub zone: &'r str,
+    /// Endpoints that this request was at before.
+    pub avoid: &'r [EndpointId],
+    /// Now.
+    pub now: Instant,
+}
+
+/// The endpoint to send to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Its id.
+    pub id: EndpointId,
+    /// Predicted time until the first event or answer.
+    pub wait: Duration,
+    /// Prompt tokens that it will have to read.
+    pub own: f64,
+    /// Prompt tokens ahead of them.
+    pub ahead: f64,
+}
+
+/// Why no endpoint can get a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoPlace {
+    /// None is registered, or all are left out.
+    None,
+    /// All are full.
+    Full,
+}
+
+/// Chooses an endpoint.
+///
+/// # Errors
+/// If none can take the request now.
+pub fn choose(board: &Board, wanted: &Wanted<'_>) -> Result<Choice, NoPlace> {
+    let shared = wanted.prompt.map(chains).unwrap_or_default();
+    let favourite = favourite(board, wanted, &shared);
+    let mut best: Option<(f64, Choice)> = None;
+    let mut full = false;
+    for row in board.rows() {
+        if !serves(row, wanted) {
+            continue;
+        }
+        if is_full(row, wanted) {
+            full = true;
+            continue;
+        }
+        let (cost, choice) = weigh(row, wanted, &shared, favourite);
+        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+            best = Some((cost, choice));
+        }
+    }
+    match best {
+        Some((_, choice)) => Ok(choice),
+        None if full => Err(NoPlace::Full),
+        None => Err(NoPlace::None),
+    }
+}
+
+/// Books a chosen request at its endpoint.
+pub fn book(board: &mut Board, wanted: &Wanted<'_>, choice: &Choice, number: u64) {
+    let Some(row) = board.get_mut(&choice.id) else {
+        return;
+    };
+    let (memory, capacity) = match (wanted.prompt, &wanted.service.engine) {
+        (Some(prompt), Some(engine)) => (memory(prompt), engine.tokens),
+        _ => (0, 0),
+    };
+    row.send(Flight {
+        number,
+        own: choice.own,
+        ahead: choice.ahead,
+        memory,
+        sent: wanted.now,
+        began: false,
+    });
+    if let Some(prompt) = wanted.prompt {
+        row.cache.note(&chains(prompt), capacity, wanted.now);
+    }
+}
+
+/// Tokens that a request will hold at its end, by the caller's guess.
+pub fn memory(prompt: &Prompt) -> u64 {
+    let output = prompt.guess.unwrap_or(prompt.output).min(prompt.output);
+    u64::from(prompt.input) + u64::from(output)
+}
+
+fn serves(row: &Endpoint, wanted: &Wanted<'_>) -> bool {
+    row.listing.service == wanted.service.name
+        && row.is_usable(wanted.now)
+        && !wanted.avoid.contains(&row.listing.id)
+}
+
+fn is_full(row: &Endpoint, wanted: &Wanted<'_>) -> bool {
+    if row.full.is_some_and(|until| wanted.now < until) {
+        return true;
+    }
+    let slots = f64::from(row.listing.slots.max(1));
+    let busy = f64::from(row.busy());
+    match (&wanted.service.engine, wanted.prompt) {
+        (Some(_), Some(_)) => busy >= slots * FILL,
+        _ => busy >= slots * (1.0 + QUEUE),
+    }
+}
+
+/// The endpoint that all daemons try first for a session's requests.
+fn favourite<'b>(
+    board: &'b Board,
+    wanted: &Wanted<'_>,
+    shared: &[(Chain, u32)],
+) -> Option<&'b str> {
+    let (session, _) = shared.last()?;
+    let rows = board.rows().iter().filter(|row| {
+        row.listing.service == wanted.service.name && row.is_usable(wanted.now)
+    });
+    let rank = |row: &&Endpoint| xxh3_64_with_seed(row.listing.id.as_bytes(), *session);
+    rows.max_by_key(rank).map(|row| row.listing.id.as_str())
+}
+
+fn weigh(
+    row: &Endpoint,
+    wanted: &Wanted<'_>,
+    shared: &[(Chain, u32)],
+    favourite: Option<&str>,
+) -> (f64, Choice) {
+    let far = if row.listing.zone == wanted.zone { 0.0 } else { OTHER_ZONE };
+    let id = row.listing.id.clone();
+    let Some(prompt) = wanted.prompt else {
+        let load = f64::from(row.busy()) / f64::from(row.listing.slots.max(1));
+        let wait = Duration::from_secs_f64(load * 0.03);
+        let cost = load * 0.03 + far;
+        let choice = Choice { id, wait, own: 0.0, ahead: 0.0 };
+        return (cost, choice);
+    };
+    let total: u32 = shared.iter().map(|(_, tokens)| tokens).sum();
+    let held = f64::from(row.cache.held(shared));
+    let presumed = if favourite == Some(row.listing.id.as_str()) {
+        f64::from(total) * PRESUMED
+    } else {
+        0.0
+    };
+    let own = (f64::from(prompt.input) - held.max(presumed)).max(1.0);
+    let ahead = row.backlog();
+    let wait = row.speed.first(own, ahead);
+    let cost = wait.as_secs_f64() + far + f64::from(row.busy()) * RUNNING;
+    (cost, Choice { id, wait, own, ahead })
+}
