relay: allowances over all daemons, usage reports, orders of endpoints

Ruled out: shares by store rows (a call a daemon and window, and late), fixed shares (uneven callers).

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -10,7 +10,9 @@
 mod attempt;
 mod caller;
 mod client;
+mod duties;
 mod exchange;
+mod peers;
 mod probe;
 mod run;
 mod serve;
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -108,6 +108,8 @@
         }
     };
     let bytes = head_and_body(job, choice, passed);
+    let team = job.team.map(|team| &team.name);
+    let sent_at = Std::now();
     let sent = exchange(&mut wire, &bytes, &job.ask.id);
     let answer = match timeout_at(patience.first.min(patience.deadline), sent).await {
         Ok(Ok(answer)) => answer,
@@ -130,7 +132,15 @@
     passed.events.restart();
     let ended = if is_stream && answer.said.sealed {
         let number = booked.number;
-        let began = || booked.note(|row| row.began(number, Std::now()));
+        let mut counted = false;
+        let began = || {
+            if !counted {
+                counted = true;
+                let now = Std::now();
+                booked.note(|row| row.began(number, now));
+                state.count_run(team, now);
+            }
+        };
         match pass_on(&mut wire, &answer, passed, write, patience, began).await {
             StreamEnd::Whole => Ended::Streamed,
             StreamEnd::CallerGone => return Ended::CallerGone,
@@ -139,6 +149,9 @@
     } else {
         whole(&mut wire, &answer, patience).await
     };
+    if !is_stream {
+        state.count_run(team, sent_at);
+    }
     match &ended {
         Ended::Broken(fault) => failed(&booked, job, choice, *fault, kept),
         Ended::Whole(head, _) if head.status >= 500 => {
--- /dev/null
+++ b/daemon/src/relay/duties.rs
@@ -0,0 +1,398 @@
+//! The calls that one daemon at a time makes: usage reports and orders.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use poplarvale_lib::protos::relay::UsageRecord;
+use poplarvale_lib::relay::duty::Held;
+use poplarvale_lib::relay::fleet::{self, Orders, Wish};
+use poplarvale_lib::relay::usage::{Counts, WindowId};
+use poplarvale_platform::{
+    Duty, Order, StoreError, Txn, get, grant, keep_alive, order_call, read_granted, read_item,
+    read_txn, txn, usage_call,
+};
+use prost::Message as _;
+
+use super::client::{CallError, Client};
+use super::state::State;
+
+/// Beginning of the keys that are the daemons' own.
+pub(crate) const OWN: &str = "poplarvale/";
+/// Key that the holder of the duties makes.
+pub(crate) const LEADER: &str = "poplarvale/leader";
+/// Key of the last usage report.
+const USAGE: &str = "poplarvale/usage";
+/// How often the holder looks at its duties.
+const LOOK: Duration = Duration::from_millis(250);
+/// How long the holder of the duties may be unknown before another daemon tries,
+/// and how much longer each next one by address waits, so that they do not all try.
+const VACANT: Duration = Duration::from_millis(100);
+const TURN: Duration = Duration::from_millis(150);
+/// Longest time for one call; well below what must be left of the lease.
+const CALL: Duration = Duration::from_millis(900);
+/// How long after a window's end its usage is reported: first events that were on
+/// their way and the other daemons' digests must have come.
+const SETTLE: Duration = Duration::from_millis(2000);
+/// Pause after a report that was not accepted.
+const RETRY: Duration = Duration::from_millis(600);
+
+#[derive(Debug, thiserror::Error)]
+enum DutyError {
+    #[error("{0}")]
+    Call(#[from] CallError),
+    #[error("{0}")]
+    Store(#[from] StoreError),
+    #[error("{0}")]
+    Format(#[from] serde_json::Error),
+    #[error("the record in the store is not as it was left")]
+    Raced,
+}
+
+/// Takes the duties up whenever nobody holds them.
+pub(crate) async fn serve_duties(state: Rc<State>) {
+    let Some(cloud) = state.site.cloud else {
+        return;
+    };
+    if !state.site.reports && !state.site.orders {
+        return;
+    }
+    let mut store = Client::new(state.site.store);
+    let mut cloud = Client::new(cloud);
+    loop {
+        tokio::time::sleep(wait(&state)).await;
+        if !is_vacant(&state) {
+            continue;
+        }
+        match acquire(&state, &mut store).await {
+            Ok(Some(held)) => {
+                log::info!("duty: held with fence {}.", held.fence);
+                hold(&state, &mut store, &mut cloud, held).await;
+                log::info!("duty: no longer held.");
+            }
+            Ok(None) => {}
+            Err(error) => log::info!("duty: not acquired, {error}."),
+        }
+    }
+}
+
+fn is_vacant(state: &State) -> bool {
+    state.listed.get() && state.ending.get().is_none() && state.leader.borrow().is_none()
+}
+
+/// Waits longer the further back this daemon stands among the others.
+fn wait(state: &State) -> Duration {
+    let me = state.site.peers.ip();
+    let before = state.peers.borrow().lately(Instant::now());
+    let place = before.iter().filter(|peer| **peer < me).count();
+    VACANT + TURN * place as u32
+}
+
+/// Makes the leader's key; `None` if another daemon did.
+async fn acquire(state: &State, store: &mut Client) -> Result<Option<Held>, DutyError> {
+    let since = Instant::now();
+    let life = state.site.bounds.lease;
+    let lease = read_granted(&store.call(&grant(life), CALL).await?)?;
+    let name = format_compact!("{} {}", state.site.name, lease);
+    let call = txn(&Txn {
+        expect: vec![(LEADER.into(), 0)],
+        puts: vec![(LEADER.into(), Bytes::from(name.to_string()), lease)],
+        removes: Vec::new(),
+    })?;
+    let made = store.call(&call, CALL).await;
+    let fence = match made {
+        Ok(reply) => read_txn(&reply)?,
+        // The answer may be lost though the key was made: what it holds tells.
+        Err(error) => {
+            log::info!("duty: no answer to the claim, {error}.");
+            let reply = store.call(&get(LEADER), CALL).await?;
+            let item = read_item(&reply)?;
+            item.filter(|item| item.value == name.as_bytes())
+                .map(|item| item.revision)
+        }
+    };
+    Ok(fence.map(|fence| Held::new(lease, fence, life, since)))
+}
+
+/// What the holder remembers.
+#[derive(Debug)]
+struct Holder {
+    held: Held,
+    duty: Duty,
+    /// Revision of the usage record; 0 if there is none.
+    revision: u64,
+    /// Next window to report.
+    next: WindowId,
+    /// Report that lies in the store and may not have been accepted yet.
+    unsent: Option<(WindowId, CompactString)>,
+    retry: Option<Instant>,
+    orders: Orders,
+}
+
+/// Does the duties until the lease ends or the daemon does.
+async fn hold(state: &State, store: &mut Client, cloud: &mut Client, held: Held) {
+    let Some(mut holder) = begin(state, store, held).await else {
+        return;
+    };
+    loop {
+        let now = Instant::now();
+        if holder.held.is_over(now) {
+            return;
+        }
+        if holder.held.is_due(now) && !renew(store, &mut holder).await {
+            return;
+        }
+        if state.ending.get().is_some() {
+            give_up(store, &holder).await;
+            return;
+        }
+        if state.site.reports {
+            report(state, store, cloud, &mut holder).await;
+        }
+        if state.site.orders {
+            order(state, cloud, &mut holder).await;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Reads what the holder before left.
+async fn begin(state: &State, store: &mut Client, held: Held) -> Option<Holder> {
+    let duty = Duty {
+        holder: state.site.name.clone(),
+        fence: held.fence,
+    };
+    loop {
+        if held.is_over(Instant::now()) {
+            return None;
+        }
+        let read = store.call(&get(USAGE), CALL).await;
+        let item = read.map_err(DutyError::from);
+        let item = item.and_then(|reply| Ok(read_item(&reply)?));
+        let (revision, record) = match item {
+            Ok(Some(item)) => (item.revision, UsageRecord::decode(item.value).ok()),
+            Ok(None) => (0, None),
+            Err(error) => {
+                log::info!("duty: the last report is not read, {error}.");
+                tokio::time::sleep(LOOK).await;
+                continue;
+            }
+        };
+        let first = state.window_at(state.started);
+        let next = record.as_ref().map_or(first, |record| record.number + 1);
+        return Some(Holder {
+            held,
+            duty,
+            revision,
+            next,
+            unsent: record.map(|record| (record.number, record.counts.into())),
+            retry: None,
+            orders: Orders::default(),
+        });
+    }
+}
+
+/// Renews the lease; `false` if it has ended.
+async fn renew(store: &mut Client, holder: &mut Holder) -> bool {
+    let since = Instant::now();
+    match store.call(&keep_alive(holder.held.lease), CALL).await {
+        Ok(reply) if reply.status == 200 => {
+            holder.held.renewed(since);
+            true
+        }
+        Ok(reply) if reply.status == 404 => {
+            log::info!("duty: the lease has ended.");
+            false
+        }
+        Ok(reply) => {
+            log::info!("duty: lease not renewed (status {}).", reply.status);
+            true
+        }
+        Err(error) => {
+            log::info!("duty: lease not renewed, {error}.");
+            true
+        }
+    }
+}
+
+/// Removes the leader's key, so that another daemon takes over at once.
+async fn give_up(store: &mut Client, holder: &Holder) {
+    let removed = txn(&Txn {
+        expect: vec![(LEADER.into(), holder.duty.fence)],
+        puts: Vec::new(),
+        removes: vec![LEADER.into()],
+    });
+    match removed {
+        Ok(call) => {
+            if let Err(error) = store.call(&call, CALL).await {
+                log::info!("duty: the leader's key stays until its lease ends, {error}.");
+            }
+        }
+        Err(error) => log::warn!("duty: giving up could not be written, {error}."),
+    }
+}
+
+/// Reports the windows that are due.
+async fn report(state: &State, store: &mut Client, cloud: &mut Client, holder: &mut Holder) {
+    let now = Instant::now();
+    if holder.retry.is_some_and(|retry| now < retry) {
+        return;
+    }
+    if holder.unsent.is_none() {
+        let length = state.site.bounds.usage_window.as_millis() as u64;
+        let true_now = state.true_ms();
+        let late = state.site.bounds.usage_late.as_millis() as u64;
+        // Windows that would come too late are passed over.
+        while (holder.next + 1) * length + late < true_now {
+            holder.next += 1;
+        }
+        if (holder.next + 1) * length + SETTLE.as_millis() as u64 > true_now {
+            return;
+        }
+        if let Err(error) = fix(state, store, holder).await {
+            log::info!("duty: window {} not fixed, {error}.", holder.next);
+            holder.retry = Some(Instant::now() + RETRY);
+            return;
+        }
+    }
+    let Some((window, counts)) = holder.unsent.clone() else {
+        return;
+    };
+    if !holder.held.may_act(Instant::now()) {
+        return;
+    }
+    match send(cloud, holder, window, &counts).await {
+        Ok(200) => {
+            log::info!("duty: usage of window {window} reported, {counts}.");
+            holder.unsent = None;
+        }
+        Ok(status) => {
+            log::info!("duty: usage of window {window} not taken (status {status}).");
+            holder.retry = Some(Instant::now() + RETRY);
+        }
+        Err(error) => {
+            log::info!("duty: usage of window {window} not sent, {error}.");
+            holder.retry = Some(Instant::now() + RETRY);
+        }
+    }
+}
+
+/// Writes a window's counts to the store. Whoever reports the window sends these
+/// bytes: two different counts for one window would charge customers wrongly.
+async fn fix(state: &State, store: &mut Client, holder: &mut Holder) -> Result<(), DutyError> {
+    let window = holder.next;
+    let counts = counts_text(&state.usage.borrow().total(window))?;
+    let record = UsageRecord {
+        number: window,
+        counts: counts.to_string(),
+    };
+    let call = txn(&Txn {
+        expect: vec![
+            (USAGE.into(), holder.revision),
+            (LEADER.into(), holder.duty.fence),
+        ],
+        puts: vec![(USAGE.into(), record.encode_to_vec().into(), 0)],
+        removes: Vec::new(),
+    })?;
+    let fixed = match store.call(&call, CALL).await {
+        Ok(reply) => read_txn(&reply)?,
+        Err(error) => {
+            // The write may have happened, or may happen still. The next try reads
+            // what lies there and goes on from that.
+            log::info!("duty: no answer to the record of window {window}, {error}.");
+            None
+        }
+    };
+    if let Some(revision) = fixed {
+        holder.revision = revision;
+        holder.next = window + 1;
+        holder.unsent = Some((window, counts));
+        return Ok(());
+    }
+    let reply = store.call(&get(USAGE), CALL).await?;
+    if let Some(item) = read_item(&reply)? {
+        holder.revision = item.revision;
+        if let Ok(record) = UsageRecord::decode(item.value)
+            && record.number >= window
+        {
+            holder.next = record.number + 1;
+            holder.unsent = Some((record.number, record.counts.into()));
+            return Ok(());
+        }
+    }
+    Err(DutyError::Raced)
+}
+
+fn counts_text(counts: &Counts) -> Result<CompactString, serde_json::Error> {
+    let map: std::collections::BTreeMap<&str, u32> = counts
+        .iter()
+        .map(|(team, runs)| (team.as_str(), *runs))
+        .collect();
+    serde_json::to_string(&map).map(CompactString::from)
+}
+
+async fn send(
+    cloud: &mut Client,
+    holder: &Holder,
+    window: WindowId,
+    counts: &str,
+) -> Result<u16, DutyError> {
+    let call = usage_call(&holder.duty, window, counts)?;
+    Ok(cloud.call(&call, limit(holder)).await?.status)
+}
+
+fn limit(holder: &Holder) -> Duration {
+    CALL.min(holder.held.left(Instant::now()))
+}
+
+/// Orders the endpoints that are wanted.
+async fn order(state: &State, cloud: &mut Client, holder: &mut Holder) {
+    let Some(catalog) = state.catalog.borrow().clone() else {
+        return;
+    };
+    for service in &catalog.services {
+        let boot = service.scaling.as_ref().map(|scaling| scaling.boot);
+        let wishes = fleet::wishes(&state.board.borrow(), service, &state.site.zones);
+        for wish in wishes {
+            let now = Instant::now();
+            if !holder.held.may_act(now) {
+                return;
+            }
+            if holder.orders.is_due(&wish, now) {
+                let accepted = place(cloud, holder, &wish).await;
+                let boot = boot.unwrap_or_default();
+                holder.orders.note(&wish, accepted, boot, Instant::now());
+            }
+        }
+    }
+}
+
+async fn place(cloud: &mut Client, holder: &Holder, wish: &Wish) -> bool {
+    let order = Order {
+        service: wish.service.clone(),
+        zone: wish.zone.clone(),
+        desired: wish.count,
+        spot: wish.spot,
+    };
+    let kind = fleet::kind(wish.spot);
+    let call = match order_call(&holder.duty, &order) {
+        Ok(call) => call,
+        Err(error) => {
+            log::warn!("duty: an order could not be written, {error}.");
+            return false;
+        }
+    };
+    let answered = cloud.call(&call, limit(holder)).await;
+    let (count, zone) = (wish.count, &wish.zone);
+    match answered {
+        Ok(reply) => {
+            log::info!("duty: {count} {kind} in {zone} ordered (status {}).", reply.status);
+            reply.status == 200
+        }
+        Err(error) => {
+            log::info!("duty: {count} {kind} in {zone} not ordered, {error}.");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/relay/peers.rs
@@ -0,0 +1,137 @@
+//! Digests to and from the other daemons.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Instant;
+
+use compact_str::CompactString;
+use poplarvale_lib::protos::relay::{Digest, digest};
+use poplarvale_lib::relay::board::Others;
+use poplarvale_lib::relay::quota::{Told, short};
+use prost::Message as _;
+use tokio::net::UdpSocket;
+
+use super::state::State;
+
+/// Largest datagram that is read, in bytes.
+const MOST: usize = 16 * 1024;
+
+/// Receives digests until the process ends.
+pub(crate) async fn receive(state: Rc<State>, socket: Rc<UdpSocket>) {
+    let mut bytes = vec![0; MOST];
+    loop {
+        match socket.recv_from(&mut bytes).await {
+            Ok((len, from)) => match (Digest::decode(&bytes[..len]), from.ip()) {
+                (Ok(digest), IpAddr::V4(from)) => hear(&state, from, digest),
+                _ => log::warn!("peers: a datagram from {from} is no digest."),
+            },
+            // An unreachable peer shows here as an error of the next call.
+            Err(error) => log::debug!("peers: not received, {error}."),
+        }
+    }
+}
+
+/// Sends digests until the process ends.
+pub(crate) async fn send(state: Rc<State>, socket: Rc<UdpSocket>) {
+    let mut sequence = 0;
+    loop {
+        sequence += 1;
+        let now = Instant::now();
+        let bytes = digest(&state, sequence, now).encode_to_vec();
+        let (peers, period) = {
+            let mut peers = state.peers.borrow_mut();
+            peers.expire(now);
+            let to: Vec<Ipv4Addr> = peers.rows().iter().map(|row| row.address).collect();
+            (to, peers.period())
+        };
+        for peer in peers {
+            let to = SocketAddr::new(IpAddr::V4(peer), state.site.peers.port());
+            if let Err(error) = socket.try_send_to(&bytes, to) {
+                log::debug!("peers: nothing sent to {peer}, {error}.");
+            }
+        }
+        tokio::time::sleep(period).await;
+    }
+}
+
+fn digest(state: &State, sequence: u64, now: Instant) -> Digest {
+    let quota = state.quota.borrow();
+    let teams = quota.tell(now).into_iter().map(|(team, units, rate)| {
+        digest::TeamUse {
+            team,
+            units: units as u32,
+            rate: rate as u32,
+        }
+    });
+    let board = state.board.borrow();
+    let busy = board.rows().iter().filter(|row| !row.flights.is_empty());
+    let endpoints = busy.map(|row| digest::EndpointUse {
+        endpoint: short(&row.listing.id),
+        requests: row.flights.len() as u32,
+        tokens: (row.backlog() - row.others.tokens).max(0.0) as u32,
+    });
+    let usage = state.usage.borrow();
+    let windows = usage.mine().map(|(number, counts)| digest::Window {
+        number,
+        counts: counts.iter().map(count).collect(),
+    });
+    let peers = state.peers.borrow();
+    Digest {
+        name: state.site.name.to_string(),
+        incarnation: state.incarnation,
+        sequence,
+        wall_ms: state.wall(),
+        catalog: state.catalog.borrow().as_ref().map_or(0, |held| held.version),
+        peers: peers.lately(now).into_iter().map(u32::from).collect(),
+        teams: teams.collect(),
+        endpoints: endpoints.collect(),
+        windows: windows.collect(),
+    }
+}
+
+fn count((team, runs): &(CompactString, u32)) -> digest::Count {
+    digest::Count {
+        team: team.to_string(),
+        runs: *runs,
+    }
+}
+
+fn hear(state: &State, from: Ipv4Addr, digest: Digest) {
+    let now = Instant::now();
+    let name = CompactString::from(digest.name);
+    {
+        let mut peers = state.peers.borrow_mut();
+        if !peers.hear(from, &name, digest.incarnation, digest.sequence, now) {
+            return;
+        }
+        for peer in digest.peers {
+            peers.learn(Ipv4Addr::from(peer), now);
+        }
+    }
+    state.clock.borrow_mut().hear(&name, digest.wall_ms, now);
+    let uses = digest.endpoints.iter().map(|row| {
+        let others = Others {
+            requests: row.requests,
+            tokens: f64::from(row.tokens),
+        };
+        (row.endpoint, others)
+    });
+    state.board.borrow_mut().hear(&name, uses.collect(), now);
+    let mut usage = state.usage.borrow_mut();
+    for window in digest.windows {
+        let row = |count: digest::Count| (CompactString::from(count.team), count.runs);
+        let counts = window.counts.into_iter().map(row).collect();
+        usage.hear(window.number, (name.clone(), digest.incarnation), counts);
+    }
+    let mut teams: Vec<_> = digest
+        .teams
+        .iter()
+        .map(|row| (row.team, f64::from(row.units), f64::from(row.rate)))
+        .collect();
+    teams.sort_by_key(|row| row.0);
+    state.quota.borrow_mut().hear(Told {
+        name,
+        heard: now,
+        teams,
+    });
+}
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -8,10 +8,12 @@
 
 use error_stack::{Report, ResultExt as _};
 use poplarvale_lib::relay::site::Site;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::caller::serve_caller;
+use super::duties::serve_duties;
+use super::peers::{receive, send};
 use super::probe::serve_probe;
 use super::state::State;
 use super::watch::follow;
@@ -58,11 +60,16 @@
     log::info!("daemon: {} starts in zone {}.", site.name, site.zone);
     let callers = listen(site.callers)?;
     let ready = listen(site.ready)?;
+    let socket = UdpSocket::bind(site.peers).await;
+    let socket = Rc::new(socket.change_context(RelayError::Listen)?);
     let state = State::new(site);
 
     actix_web::rt::spawn(follow(Rc::clone(&state)));
     actix_web::rt::spawn(accept(Rc::clone(&state), callers, serve_caller));
     actix_web::rt::spawn(accept(Rc::clone(&state), ready, serve_probe));
+    actix_web::rt::spawn(receive(Rc::clone(&state), Rc::clone(&socket)));
+    actix_web::rt::spawn(send(Rc::clone(&state), socket));
+    actix_web::rt::spawn(serve_duties(Rc::clone(&state)));
     actix_web::rt::spawn(clean(Rc::clone(&state)));
 
     wait_for_end(&state, path).await?;
@@ -105,6 +112,9 @@
         tokio::time::sleep(CLEAN).await;
         let now = Instant::now();
         state.upstreams.expire(now);
+        state.quota.borrow_mut().expire(now);
+        let current = state.window_at(now);
+        state.usage.borrow_mut().expire(current);
         for id in state.board.borrow_mut().expire(now) {
             log::info!("board: endpoint {id} did not come back.");
         }
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -8,6 +8,7 @@
 use poplarvale_lib::relay::ask::Ask;
 use poplarvale_lib::relay::catalog::{Backend, Catalog, Repeat, Route};
 use poplarvale_lib::relay::place::{NoPlace, Wanted, choose};
+use poplarvale_lib::relay::quota;
 use poplarvale_lib::{Code, Ran};
 use poplarvale_platform::{refusal, response_head};
 use tokio::io::AsyncWriteExt as _;
@@ -93,6 +94,13 @@
         Err(refused) => return refuse(write, ask, refused, keep).await,
     };
     let team = team.map(|at| &catalog.teams[at]);
+    let cost = team.map_or(0.0, |team| quota::units(team, ask));
+    if let Some(team) = team
+        && let Err(again) = state.quota.borrow_mut().take(team, cost, Std::now())
+    {
+        let refused = Refusal::later(Code::TokenRate, again);
+        return refuse(write, ask, refused, keep).await;
+    }
     let wait = ask.patience.unwrap_or(route.timeout).min(route.timeout);
     let Some(service) = pick_backend(route).and_then(|name| catalog.service(&name.service)) else {
         let refused = Refusal::later(Code::NoEndpoint, SOON);
@@ -176,6 +184,10 @@
                     NoPlace::None => Code::NoEndpoint,
                     NoPlace::Full => Code::Full,
                 };
+                if let Some(team) = job.team {
+                    let cost = quota::units(team, job.ask);
+                    state.quota.borrow_mut().refund(team, cost);
+                }
                 return refuse(write, job.ask, Refusal::later(code, SOON), keep).await;
             }
             Err(_) => break,
@@ -214,6 +226,12 @@
     if let Some((head, body)) = last {
         return answer(write, &head, &body, keep).await;
     }
+    if let Some(team) = job.team
+        && !maybe_ran
+    {
+        let cost = quota::units(team, job.ask);
+        state.quota.borrow_mut().refund(team, cost);
+    }
     let refused = if maybe_ran && Instant::now() + LEAST >= job.deadline {
         Refusal::unknown(Code::Overdue)
     } else if maybe_ran {
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -1,12 +1,19 @@
 //! What the tasks of a relaying daemon share.
 
 use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
+use compact_str::CompactString;
 use poplarvale_lib::relay::board::Board;
 use poplarvale_lib::relay::catalog::Catalog;
+use poplarvale_lib::relay::clock::Clock;
+use poplarvale_lib::relay::digest::Peers;
+use poplarvale_lib::relay::quota::Quota;
 use poplarvale_lib::relay::site::Site;
+use poplarvale_lib::relay::usage::{Usage, WindowId};
+use poplarvale_lib::{CustomerId, Incarnation};
 use tokio::sync::Notify;
 
 use super::upstream::Upstreams;
@@ -18,6 +25,15 @@
     /// Configuration in force; `None` until the first one was read.
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
     pub(crate) board: RefCell<Board>,
+    pub(crate) quota: RefCell<Quota>,
+    pub(crate) usage: RefCell<Usage>,
+    pub(crate) clock: RefCell<Clock>,
+    pub(crate) peers: RefCell<Peers>,
+    /// Who holds the duties, as far as the store told.
+    pub(crate) leader: RefCell<Option<CompactString>>,
+    /// Drawn at the start.
+    pub(crate) incarnation: Incarnation,
+    pub(crate) started: Instant,
     /// Whether the list of endpoints was read at least once.
     pub(crate) listed: Cell<bool>,
     pub(crate) upstreams: Upstreams,
@@ -32,10 +48,25 @@
 
 impl State {
     pub(crate) fn new(site: Site) -> Rc<Self> {
+        let started = Instant::now();
+        let incarnation = fastrand::u64(..);
+        let v4 = |ip: &IpAddr| match ip {
+            IpAddr::V4(ip) => Some(*ip),
+            IpAddr::V6(_) => None,
+        };
+        let me = v4(&site.peers.ip()).unwrap_or(Ipv4Addr::LOCALHOST);
+        let seeds: Vec<Ipv4Addr> = site.seeds.iter().filter_map(v4).collect();
         Rc::new(Self {
-            site,
             catalog: RefCell::new(None),
             board: RefCell::default(),
+            quota: RefCell::new(Quota::new(site.bounds.quota_window, started)),
+            usage: RefCell::new(Usage::new(site.name.clone(), incarnation)),
+            clock: RefCell::new(Clock::new(started)),
+            peers: RefCell::new(Peers::new(me, &seeds, started)),
+            leader: RefCell::new(None),
+            incarnation,
+            started,
+            site,
             listed: Cell::new(false),
             upstreams: Upstreams::default(),
             active: Cell::new(0),
@@ -50,6 +81,33 @@
         self.ending.get().is_none() && self.listed.get() && self.catalog.borrow().is_some()
     }
 
+    /// Unix milliseconds by this host's own clock, which may jump.
+    pub(crate) fn wall(&self) -> u64 {
+        // A clock before 1970 is as wrong as one that jumped; the others correct it.
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        since.map_or(0, |since| since.as_millis() as u64)
+    }
+
+    /// Unix milliseconds by the clocks of all daemons.
+    pub(crate) fn true_ms(&self) -> u64 {
+        self.clock.borrow().now(self.wall(), Instant::now())
+    }
+
+    /// Usage window at a moment of the steady clock.
+    pub(crate) fn window_at(&self, at: Instant) -> WindowId {
+        let ago = at.elapsed().as_millis() as u64;
+        let length = self.site.bounds.usage_window.as_millis().max(1) as u64;
+        self.true_ms().saturating_sub(ago) / length
+    }
+
+    /// Counts a run of a team's request that began at a moment.
+    pub(crate) fn count_run(&self, team: Option<&CustomerId>, began: Instant) {
+        if let Some(team) = team {
+            let window = self.window_at(began);
+            self.usage.borrow_mut().count(window, team);
+        }
+    }
+
     /// A number for a request that no other of this process has.
     pub(crate) fn number(&self) -> u64 {
         self.numbers.set(self.numbers.get() + 1);
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -15,6 +15,7 @@
 };
 
 use super::client::{CallError, Client};
+use super::duties::{LEADER, OWN};
 use super::state::State;
 
 /// How long the store may hold a watch open.
@@ -97,6 +98,8 @@
     for item in &items {
         take_config(state, item);
     }
+    let (items, _) = list(client, OWN).await?;
+    take_leader(state, items.iter().find(|item| item.key == LEADER));
     let (items, _) = list(client, REGISTRY).await?;
     let now = Instant::now();
     let mut board = state.board.borrow_mut();
@@ -148,6 +151,8 @@
                 tell(&id, state.board.borrow_mut().put(listing));
             }
         }
+        Change::Put(item) if item.key == LEADER => take_leader(state, Some(item)),
+        Change::Gone(key) if key == LEADER => take_leader(state, None),
         Change::Gone(key) => {
             if let Some(id) = key.strip_prefix(REGISTRY) {
                 tell(id, state.board.borrow_mut().gone(id, now));
@@ -157,6 +162,12 @@
     }
 }
 
+/// Notes who holds the duties.
+fn take_leader(state: &State, item: Option<&Item>) {
+    let name = item.map(|item| String::from_utf8_lossy(&item.value).into());
+    *state.leader.borrow_mut() = name;
+}
+
 fn tell(id: &str, change: Changed) {
     match change {
         Changed::Joined => log::info!("board: endpoint {id} joined."),
--- a/lib/src/protos.rs
+++ b/lib/src/protos.rs
@@ -32,3 +32,9 @@
 pub mod peer {
     include!("protos/poplarvale.peer.rs");
 }
+
+/// What relaying daemons tell one another and keep in the store.
+#[allow(clippy::all, clippy::pedantic, missing_docs, reason = "generated")]
+pub mod relay {
+    include!("protos/poplarvale.relay.rs");
+}
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod cache;
 pub mod catalog;
+pub mod clock;
 pub mod digest;
 pub mod duty;
 pub mod engine;
--- a/lib/src/relay/board.rs
+++ b/lib/src/relay/board.rs
@@ -9,10 +9,13 @@
 
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
+
 use super::cache::Cache;
 use super::engine::Speed;
 use super::evidence::Evidence;
 use super::listing::Listing;
+use super::quota::short;
 use crate::EndpointId;
 
 /// How long an endpoint stays in use whose entry is missing after an outage of the
@@ -20,6 +23,9 @@
 /// one that left must get nothing two seconds after the registry tells so.
 pub const RETURN: Duration = Duration::from_millis(1800);
 
+/// How long another daemon's word on its requests counts.
+const CURRENT: Duration = Duration::from_secs(2);
+
 /// Request in progress at an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Flight {
@@ -78,10 +84,21 @@
     pub full: Option<Instant>,
 }
 
+/// What one other daemon has in progress.
+#[derive(Clone, Debug, PartialEq)]
+struct Told {
+    name: CompactString,
+    heard: Instant,
+    /// By hash of the endpoint's id, sorted.
+    uses: Vec<(u32, Others)>,
+}
+
 /// All endpoints, sorted by id.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Board {
     rows: Vec<Endpoint>,
+    /// What the other daemons told, sorted by name.
+    told: Vec<Told>,
     /// Until when missing entries are doubtful, after an outage.
     settling: Option<Instant>,
 }
@@ -193,6 +210,25 @@
         changes
     }
 
+    /// Takes in what another daemon has in progress, by hash of the endpoints' ids.
+    pub fn hear(&mut self, name: &CompactString, mut uses: Vec<(u32, Others)>, now: Instant) {
+        uses.sort_by_key(|(endpoint, _)| *endpoint);
+        let told = Told {
+            name: name.clone(),
+            heard: now,
+            uses,
+        };
+        match self.told.binary_search_by(|row| row.name.cmp(name)) {
+            Ok(at) => self.told[at] = told,
+            Err(at) => self.told.insert(at, told),
+        }
+        self.told
+            .retain(|told| now.duration_since(told.heard) <= CURRENT);
+        for row in &mut self.rows {
+            row.others = sum(&self.told, short(&row.listing.id));
+        }
+    }
+
     /// Notes that the registry is back after it was away or refused this daemon.
     pub fn registry_back(&mut self, now: Instant) {
         self.settling = Some(now + RETURN);
@@ -217,6 +253,17 @@
     }
 }
 
+fn sum(told: &[Told], endpoint: u32) -> Others {
+    let mut all = Others::default();
+    for told in told {
+        if let Ok(at) = told.uses.binary_search_by_key(&endpoint, |row| row.0) {
+            all.requests += told.uses[at].1.requests;
+            all.tokens += told.uses[at].1.tokens;
+        }
+    }
+    all
+}
+
 impl Endpoint {
     fn new(listing: Listing, standing: Standing) -> Self {
         Self {
--- a/lib/src/relay/site.rs
+++ b/lib/src/relay/site.rs
@@ -1,6 +1,6 @@
 //! Settings of a daemon that relays on a platform, and their checks.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -24,6 +24,8 @@
     pub metrics: Option<SocketAddr>,
     /// Where other daemons send their digests.
     pub peers: SocketAddr,
+    /// Hosts of a few other daemons; some may be gone.
+    pub seeds: Vec<IpAddr>,
     /// The platform's key-value service.
     pub store: SocketAddr,
     /// The platform's API for reports and orders.
