relay: endpoints are ordered by what is asked; watches are short

Cause: a watch of 10 s on a connection that a silent store swallowed, seen in the log as 12.3 s without a word. Ruled out: the grace for missing entries (the entry was not seen at all). Watches now last 1 s.

--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -7,7 +7,7 @@
 use compact_str::{CompactString, format_compact};
 use poplarvale_lib::protos::relay::UsageRecord;
 use poplarvale_lib::relay::duty::Held;
-use poplarvale_lib::relay::fleet::{self, Orders, Wish};
+use poplarvale_lib::relay::fleet::{Orders, Wish};
 use poplarvale_lib::relay::usage::{Counts, WindowId};
 use poplarvale_platform::{
     Duty, Order, StoreError, Txn, get, grant, keep_alive, order_call, read_granted, read_item,
@@ -353,7 +353,11 @@
     };
     for service in &catalog.services {
         let boot = service.scaling.as_ref().map(|scaling| scaling.boot);
-        let wishes = fleet::wishes(&state.board.borrow(), service, &state.site.zones);
+        let now = Instant::now();
+        let work = state.demand.borrow().total(&service.name, now);
+        let zones = &state.site.zones;
+        let orders = &mut holder.orders;
+        let wishes = orders.wishes(&state.board.borrow(), service, zones, work, now);
         for wish in wishes {
             let now = Instant::now();
             if !holder.held.may_act(now) {
@@ -375,7 +379,7 @@
         desired: wish.count,
         spot: wish.spot,
     };
-    let kind = fleet::kind(wish.spot);
+    let kind = if wish.spot { "reclaimable" } else { "on demand" };
     let call = match order_call(&holder.duty, &order) {
         Ok(call) => call,
         Err(error) => {
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 use poplarvale_lib::protos::relay::{Digest, digest};
 use poplarvale_lib::relay::board::Others;
+use poplarvale_lib::relay::demand::Work;
 use poplarvale_lib::relay::quota::{Told, short};
 use prost::Message as _;
 use tokio::net::UdpSocket;
@@ -75,6 +76,12 @@
         number,
         counts: counts.iter().map(count).collect(),
     });
+    let demand = state.demand.borrow().tell(now);
+    let services = demand.into_iter().map(|(service, work)| digest::ServiceWork {
+        service,
+        read: work.read as u32,
+        write: work.write as u32,
+    });
     let peers = state.peers.borrow();
     Digest {
         name: state.site.name.to_string(),
@@ -86,6 +93,7 @@
         teams: teams.collect(),
         endpoints: endpoints.collect(),
         windows: windows.collect(),
+        services: services.collect(),
     }
 }
 
@@ -117,6 +125,14 @@
         (row.endpoint, others)
     });
     state.board.borrow_mut().hear(&name, uses.collect(), now);
+    let work = digest.services.iter().map(|row| {
+        let work = Work {
+            read: f64::from(row.read),
+            write: f64::from(row.write),
+        };
+        (row.service, work)
+    });
+    state.demand.borrow_mut().hear(&name, work.collect(), now);
     let mut usage = state.usage.borrow_mut();
     for window in digest.windows {
         let row = |count: digest::Count| (CompactString::from(count.team), count.runs);
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -113,6 +113,7 @@
         let now = Instant::now();
         state.upstreams.expire(now);
         state.quota.borrow_mut().expire(now);
+        state.demand.borrow_mut().expire(now);
         let current = state.window_at(now);
         state.usage.borrow_mut().expire(current);
         for id in state.board.borrow_mut().expire(now) {
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -7,6 +7,7 @@
 use poplarvale_lib::http1::{Framing, Request, Response};
 use poplarvale_lib::relay::ask::Ask;
 use poplarvale_lib::relay::catalog::{Backend, Catalog, Repeat, Route};
+use poplarvale_lib::relay::demand;
 use poplarvale_lib::relay::place::{NoPlace, Wanted, choose};
 use poplarvale_lib::relay::quota;
 use poplarvale_lib::{Code, Ran};
@@ -106,6 +107,11 @@
         let refused = Refusal::later(Code::NoEndpoint, SOON);
         return refuse(write, ask, refused, keep).await;
     };
+    if let Some(prompt) = &ask.prompt {
+        let work = demand::work(prompt);
+        let mut demand = state.demand.borrow_mut();
+        demand.ask(&service.name, work, Std::now());
+    }
     let job = Job {
         request,
         body,
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -9,6 +9,7 @@
 use poplarvale_lib::relay::board::Board;
 use poplarvale_lib::relay::catalog::Catalog;
 use poplarvale_lib::relay::clock::Clock;
+use poplarvale_lib::relay::demand::Demand;
 use poplarvale_lib::relay::digest::Peers;
 use poplarvale_lib::relay::quota::Quota;
 use poplarvale_lib::relay::site::Site;
@@ -26,6 +27,7 @@
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
     pub(crate) board: RefCell<Board>,
     pub(crate) quota: RefCell<Quota>,
+    pub(crate) demand: RefCell<Demand>,
     pub(crate) usage: RefCell<Usage>,
     pub(crate) clock: RefCell<Clock>,
     pub(crate) peers: RefCell<Peers>,
@@ -60,6 +62,7 @@
             catalog: RefCell::new(None),
             board: RefCell::default(),
             quota: RefCell::new(Quota::new(site.bounds.quota_window, started)),
+            demand: RefCell::default(),
             usage: RefCell::new(Usage::new(site.name.clone(), incarnation)),
             clock: RefCell::new(Clock::new(started)),
             peers: RefCell::new(Peers::new(me, &seeds, started)),
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -18,10 +18,13 @@
 use super::duties::{LEADER, OWN};
 use super::state::State;
 
-/// How long the store may hold a watch open.
-const WAIT: Duration = Duration::from_secs(10);
+/// How long the store may hold a watch open. A connection to a store that went
+/// silent stays silent after its return, so this bounds how long a daemon does not
+/// know that endpoints left; with 10 s, requests went to endpoints that had been
+/// leaving for 2.6 s.
+const WAIT: Duration = Duration::from_secs(1);
 /// How much longer than that an answer may take: its way and a slow store.
-const SLACK: Duration = Duration::from_millis(1500);
+const SLACK: Duration = Duration::from_millis(600);
 /// How long a list may take to be read.
 const READ: Duration = Duration::from_secs(2);
 /// Pause between watches. An endpoint that leaves must get nothing new two seconds
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -29,6 +29,8 @@
     pub endpoints: ::prost::alloc::vec::Vec<digest::EndpointUse>,
     #[prost(message, repeated, tag = "9")]
     pub windows: ::prost::alloc::vec::Vec<digest::Window>,
+    #[prost(message, repeated, tag = "10")]
+    pub services: ::prost::alloc::vec::Vec<digest::ServiceWork>,
 }
 /// Nested message and enum types in `Digest`.
 pub mod digest {
@@ -58,6 +60,18 @@
         #[prost(uint32, tag = "3")]
         pub tokens: u32,
     }
+    /// Work that is asked of a service here, a second.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+    pub struct ServiceWork {
+        #[prost(fixed32, tag = "1")]
+        pub service: u32,
+        #[prost(uint32, tag = "2")]
+        pub read: u32,
+        #[prost(uint32, tag = "3")]
+        pub write: u32,
+    }
     /// Runs that began within a usage window, by team.
     #[derive(serde::Serialize, serde::Deserialize)]
     #[serde(default)]
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -12,6 +12,7 @@
 pub mod cache;
 pub mod catalog;
 pub mod clock;
+pub mod demand;
 pub mod digest;
 pub mod duty;
 pub mod engine;
--- a/lib/src/relay/fleet.rs
+++ b/lib/src/relay/fleet.rs
@@ -1,24 +1,40 @@
 //! How many endpoints are ordered, where and of which kind.
 //!
-//! An endpoint that may be reclaimed costs about a fifth of another. A zone's
-//! reclaimable ones all leave at once, two seconds after a notice, and while that
-//! lasts no others may be had anywhere. So what survives the loss of a zone must
-//! stand beforehand: reclaimable endpoints in every zone, and a few others in the
-//! cheapest zones. An endpoint of the dear kind is given up only when the
-//! reclaimable ones of its zone stand.
+//! Load: traffic that swings and bursts, and reclaims that take all reclaimable
+//! endpoints of one zone after the other within ten seconds, while no others are
+//! to be had anywhere. A reclaimable endpoint costs about a fifth of another. What
+//! must survive such a wave has to stand beforehand and be of the other kind; what
+//! is there for speed on the other days is of the cheap kind, in every zone.
+//!
+//! The need is taken from what callers ask for and the engines' published speed.
+//! Fewer endpoints are ordered only after the need was lower for a while: an
+//! endpoint that is given up too early takes seconds to come back.
 
 use std::time::{Duration, Instant};
 
-use compact_str::CompactString;
-
 use super::board::{Board, Standing};
 use super::catalog::{Scaling, Service};
+use super::demand::Work;
 use crate::{ServiceId, ZoneId};
 
-/// Reclaimable endpoints in each zone.
-const SPOT: u32 = 2;
-/// Zones, cheapest first, that keep one endpoint of the other kind.
-const KEEP: usize = 2;
+/// Prompt tokens that an engine reads in a second; the published figures are 48.2
+/// and 56.6 a millisecond.
+const READ: f64 = 50_000.0;
+/// Time of one step of an engine without and for each running request, in
+/// seconds; of the published 2.6 to 3.79 ms and 0.0893 ms.
+const STEP: f64 = 0.0038;
+const STEP_EACH: f64 = 0.000_09;
+/// Share of its places at which an engine is reckoned to work.
+const FILL: f64 = 0.5;
+/// Dear endpoints for each one that the work needs when nothing waits.
+const LASTING: f64 = 0.7;
+/// Reclaimable endpoints for each one that the work needs.
+const CHEAP: f64 = 2.0;
+/// Least number of each kind in all, as soon as anything is asked.
+const LEAST: f64 = 2.0;
+/// How long the need must have been lower before fewer are ordered: a swing of the
+/// traffic takes tens of seconds.
+const LOWER: Duration = Duration::from_secs(10);
 /// Pause after an order that was refused, doubled up to the most.
 const RETRY: Duration = Duration::from_millis(1000);
 const MOST_RETRY: Duration = Duration::from_millis(4000);
@@ -51,10 +67,26 @@
     pause: Duration,
 }
 
-/// Orders given so far.
+/// Highest need lately of one service.
+#[derive(Clone, Debug, PartialEq)]
+struct Need {
+    service: ServiceId,
+    /// Endpoints that the work needs, and when they were last needed.
+    highs: Vec<(f64, Instant)>,
+}
+
+/// Needs and the orders given so far.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Orders {
     given: Vec<Given>,
+    needs: Vec<Need>,
+}
+
+/// Endpoints that a second's work keeps fully busy.
+pub fn needed(work: Work, slots: u32) -> f64 {
+    let running = f64::from(slots.max(1)) * FILL;
+    let each = (STEP + STEP_EACH * running) / running;
+    work.read / READ + work.write * each
 }
 
 /// Endpoints of one kind that serve in a zone.
@@ -68,52 +100,92 @@
     rows.count() as u32
 }
 
-/// What is wanted of a service now, where it differs from what stands.
-pub fn wishes(board: &Board, service: &Service, zones: &[ZoneId]) -> Vec<Wish> {
-    let Some(scaling) = &service.scaling else {
-        return Vec::new();
+fn price(scaling: &Scaling, zone: &str) -> f64 {
+    let at = scaling
+        .zones
+        .binary_search_by(|row| row.0.as_str().cmp(zone));
+    at.map_or(1.0, |at| scaling.zones[at].1)
+}
+
+/// Deals endpoints out to the zones, one each in turn, the cheapest zone first.
+fn deal(scaling: &Scaling, zones: &[ZoneId], total: u32) -> Vec<(ZoneId, u32)> {
+    let mut order: Vec<&ZoneId> = zones.iter().collect();
+    order.sort_by(|a, b| price(scaling, a).total_cmp(&price(scaling, b)));
+    let each = |(at, zone): (usize, &ZoneId)| {
+        let count = zones.len() as u32;
+        let share = total / count + u32::from((at as u32) < total % count);
+        (zone.clone(), share)
     };
-    let mut wishes = Vec::new();
-    for zone in zones {
-        let spots = count(board, &service.name, zone, true);
-        let others = count(board, &service.name, zone, false);
-        let kept = kept(scaling, zones, zone);
-        let spot = if scaling.spot.is_some() {
-            SPOT.min(scaling.most.saturating_sub(others.max(kept)))
+    order.into_iter().enumerate().map(each).collect()
+}
+
+impl Orders {
+    /// Highest need of a service within [`LOWER`].
+    fn high(&mut self, service: &ServiceId, need: f64, now: Instant) -> f64 {
+        let at = self.needs.iter().position(|row| row.service == *service);
+        let at = at.unwrap_or_else(|| {
+            self.needs.push(Need {
+                service: service.clone(),
+                highs: Vec::new(),
+            });
+            self.needs.len() - 1
+        });
+        let highs = &mut self.needs[at].highs;
+        highs.retain(|(held, seen)| now.duration_since(*seen) <= LOWER && *held > need);
+        highs.push((need, now));
+        highs.iter().map(|(held, _)| *held).fold(0.0, f64::max)
+    }
+
+    /// What is wanted of a service now, where it differs from what stands.
+    ///
+    /// Nothing is changed before anything is asked: what stands then is what the
+    /// operators took for right.
+    pub fn wishes(
+        &mut self,
+        board: &Board,
+        service: &Service,
+        zones: &[ZoneId],
+        work: Work,
+        now: Instant,
+    ) -> Vec<Wish> {
+        let (Some(scaling), Some(engine)) = (&service.scaling, &service.engine) else {
+            return Vec::new();
+        };
+        if work == Work::default() {
+            return Vec::new();
+        }
+        let need = self.high(&service.name, needed(work, engine.slots), now);
+        let (lasting, cheap) = if scaling.spot.is_some() {
+            (LASTING, CHEAP)
         } else {
-            0
+            (LASTING + CHEAP, 0.0)
         };
-        let keep = if spots >= spot { kept } else { others.max(kept) };
-        for (kind, wanted, held) in [(true, spot, spots), (false, keep, others)] {
-            if wanted != held {
-                wishes.push(Wish {
-                    service: service.name.clone(),
-                    zone: zone.clone(),
-                    spot: kind,
-                    count: wanted,
-                });
+        let lasting = deal(scaling, zones, (need * lasting).max(LEAST).round() as u32);
+        let cheap = if cheap > 0.0 { (need * cheap).max(LEAST).round() } else { 0.0 };
+        let cheap = deal(scaling, zones, cheap as u32);
+        let mut wishes = Vec::new();
+        for ((zone, keep), (_, spot)) in lasting.into_iter().zip(cheap) {
+            let spots = count(board, &service.name, &zone, true);
+            let others = count(board, &service.name, &zone, false);
+            let keep = keep.min(scaling.most);
+            let spot = spot.min(scaling.most - keep);
+            // Dear endpoints go only when the cheap ones of their zone stand.
+            let keep = if spots >= spot { keep } else { keep.max(others) };
+            let spot = spot.min(scaling.most.saturating_sub(keep.max(others)));
+            for (kind, wanted, held) in [(true, spot, spots), (false, keep, others)] {
+                if wanted != held {
+                    wishes.push(Wish {
+                        service: service.name.clone(),
+                        zone: zone.clone(),
+                        spot: kind,
+                        count: wanted,
+                    });
+                }
             }
         }
+        wishes
     }
-    wishes
-}
 
-/// Endpoints of the dear kind that a zone keeps.
-fn kept(scaling: &Scaling, zones: &[ZoneId], zone: &str) -> u32 {
-    if scaling.spot.is_none() {
-        return scaling.least.max(SPOT);
-    }
-    let price = |zone: &str| {
-        let at = scaling.zones.binary_search_by(|row| row.0.as_str().cmp(zone));
-        at.map_or(1.0, |at| scaling.zones[at].1)
-    };
-    let cheaper = |other: &&ZoneId| {
-        (price(other), other.as_str()) < (price(zone), zone)
-    };
-    u32::from(zones.iter().filter(cheaper).count() < KEEP)
-}
-
-impl Orders {
     /// Whether a wish may be ordered now.
     pub fn is_due(&self, wish: &Wish, now: Instant) -> bool {
         match self.find(wish) {
@@ -151,8 +223,3 @@
         })
     }
 }
-
-/// Name of a kind of endpoint, for logs.
-pub fn kind(spot: bool) -> CompactString {
-    if spot { "reclaimable" } else { "on demand" }.into()
-}
