relay: a budget of repeats; digests and watches that follow the number of daemons

Change: repeats are a fraction of a daemon's own requests; watches are rarer the more daemons there are, and whoever sees an endpoint leave tells the others at once; digests come every 8 ms a daemon and carry usage in full each fourth time only.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -89,7 +89,12 @@
     patience: Patience,
 ) -> Ended {
     let booked = book(state, job, choice);
-    let Some(address) = state.board.borrow().get(&choice.id).map(|row| row.listing.address) else {
+    let Some(address) = state
+        .board
+        .borrow()
+        .get(&choice.id)
+        .map(|row| row.listing.address)
+    else {
         return Ended::NotSent;
     };
     let (mut wire, kept) = match state.upstreams.get(address).await {
@@ -102,7 +107,8 @@
                 .is_some_and(|row| row.evidence.unreached(Std::now()));
             log::info!(
                 "send: {} not connected to {}, {error}, left out: {out}.",
-                job.ask.id, choice.id
+                job.ask.id,
+                choice.id
             );
             return Ended::NotSent;
         }
@@ -222,7 +228,8 @@
     booked.note(|row| out = row.evidence.bad(Std::now()));
     log::info!(
         "send: {} failed at {}, {fault}, kept connection: {kept}, left out: {out}.",
-        job.ask.id, choice.id
+        job.ask.id,
+        choice.id
     );
 }
 
--- a/daemon/src/relay/caller.rs
+++ b/daemon/src/relay/caller.rs
@@ -63,7 +63,10 @@
         }
     };
     if request.fields.lists("expect", "100-continue") {
-        write.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.ok()?;
+        write
+            .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+            .await
+            .ok()?;
     }
     let body = match read_body(read, buffer, request.framing, &limits).await? {
         Ok(body) => body,
@@ -81,7 +84,10 @@
 
 fn limits(state: &State) -> CallerLimits {
     let catalog = state.catalog.borrow();
-    catalog.as_ref().map(|catalog| catalog.limits).unwrap_or_default()
+    catalog
+        .as_ref()
+        .map(|catalog| catalog.limits)
+        .unwrap_or_default()
 }
 
 /// Reads a request's head. `None` if the connection ends or stays idle.
--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -379,7 +379,11 @@
         desired: wish.count,
         spot: wish.spot,
     };
-    let kind = if wish.spot { "reclaimable" } else { "on demand" };
+    let kind = if wish.spot {
+        "reclaimable"
+    } else {
+        "on demand"
+    };
     let call = match order_call(&holder.duty, &order) {
         Ok(call) => call,
         Err(error) => {
@@ -391,7 +395,10 @@
     let (count, zone) = (wish.count, &wish.zone);
     match answered {
         Ok(reply) => {
-            log::info!("duty: {count} {kind} in {zone} ordered (status {}).", reply.status);
+            log::info!(
+                "duty: {count} {kind} in {zone} ordered (status {}).",
+                reply.status
+            );
             reply.status == 200
         }
         Err(error) => {
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -100,11 +100,7 @@
 ///
 /// # Errors
 /// If it broke off, is not in the protocol or is longer.
-pub(crate) async fn whole_body(
-    wire: &mut Wire,
-    head: &Response,
-    most: usize,
-) -> io::Result<Bytes> {
+pub(crate) async fn whole_body(wire: &mut Wire, head: &Response, most: usize) -> io::Result<Bytes> {
     let (mut read, _write) = wire.stream.split();
     let mut body = Body::new(head.framing);
     let mut bytes = BytesMut::new();
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -14,6 +14,9 @@
 
 use super::state::State;
 
+/// Every how many digests the other daemons and all usage windows are told; the
+/// window that ended last is told each time, as its report is due next.
+const WHOLE: u64 = 4;
 /// Largest datagram that is read, in bytes.
 const MOST: usize = 16 * 1024;
 
@@ -51,19 +54,23 @@
                 log::debug!("peers: nothing sent to {peer}, {error}.");
             }
         }
-        tokio::time::sleep(period).await;
+        tokio::select! {
+            () = tokio::time::sleep(period) => {}
+            () = state.news.notified() => {}
+        }
     }
 }
 
 fn digest(state: &State, sequence: u64, now: Instant) -> Digest {
     let quota = state.quota.borrow();
-    let teams = quota.tell(now).into_iter().map(|(team, units, rate)| {
-        digest::TeamUse {
+    let teams = quota
+        .tell(now)
+        .into_iter()
+        .map(|(team, units, rate)| digest::TeamUse {
             team,
             units: units as u32,
             rate: rate as u32,
-        }
-    });
+        });
     let board = state.board.borrow();
     let busy = board.rows().iter().filter(|row| !row.flights.is_empty());
     let endpoints = busy.map(|row| digest::EndpointUse {
@@ -72,28 +79,43 @@
         tokens: (row.backlog() - row.others.tokens).max(0.0) as u32,
     });
     let usage = state.usage.borrow();
-    let windows = usage.mine().map(|(number, counts)| digest::Window {
+    let current = state.window_at(now);
+    let whole = sequence.is_multiple_of(WHOLE);
+    let windows = usage.mine();
+    let windows = windows.filter(|(number, _)| whole || number + 1 == current);
+    let windows = windows.map(|(number, counts)| digest::Window {
         number,
         counts: counts.iter().map(count).collect(),
     });
     let demand = state.demand.borrow().tell(now);
-    let services = demand.into_iter().map(|(service, work)| digest::ServiceWork {
-        service,
-        read: work.read as u32,
-        write: work.write as u32,
-    });
-    let peers = state.peers.borrow();
+    let services = demand
+        .into_iter()
+        .map(|(service, work)| digest::ServiceWork {
+            service,
+            read: work.read as u32,
+            write: work.write as u32,
+        });
+    let others = if whole {
+        state.peers.borrow().lately(now)
+    } else {
+        Vec::new()
+    };
     Digest {
         name: state.site.name.to_string(),
         incarnation: state.incarnation,
         sequence,
         wall_ms: state.wall(),
-        catalog: state.catalog.borrow().as_ref().map_or(0, |held| held.version),
-        peers: peers.lately(now).into_iter().map(u32::from).collect(),
+        catalog: state
+            .catalog
+            .borrow()
+            .as_ref()
+            .map_or(0, |held| held.version),
+        peers: others.into_iter().map(u32::from).collect(),
         teams: teams.collect(),
         endpoints: endpoints.collect(),
         windows: windows.collect(),
         services: services.collect(),
+        left: std::mem::take(&mut *state.left.borrow_mut()),
     }
 }
 
@@ -125,6 +147,9 @@
         (row.endpoint, others)
     });
     state.board.borrow_mut().hear(&name, uses.collect(), now);
+    for id in state.board.borrow_mut().heard_left(&digest.left) {
+        log::info!("board: endpoint {id} leaves, {name} tells.");
+    }
     let work = digest.services.iter().map(|row| {
         let work = Work {
             read: f64::from(row.read),
@@ -145,9 +170,11 @@
         .map(|row| (row.team, f64::from(row.units), f64::from(row.rate)))
         .collect();
     teams.sort_by_key(|row| row.0);
-    state.quota.borrow_mut().hear(Told {
+    let told = Told {
         name,
         heard: now,
         teams,
-    });
+    };
+    let silent = state.peers.borrow().silent();
+    state.quota.borrow_mut().hear(told, silent);
 }
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -74,7 +74,10 @@
 
     wait_for_end(&state, path).await?;
     drained(&state).await;
-    log::info!("daemon: ends with {} requests in progress.", state.active.get());
+    log::info!(
+        "daemon: ends with {} requests in progress.",
+        state.active.get()
+    );
     Ok(())
 }
 
@@ -141,7 +144,10 @@
     let now = Instant::now();
     state.ending.set(Some(now + state.site.bounds.grace));
     state.told.notify_waiters();
-    log::info!("daemon: shutting down with {} requests.", state.active.get());
+    log::info!(
+        "daemon: shutting down with {} requests.",
+        state.active.get()
+    );
     Ok(())
 }
 
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -27,6 +27,8 @@
 /// When to come back where nothing better is known: after a change of daemons or
 /// endpoints has spread.
 const SOON: Duration = Duration::from_millis(500);
+/// Most endpoints that a request reaches, those that did not run it included.
+const MOST_SENDS: u32 = 3;
 /// Least time that an endpoint must have for an answer to be worth asking for.
 const LEAST: Duration = Duration::from_millis(5);
 
@@ -153,7 +155,11 @@
 
 fn rank(route: &Route, team: Option<u8>) -> u8 {
     let _ = team;
-    route.rank.saturating_mul(2).min(MOST_RANK).min(USUAL_RANK + 4)
+    route
+        .rank
+        .saturating_mul(2)
+        .min(MOST_RANK)
+        .min(USUAL_RANK + 4)
 }
 
 /// Sends a request to endpoints until one answers or none may be asked any more.
@@ -166,6 +172,12 @@
     let mut passed = Passed::nothing(job.ask.resume, keep);
     let mut avoid = Vec::new();
     let mut runs = 0;
+    let mut sends = 0;
+    let mut limited = false;
+    state
+        .budget
+        .borrow_mut()
+        .request(&job.service.name, Std::now());
     let mut last: Option<(Response, Bytes)> = None;
     let mut maybe_ran = false;
     loop {
@@ -198,14 +210,20 @@
             }
             Err(_) => break,
         };
+        if sends > 0 && (sends >= MOST_SENDS || !may_repeat(state, job)) {
+            limited = true;
+            break;
+        }
         let patience = patience(job, choice.wait, now, runs + 1 < job.route.attempts);
         let ended = attempt(state, job, &choice, &mut passed, write, patience).await;
         avoid.push(choice.id);
         match ended {
             Ended::Streamed => return after(keep),
             Ended::CallerGone => return After::Close,
-            Ended::NotSent | Ended::NotRun => {}
+            Ended::NotSent => {}
+            Ended::NotRun => sends += 1,
             Ended::Whole(head, body) => {
+                sends += 1;
                 let again = head.status >= 500 && job.route.repeat.may_repeat() && !passed.begun;
                 runs += 1;
                 if !again || runs >= job.route.attempts {
@@ -218,6 +236,7 @@
             }
             Ended::Broken(_) => {
                 runs += 1;
+                sends += 1;
                 maybe_ran = true;
                 if !job.route.repeat.may_repeat() || runs >= job.route.attempts {
                     break;
@@ -242,12 +261,22 @@
         Refusal::unknown(Code::Overdue)
     } else if maybe_ran {
         Refusal::unknown(Code::Broken)
+    } else if limited {
+        Refusal::later(Code::Full, SOON)
     } else {
         Refusal::later(Code::NoEndpoint, SOON)
     };
     refuse(write, job.ask, refused, keep).await
 }
 
+/// Whether the request may be sent once more.
+fn may_repeat(state: &State, job: &Job<'_>) -> bool {
+    let now = Std::now();
+    let daemons = state.peers.borrow().lately(now).len() + 1;
+    let mut budget = state.budget.borrow_mut();
+    budget.repeat(&job.service.name, daemons, now)
+}
+
 /// How long an endpoint may be silent. Where the request may go on elsewhere, a
 /// silent endpoint is given up before the caller gives up.
 fn patience(job: &Job<'_>, wait: Duration, now: Instant, more: bool) -> Patience {
@@ -277,12 +306,7 @@
 }
 
 /// Passes an endpoint's whole answer on.
-async fn answer(
-    write: &mut WriteHalf<'_>,
-    head: &Response,
-    body: &Bytes,
-    keep: bool,
-) -> After {
+async fn answer(write: &mut WriteHalf<'_>, head: &Response, body: &Bytes, keep: bool) -> After {
     let mut out = response_head(head, Framing::Length(body.len() as u64), keep);
     out.extend_from_slice(body);
     match write.write_all(&out).await {
@@ -298,8 +322,19 @@
     refused: Refusal,
     keep: bool,
 ) -> After {
-    log::info!("refuse: {} {} ran {}.", ask.id, refused.code, refused.ran.word());
-    let out = refusal(refused.code, refused.ran, Some(&ask.id), refused.again, keep);
+    log::info!(
+        "refuse: {} {} ran {}.",
+        ask.id,
+        refused.code,
+        refused.ran.word()
+    );
+    let out = refusal(
+        refused.code,
+        refused.ran,
+        Some(&ask.id),
+        refused.again,
+        keep,
+    );
     match write.write_all(&out).await {
         Ok(()) => after(keep),
         Err(_) => After::Close,
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -7,6 +7,7 @@
 
 use compact_str::CompactString;
 use poplarvale_lib::relay::board::Board;
+use poplarvale_lib::relay::budget::Budget;
 use poplarvale_lib::relay::catalog::Catalog;
 use poplarvale_lib::relay::clock::Clock;
 use poplarvale_lib::relay::demand::Demand;
@@ -27,6 +28,7 @@
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
     pub(crate) board: RefCell<Board>,
     pub(crate) quota: RefCell<Quota>,
+    pub(crate) budget: RefCell<Budget>,
     pub(crate) demand: RefCell<Demand>,
     pub(crate) usage: RefCell<Usage>,
     pub(crate) clock: RefCell<Clock>,
@@ -43,6 +45,10 @@
     pub(crate) active: Cell<usize>,
     /// When the process must have ended; set by SIGTERM.
     pub(crate) ending: Cell<Option<Instant>>,
+    /// Endpoints that were seen to leave and that the others are still to be told.
+    pub(crate) left: RefCell<Vec<u32>>,
+    /// Told when there is something to be told at once.
+    pub(crate) news: Notify,
     /// Told when `ending` is set.
     pub(crate) told: Notify,
     numbers: Cell<u64>,
@@ -62,6 +68,11 @@
             catalog: RefCell::new(None),
             board: RefCell::default(),
             quota: RefCell::new(Quota::new(site.bounds.quota_window, started)),
+            budget: RefCell::new(Budget::new(
+                site.bounds.repeat,
+                site.bounds.repeat_slack,
+                site.bounds.repeat_window,
+            )),
             demand: RefCell::default(),
             usage: RefCell::new(Usage::new(site.name.clone(), incarnation)),
             clock: RefCell::new(Clock::new(started)),
@@ -74,6 +85,8 @@
             upstreams: Upstreams::default(),
             active: Cell::new(0),
             ending: Cell::new(None),
+            left: RefCell::default(),
+            news: Notify::new(),
             told: Notify::new(),
             numbers: Cell::new(0),
         })
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -9,6 +9,7 @@
 
 use poplarvale_lib::relay::board::Changed;
 use poplarvale_lib::relay::listing::Listing;
+use poplarvale_lib::relay::quota::short;
 use poplarvale_platform::{
     CONFIG_KEY, Change, Item, REGISTRY, Reply, StoreError, range, read_config, read_listing,
     read_range, read_watched, watch,
@@ -27,9 +28,14 @@
 const SLACK: Duration = Duration::from_millis(600);
 /// How long a list may take to be read.
 const READ: Duration = Duration::from_secs(2);
-/// Pause between watches. An endpoint that leaves must get nothing new two seconds
-/// later; entries are renewed every second or so, and each watch is paid for.
+/// Pause between watches of few daemons. An endpoint that leaves must get nothing
+/// new two seconds later; entries are renewed every second or so, and each watch is
+/// paid for.
 const PAUSE: Duration = Duration::from_millis(600);
+/// Longer pause for each other daemon, up to the most: whoever sees first that an
+/// endpoint leaves tells the others at once, so together they look often enough.
+const PAUSE_EACH: Duration = Duration::from_millis(12);
+const MOST_PAUSE: Duration = Duration::from_millis(1300);
 /// Pause after a failed call, doubled after each further one up to the most.
 const RETRY: Duration = Duration::from_millis(150);
 const MOST_RETRY: Duration = Duration::from_millis(900);
@@ -68,7 +74,9 @@
                 revision = Some(next);
                 heard = Instant::now();
                 pause = RETRY;
-                tokio::time::sleep(PAUSE).await;
+                let others = state.peers.borrow().rows().len() as u32;
+                let pause = (PAUSE + PAUSE_EACH * others).min(MOST_PAUSE);
+                tokio::time::sleep(pause).await;
             }
             Err(error) => {
                 if !failing {
@@ -92,11 +100,7 @@
 }
 
 /// Reads the configuration and the whole list; gives the revision to go on from.
-async fn read_all(
-    state: &State,
-    client: &mut Client,
-    heard: Instant,
-) -> Result<u64, WatchError> {
+async fn read_all(state: &State, client: &mut Client, heard: Instant) -> Result<u64, WatchError> {
     let (items, revision) = list(client, CONFIG_KEY).await?;
     for item in &items {
         take_config(state, item);
@@ -105,13 +109,16 @@
     take_leader(state, items.iter().find(|item| item.key == LEADER));
     let (items, _) = list(client, REGISTRY).await?;
     let now = Instant::now();
-    let mut board = state.board.borrow_mut();
-    if state.listed.get() && now.duration_since(heard) > OUTAGE {
-        board.registry_back(now);
-    }
     let listings = items.iter().filter_map(listing).collect();
-    for (id, change) in board.replace(listings, now) {
-        tell(&id, change);
+    let changes = {
+        let mut board = state.board.borrow_mut();
+        if state.listed.get() && now.duration_since(heard) > OUTAGE {
+            board.registry_back(now);
+        }
+        board.replace(listings, now)
+    };
+    for (id, change) in changes {
+        tell(state, &id, change);
     }
     state.listed.set(true);
     Ok(revision)
@@ -151,14 +158,16 @@
         Change::Put(item) if item.key.starts_with(REGISTRY) => {
             if let Some(listing) = listing(item) {
                 let id = listing.id.clone();
-                tell(&id, state.board.borrow_mut().put(listing));
+                let change = state.board.borrow_mut().put(listing);
+                tell(state, &id, change);
             }
         }
         Change::Put(item) if item.key == LEADER => take_leader(state, Some(item)),
         Change::Gone(key) if key == LEADER => take_leader(state, None),
         Change::Gone(key) => {
             if let Some(id) = key.strip_prefix(REGISTRY) {
-                tell(id, state.board.borrow_mut().gone(id, now));
+                let change = state.board.borrow_mut().gone(id, now);
+                tell(state, id, change);
             }
         }
         Change::Put(_) => {}
@@ -171,10 +180,14 @@
     *state.leader.borrow_mut() = name;
 }
 
-fn tell(id: &str, change: Changed) {
+fn tell(state: &State, id: &str, change: Changed) {
     match change {
         Changed::Joined => log::info!("board: endpoint {id} joined."),
-        Changed::Left => log::info!("board: endpoint {id} leaves."),
+        Changed::Left => {
+            log::info!("board: endpoint {id} leaves.");
+            state.left.borrow_mut().push(short(id));
+            state.news.notify_one();
+        }
         Changed::Doubted => log::info!("board: endpoint {id} is doubtful."),
         Changed::Nothing => {}
     }
@@ -190,7 +203,10 @@
         }
     };
     let mut held = state.catalog.borrow_mut();
-    if held.as_ref().is_none_or(|held| held.version < catalog.version) {
+    if held
+        .as_ref()
+        .is_none_or(|held| held.version < catalog.version)
+    {
         log::info!("config: version {} in force.", catalog.version);
         *held = Some(Rc::new(catalog));
     }
--- a/lib/src/http1/body.rs
+++ b/lib/src/http1/body.rs
@@ -63,13 +63,21 @@
                 State::Length(left) => {
                     return Ok(take(buffer, left).inspect(|part| {
                         let left = left - part.len() as u64;
-                        self.0 = if left == 0 { State::Done } else { State::Length(left) };
+                        self.0 = if left == 0 {
+                            State::Done
+                        } else {
+                            State::Length(left)
+                        };
                     }));
                 }
                 State::Chunk(left) => {
                     return Ok(take(buffer, left).inspect(|part| {
                         let left = left - part.len() as u64;
-                        self.0 = if left == 0 { State::ChunkEnd } else { State::Chunk(left) };
+                        self.0 = if left == 0 {
+                            State::ChunkEnd
+                        } else {
+                            State::Chunk(left)
+                        };
                     }));
                 }
                 State::ChunkEnd => {
@@ -85,7 +93,11 @@
                 State::Size => match httparse::parse_chunk_size(buffer) {
                     Ok(httparse::Status::Complete((len, size))) => {
                         buffer.advance(len);
-                        self.0 = if size == 0 { State::Trailer } else { State::Chunk(size) };
+                        self.0 = if size == 0 {
+                            State::Trailer
+                        } else {
+                            State::Chunk(size)
+                        };
                     }
                     Ok(httparse::Status::Partial) if buffer.len() <= MOST_LINE => return Ok(None),
                     _ => return Err(BodyError::Chunk),
@@ -125,6 +137,8 @@
     if buffer.is_empty() {
         return None;
     }
-    let len = usize::try_from(left).unwrap_or(usize::MAX).min(buffer.len());
+    let len = usize::try_from(left)
+        .unwrap_or(usize::MAX)
+        .min(buffer.len());
     Some(buffer.split_to(len).freeze())
 }
--- a/lib/src/http1/head.rs
+++ b/lib/src/http1/head.rs
@@ -174,9 +174,8 @@
 }
 
 fn cut(head: &Bytes, spans: &[(Span, Span)]) -> Fields {
-    let field = |(name, value): &(Span, Span)| {
-        (head.slice(name.0..name.1), head.slice(value.0..value.1))
-    };
+    let field =
+        |(name, value): &(Span, Span)| (head.slice(name.0..name.1), head.slice(value.0..value.1));
     Fields(spans.iter().map(field).collect())
 }
 
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -31,6 +31,9 @@
     pub windows: ::prost::alloc::vec::Vec<digest::Window>,
     #[prost(message, repeated, tag = "10")]
     pub services: ::prost::alloc::vec::Vec<digest::ServiceWork>,
+    /// Endpoints that the sender has just seen to leave.
+    #[prost(fixed32, repeated, tag = "11")]
+    pub left: ::prost::alloc::vec::Vec<u32>,
 }
 /// Nested message and enum types in `Digest`.
 pub mod digest {
--- a/lib/src/relay/board.rs
+++ b/lib/src/relay/board.rs
@@ -156,8 +156,8 @@
             }
             Ok(at) => {
                 let row = &mut self.rows[at];
-                let reborn = row.listing.born != listing.born
-                    || row.listing.address != listing.address;
+                let reborn =
+                    row.listing.born != listing.born || row.listing.address != listing.address;
                 if reborn {
                     // Another life under the same id knows nothing of the first.
                     *row = Endpoint::new(listing, standing);
@@ -166,7 +166,11 @@
                 let left = standing == Standing::Leaving && row.standing != Standing::Leaving;
                 row.standing = standing;
                 row.listing = listing;
-                if left { Changed::Left } else { Changed::Nothing }
+                if left {
+                    Changed::Left
+                } else {
+                    Changed::Nothing
+                }
             }
         }
     }
@@ -229,6 +233,20 @@
         }
     }
 
+    /// Takes in from another daemon which endpoints leave, by hash of their ids. An
+    /// entry that says otherwise follows from the registry if the word was wrong.
+    pub fn heard_left(&mut self, left: &[u32]) -> Vec<EndpointId> {
+        let mut found = Vec::new();
+        for row in &mut self.rows {
+            let told = left.contains(&short(&row.listing.id));
+            if told && row.standing != Standing::Leaving {
+                row.standing = Standing::Leaving;
+                found.push(row.listing.id.clone());
+            }
+        }
+        found
+    }
+
     /// Notes that the registry is back after it was away or refused this daemon.
     pub fn registry_back(&mut self, now: Instant) {
         self.settling = Some(now + RETURN);
--- a/lib/src/relay/cache.rs
+++ b/lib/src/relay/cache.rs
@@ -76,7 +76,8 @@
     }
 
     fn find(&self, chain: Chain) -> Result<usize, usize> {
-        self.entries.binary_search_by_key(&chain, |entry| entry.chain)
+        self.entries
+            .binary_search_by_key(&chain, |entry| entry.chain)
     }
 
     fn drop_oldest(&mut self) -> bool {
--- a/lib/src/relay/digest.rs
+++ b/lib/src/relay/digest.rs
@@ -20,8 +20,11 @@
 /// twice; a quarter of a second of a flood is well within the allowance's slack.
 const PERIOD: Duration = Duration::from_millis(250);
 /// Time between digests for each other daemon, so that what one daemon has to read
-/// stays below forty datagrams a second however many there are.
-const EACH: Duration = Duration::from_millis(25);
+/// stays near 125 datagrams a second however many there are; that took less than a
+/// thousandth of a core.
+const EACH: Duration = Duration::from_millis(8);
+/// Periods after which a daemon that was not heard counts as silent.
+const MISSED: u32 = 4;
 /// Daemons up to this long ago are told on.
 const LATELY: Duration = Duration::from_secs(5);
 
@@ -113,8 +116,14 @@
         PERIOD.max(EACH * self.rows.len() as u32)
     }
 
+    /// After how long without a word a daemon counts as silent.
+    pub fn silent(&self) -> Duration {
+        self.period() * MISSED
+    }
+
     /// Forgets daemons that are silent for long.
     pub fn expire(&mut self, now: Instant) {
-        self.rows.retain(|row| now.duration_since(row.heard) <= FORGET);
+        self.rows
+            .retain(|row| now.duration_since(row.heard) <= FORGET);
     }
 }
--- a/lib/src/relay/fleet.rs
+++ b/lib/src/relay/fleet.rs
@@ -30,8 +30,17 @@
 const LASTING: f64 = 0.7;
 /// Reclaimable endpoints for each one that the work needs.
 const CHEAP: f64 = 2.0;
+/// Endpoints in all for each one that the work needs below which no dear one that
+/// stands is given up.
+const ALONE: f64 = 1.7;
 /// Least number of each kind in all, as soon as anything is asked.
 const LEAST: f64 = 2.0;
+/// How long work is asked for before its rate is taken as whole; the span of the
+/// rates.
+const FIRST: Duration = Duration::from_secs(4);
+/// Need above and below the level at which orders change.
+const RAISE: f64 = 1.25;
+const REDUCE: f64 = 0.7;
 /// How long the need must have been lower before fewer are ordered: a swing of the
 /// traffic takes tens of seconds.
 const LOWER: Duration = Duration::from_secs(10);
@@ -67,19 +76,24 @@
     pause: Duration,
 }
 
-/// Highest need lately of one service.
+/// Level that orders of one service follow.
 #[derive(Clone, Debug, PartialEq)]
-struct Need {
+struct Level {
     service: ServiceId,
-    /// Endpoints that the work needs, and when they were last needed.
-    highs: Vec<(f64, Instant)>,
+    /// When work was first asked for.
+    since: Instant,
+    /// Endpoints that orders go by; `None` until the first rate is whole.
+    need: Option<f64>,
+    /// Since when the need is so much lower that fewer would do, and the highest
+    /// need meanwhile.
+    lower: Option<(Instant, f64)>,
 }
 
 /// Needs and the orders given so far.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Orders {
     given: Vec<Given>,
-    needs: Vec<Need>,
+    levels: Vec<Level>,
 }
 
 /// Endpoints that a second's work keeps fully busy.
@@ -89,6 +103,63 @@
     work.read / READ + work.write * each
 }
 
+/// Endpoints that serve, by zone: dear and cheap ones.
+struct Stand(Vec<(ZoneId, u32, u32)>);
+
+impl Stand {
+    fn of(board: &Board, service: &str, zones: &[ZoneId]) -> Self {
+        let row = |zone: &ZoneId| {
+            let dear = count(board, service, zone, false);
+            (zone.clone(), dear, count(board, service, zone, true))
+        };
+        Self(zones.iter().map(row).collect())
+    }
+
+    fn in_zone(&self, zone: &str) -> (u32, u32) {
+        let row = self.0.iter().find(|row| row.0 == zone);
+        row.map_or((0, 0), |row| (row.1, row.2))
+    }
+
+    fn dear(&self) -> u32 {
+        self.0.iter().map(|row| row.1).sum()
+    }
+
+    fn cheap(&self) -> u32 {
+        self.0.iter().map(|row| row.2).sum()
+    }
+}
+
+/// Endpoints wanted in all zones together.
+struct Totals {
+    dear: u32,
+    cheap: u32,
+}
+
+fn totals(scaling: &Scaling, level: Option<f64>, stand: &Stand) -> Totals {
+    let spot = scaling.spot.is_some();
+    let Some(need) = level else {
+        return Totals {
+            dear: stand.dear(),
+            cheap: if spot { stand.dear() } else { 0 },
+        };
+    };
+    if !spot {
+        return Totals {
+            dear: (need * (LASTING + CHEAP)).max(LEAST).round() as u32,
+            cheap: 0,
+        };
+    }
+    let lasting = (need * LASTING).max(LEAST).round() as u32;
+    // While cheap ones are not to be had, dear ones that stand are kept in their
+    // place, but none are ordered for it.
+    let missing = (need * ALONE).round() as u32;
+    let missing = missing.saturating_sub(stand.cheap()).min(stand.dear());
+    Totals {
+        dear: lasting.max(missing),
+        cheap: (need * CHEAP).max(LEAST).round() as u32,
+    }
+}
+
 /// Endpoints of one kind that serve in a zone.
 fn count(board: &Board, service: &str, zone: &str, spot: bool) -> u32 {
     let rows = board.rows().iter().filter(|row| {
@@ -119,27 +190,55 @@
     order.into_iter().enumerate().map(each).collect()
 }
 
+impl Level {
+    /// Follows the need: up when it is well above the level, down when it was well
+    /// below for a while. Following each swing would start and drain endpoints all
+    /// day, and every new one begins with an empty cache.
+    fn follow(&mut self, need: f64, now: Instant) -> Option<f64> {
+        let Some(level) = self.need else {
+            if now.duration_since(self.since) >= FIRST {
+                self.need = Some(need);
+            }
+            return self.need;
+        };
+        if need > level * RAISE {
+            self.need = Some(need);
+            self.lower = None;
+        } else if need < level * REDUCE {
+            let (since, high) = self.lower.unwrap_or((now, need));
+            let high = high.max(need);
+            self.lower = Some((since, high));
+            if now.duration_since(since) >= LOWER {
+                self.need = Some(high);
+                self.lower = None;
+            }
+        } else {
+            self.lower = None;
+        }
+        self.need
+    }
+}
+
 impl Orders {
-    /// Highest need of a service within [`LOWER`].
-    fn high(&mut self, service: &ServiceId, need: f64, now: Instant) -> f64 {
-        let at = self.needs.iter().position(|row| row.service == *service);
+    /// Level that orders of a service go by; `None` while it is not known.
+    fn level(&mut self, service: &ServiceId, need: f64, now: Instant) -> Option<f64> {
+        let at = self.levels.iter().position(|row| row.service == *service);
         let at = at.unwrap_or_else(|| {
-            self.needs.push(Need {
+            self.levels.push(Level {
                 service: service.clone(),
-                highs: Vec::new(),
+                since: now,
+                need: None,
+                lower: None,
             });
-            self.needs.len() - 1
+            self.levels.len() - 1
         });
-        let highs = &mut self.needs[at].highs;
-        highs.retain(|(held, seen)| now.duration_since(*seen) <= LOWER && *held > need);
-        highs.push((need, now));
-        highs.iter().map(|(held, _)| *held).fold(0.0, f64::max)
+        self.levels[at].follow(need, now)
     }
 
     /// What is wanted of a service now, where it differs from what stands.
     ///
-    /// Nothing is changed before anything is asked: what stands then is what the
-    /// operators took for right.
+    /// Until the need is known, the dear endpoints stay as the operators have them
+    /// and as many cheap ones are ordered: a wave of reclaims may follow at once.
     pub fn wishes(
         &mut self,
         board: &Board,
@@ -151,33 +250,33 @@
         let (Some(scaling), Some(engine)) = (&service.scaling, &service.engine) else {
             return Vec::new();
         };
-        if work == Work::default() {
-            return Vec::new();
-        }
-        let need = self.high(&service.name, needed(work, engine.slots), now);
-        let (lasting, cheap) = if scaling.spot.is_some() {
-            (LASTING, CHEAP)
+        let stand = Stand::of(board, &service.name, zones);
+        let level = if work == Work::default() {
+            self.levels
+                .iter()
+                .find(|row| row.service == service.name)
+                .and_then(|row| row.need)
         } else {
-            (LASTING + CHEAP, 0.0)
+            self.level(&service.name, needed(work, engine.slots), now)
         };
-        let lasting = deal(scaling, zones, (need * lasting).max(LEAST).round() as u32);
-        let cheap = if cheap > 0.0 { (need * cheap).max(LEAST).round() } else { 0.0 };
-        let cheap = deal(scaling, zones, cheap as u32);
+        let total = totals(scaling, level, &stand);
+        let dear = deal(scaling, zones, total.dear);
+        let cheap = deal(scaling, zones, total.cheap);
         let mut wishes = Vec::new();
-        for ((zone, keep), (_, spot)) in lasting.into_iter().zip(cheap) {
-            let spots = count(board, &service.name, &zone, true);
-            let others = count(board, &service.name, &zone, false);
-            let keep = keep.min(scaling.most);
-            let spot = spot.min(scaling.most - keep);
-            // Dear endpoints go only when the cheap ones of their zone stand.
-            let keep = if spots >= spot { keep } else { keep.max(others) };
-            let spot = spot.min(scaling.most.saturating_sub(keep.max(others)));
-            for (kind, wanted, held) in [(true, spot, spots), (false, keep, others)] {
+        for ((zone, dear), (_, cheap)) in dear.into_iter().zip(cheap) {
+            let (others, spots) = stand.in_zone(&zone);
+            let dear = if level.is_none() {
+                others
+            } else {
+                dear.min(scaling.most)
+            };
+            let cheap = cheap.min(scaling.most.saturating_sub(dear.max(others)));
+            for (spot, wanted, held) in [(true, cheap, spots), (false, dear, others)] {
                 if wanted != held {
                     wishes.push(Wish {
                         service: service.name.clone(),
                         zone: zone.clone(),
-                        spot: kind,
+                        spot,
                         count: wanted,
                     });
                 }
--- a/lib/src/relay/place.rs
+++ b/lib/src/relay/place.rs
@@ -153,9 +153,10 @@
     shared: &[(Chain, u32)],
 ) -> Option<&'b str> {
     let (session, _) = shared.last()?;
-    let rows = board.rows().iter().filter(|row| {
-        row.listing.service == wanted.service.name && row.is_usable(wanted.now)
-    });
+    let rows = board
+        .rows()
+        .iter()
+        .filter(|row| row.listing.service == wanted.service.name && row.is_usable(wanted.now));
     let rank = |row: &&Endpoint| xxh3_64_with_seed(row.listing.id.as_bytes(), *session);
     rows.max_by_key(rank).map(|row| row.listing.id.as_str())
 }
@@ -166,13 +167,22 @@
     shared: &[(Chain, u32)],
     favourite: Option<&str>,
 ) -> (f64, Choice) {
-    let far = if row.listing.zone == wanted.zone { 0.0 } else { OTHER_ZONE };
+    let far = if row.listing.zone == wanted.zone {
+        0.0
+    } else {
+        OTHER_ZONE
+    };
     let id = row.listing.id.clone();
     let Some(prompt) = wanted.prompt else {
         let load = f64::from(row.busy()) / f64::from(row.listing.slots.max(1));
         let wait = Duration::from_secs_f64(load * 0.03);
         let cost = load * 0.03 + far;
-        let choice = Choice { id, wait, own: 0.0, ahead: 0.0 };
+        let choice = Choice {
+            id,
+            wait,
+            own: 0.0,
+            ahead: 0.0,
+        };
         return (cost, choice);
     };
     let total: u32 = shared.iter().map(|(_, tokens)| tokens).sum();
@@ -186,5 +196,13 @@
     let ahead = row.backlog();
     let wait = row.speed.first(own, ahead);
     let cost = wait.as_secs_f64() + far + f64::from(row.busy()) * RUNNING;
-    (cost, Choice { id, wait, own, ahead })
+    (
+        cost,
+        Choice {
+            id,
+            wait,
+            own,
+            ahead,
+        },
+    )
 }
--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -16,14 +16,12 @@
 
 use compact_str::CompactString;
 
-use super::catalog::{Team, Unit};
 use super::ask::Ask;
+use super::catalog::{Team, Unit};
 use crate::CustomerId;
 
 /// Steps in which the window moves on; sixteen make the error a sixteenth of it.
 const STEPS: u32 = 16;
-/// After how long without a word a daemon counts as silent: three of its digests.
-const SILENT: Duration = Duration::from_millis(1200);
 /// Share of an even part that a silent daemon is taken to use at least. Daemons use
 /// about 55 in 100 of the allowance on an ordinary day.
 const SILENT_SHARE: f64 = 0.75;
@@ -54,6 +52,8 @@
 pub struct Quota {
     started: Instant,
     window: Duration,
+    /// After how long without a word a daemon counts as silent.
+    silent: Duration,
     used: Vec<Used>,
     others: Vec<Told>,
 }
@@ -78,6 +78,7 @@
         Self {
             started: now,
             window,
+            silent: window,
             used: Vec::new(),
             others: Vec::new(),
         }
@@ -115,8 +116,10 @@
         }
     }
 
-    /// Takes in what another daemon tells.
-    pub fn hear(&mut self, told: Told) {
+    /// Takes in what another daemon tells; one that tells nothing for `silent` counts
+    /// as silent.
+    pub fn hear(&mut self, told: Told, silent: Duration) {
+        self.silent = silent;
         match self.others.binary_search_by(|row| row.name.cmp(&told.name)) {
             Ok(at) => self.others[at] = told,
             Err(at) => self.others.insert(at, told),
@@ -138,7 +141,8 @@
     pub fn expire(&mut self, now: Instant) {
         let window = self.window;
         for used in &mut self.used {
-            used.steps.retain(|(at, _)| now.duration_since(*at) <= window);
+            used.steps
+                .retain(|(at, _)| now.duration_since(*at) <= window);
         }
         self.others
             .retain(|told| now.duration_since(told.heard) <= window * 2);
@@ -158,7 +162,7 @@
             let at = told.teams.binary_search_by_key(&team, |row| row.0);
             let (units, rate) = at.map_or((0.0, 0.0), |at| (told.teams[at].1, told.teams[at].2));
             let age = now.duration_since(told.heard);
-            if age > SILENT {
+            if age > self.silent {
                 units.max(even)
             } else {
                 units + rate * age.as_secs_f64()
@@ -185,7 +189,8 @@
     }
 
     fn find(&self, team: &str) -> Result<usize, usize> {
-        self.used.binary_search_by(|used| used.team.as_str().cmp(team))
+        self.used
+            .binary_search_by(|used| used.team.as_str().cmp(team))
     }
 }
 
