--- a/daemon/src/relay/caller.rs
+++ b/daemon/src/relay/caller.rs
@@ -125,7 +125,7 @@
 fn idle_end(state: &State, begun: Instant, limits: &CallerLimits) -> Instant {
     let idle = begun + limits.idle;
     match state.ending.get() {
-        Some(end) => idle.min(Instant::from_std(end) - state.site.bounds.grace + IDLE_END),
+        Some(told) => idle.min(Instant::from_std(told) + IDLE_END),
         None => idle,
     }
 }
@@ -177,7 +177,7 @@
             _ => return,
         }
     }
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
 
 /// Refuses what cannot be understood; where the next request begins is not known,
--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -34,7 +34,7 @@
 const CALL: Duration = Duration::from_millis(900);
 /// How long after a window's end its usage is reported: first events that were on
 /// their way and the other daemons' digests must have come.
-const SETTLE: Duration = Duration::from_millis(2000);
+const SETTLE: Duration = Duration::from_secs(2);
 /// Pause after a report that was not accepted.
 const RETRY: Duration = Duration::from_millis(600);
 
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -104,7 +104,7 @@
         name: state.site.name.to_string(),
         incarnation: state.incarnation,
         sequence,
-        wall_ms: state.wall(),
+        wall_ms: State::wall(),
         catalog: state
             .catalog
             .borrow()
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -142,7 +142,7 @@
         }
     }
     let now = Instant::now();
-    state.ending.set(Some(now + state.site.bounds.grace));
+    state.ending.set(Some(now));
     state.told.notify_waiters();
     log::info!(
         "daemon: shutting down with {} requests.",
@@ -153,10 +153,11 @@
 
 /// Waits until all answers are out, at most until the process would be killed.
 async fn drained(state: &State) {
-    let Some(end) = state.ending.get() else {
+    let Some(told) = state.ending.get() else {
         return;
     };
-    let least = end - state.site.bounds.grace + LEAST_END;
+    let least = told + LEAST_END;
+    let end = told + state.site.bounds.grace;
     loop {
         let now = Instant::now();
         let idle = state.active.get() == 0 && now >= least;
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -98,9 +98,8 @@
     };
     let team = team.map(|at| &catalog.teams[at]);
     let cost = team.map_or(0.0, |team| quota::units(team, ask));
-    if let Some(team) = team
-        && let Err(again) = state.quota.borrow_mut().take(team, cost, Std::now())
-    {
+    let allowed = team.map(|team| state.quota.borrow_mut().take(team, cost, Std::now()));
+    if let Some(Err(again)) = allowed {
         let refused = Refusal::later(Code::TokenRate, again);
         return refuse(write, ask, refused, keep).await;
     }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -43,7 +43,7 @@
     pub(crate) upstreams: Upstreams,
     /// Requests in progress.
     pub(crate) active: Cell<usize>,
-    /// When the process must have ended; set by SIGTERM.
+    /// When SIGTERM came.
     pub(crate) ending: Cell<Option<Instant>>,
     /// Endpoints that were seen to leave and that the others are still to be told.
     pub(crate) left: RefCell<Vec<u32>>,
@@ -98,7 +98,7 @@
     }
 
     /// Unix milliseconds by this host's own clock, which may jump.
-    pub(crate) fn wall(&self) -> u64 {
+    pub(crate) fn wall() -> u64 {
         // A clock before 1970 is as wrong as one that jumped; the others correct it.
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
         since.map_or(0, |since| since.as_millis() as u64)
@@ -106,7 +106,7 @@
 
     /// Unix milliseconds by the clocks of all daemons.
     pub(crate) fn true_ms(&self) -> u64 {
-        self.clock.borrow().now(self.wall(), Instant::now())
+        self.clock.borrow().now(Self::wall(), Instant::now())
     }
 
     /// Usage window at a moment of the steady clock.
--- a/lib/src/http1/fields.rs
+++ b/lib/src/http1/fields.rs
@@ -44,7 +44,7 @@
         self.0
             .iter()
             .filter(move |(key, _)| key.eq_ignore_ascii_case(name.as_bytes()))
-            .map(|(_, value)| &value[..])
+            .map(|(_, value)| &**value)
     }
 
     /// Whether a field that holds a list of words holds this one.
--- a/lib/src/http1/head.rs
+++ b/lib/src/http1/head.rs
@@ -190,11 +190,10 @@
     }
     match (length, coding) {
         (None, None) => Ok(None),
-        (Some(_), Some(_)) => Err(HeadError::Framing),
         (None, Some(coding)) if coding.eq_ignore_ascii_case(b"chunked") => {
             Ok(Some(Framing::Chunked))
         }
-        (None, Some(_)) => Err(HeadError::Framing),
+        (_, Some(_)) => Err(HeadError::Framing),
         (Some(text), None) => {
             let digits = !text.is_empty() && text.iter().all(u8::is_ascii_digit);
             let text = std::str::from_utf8(text).ok().filter(|_| digits);
--- a/lib/src/relay/clock.rs
+++ b/lib/src/relay/clock.rs
@@ -51,6 +51,6 @@
     }
 
     fn base(&self, wall: u64, now: Instant) -> i64 {
-        wall as i64 - now.duration_since(self.start).as_millis() as i64
+        wall.cast_signed() - now.duration_since(self.start).as_millis() as i64
     }
 }
--- a/lib/src/relay/fleet.rs
+++ b/lib/src/relay/fleet.rs
@@ -45,8 +45,8 @@
 /// traffic takes tens of seconds.
 const LOWER: Duration = Duration::from_secs(10);
 /// Pause after an order that was refused, doubled up to the most.
-const RETRY: Duration = Duration::from_millis(1000);
-const MOST_RETRY: Duration = Duration::from_millis(4000);
+const RETRY: Duration = Duration::from_secs(1);
+const MOST_RETRY: Duration = Duration::from_secs(4);
 /// How long after an accepted order's boot time it is given again if the endpoints
 /// did not come: they may have been reclaimed meanwhile.
 const AGAIN: Duration = Duration::from_millis(2500);
--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -20,8 +20,12 @@
 use super::catalog::{Team, Unit};
 use crate::CustomerId;
 
-/// Steps in which the window moves on; sixteen make the error a sixteenth of it.
-const STEPS: u32 = 16;
+/// Steps in which the window moves on. A step counts until all of it is out of the
+/// window; forgetting it when its beginning is out let a flood use 6 in 100 more.
+const STEPS: u32 = 40;
+/// Share of the allowance that is given out while others are silent or late; what
+/// all let in between two digests fills the rest.
+const USED: f64 = 0.97;
 /// Share of an even part that a silent daemon is taken to use at least. Daemons use
 /// about 55 in 100 of the allowance on an ordinary day.
 const SILENT_SHARE: f64 = 0.75;
@@ -98,7 +102,7 @@
         let whole = rate * span + team.burst;
         let mine = self.mine(&team.name, now);
         let theirs = self.theirs(&team.name, whole, now);
-        let over = mine + theirs + units - allowed;
+        let over = mine + theirs + units - allowed * USED;
         if over > 0.0 {
             let wait = (over / rate).clamp(SOONEST, LATEST);
             return Err(Duration::from_secs_f64(wait));
@@ -129,8 +133,8 @@
     /// What this daemon tells: units in the window and units a second, by team.
     pub fn tell(&self, now: Instant) -> Vec<(u32, f64, f64)> {
         let row = |used: &Used| {
-            let units = used.within(now, self.window);
-            let lately = used.within(now, RECENT) / RECENT.as_secs_f64();
+            let units = used.within(now, self.window, self.window / STEPS);
+            let lately = used.within(now, RECENT, Duration::ZERO) / RECENT.as_secs_f64();
             (short(&used.team), units, lately)
         };
         let rows = self.used.iter().map(row);
@@ -142,7 +146,7 @@
         let window = self.window;
         for used in &mut self.used {
             used.steps
-                .retain(|(at, _)| now.duration_since(*at) <= window);
+                .retain(|(at, _)| now.duration_since(*at) <= window * 2);
         }
         self.others
             .retain(|told| now.duration_since(told.heard) <= window * 2);
@@ -151,7 +155,9 @@
     /// Units that this daemon let in within the window.
     fn mine(&self, team: &str, now: Instant) -> f64 {
         let at = self.find(team);
-        at.map_or(0.0, |at| self.used[at].within(now, self.window))
+        at.map_or(0.0, |at| {
+            self.used[at].within(now, self.window, self.window / STEPS)
+        })
     }
 
     /// Units that the others let in within the window, as far as is known.
@@ -194,14 +200,16 @@
     }
 }
 
-/// Span over which the current rate is told.
-const RECENT: Duration = Duration::from_secs(1);
+/// Span over which the current rate is told. A flood begins within a tenth of a
+/// second; over a longer span its rate is told too low while it grows.
+const RECENT: Duration = Duration::from_millis(600);
 
 impl Used {
-    fn within(&self, now: Instant, window: Duration) -> f64 {
+    /// Units of the steps that reach into the last `window`; each step lasts `step`.
+    fn within(&self, now: Instant, window: Duration, step: Duration) -> f64 {
         let recent = self.steps.iter().rev();
         recent
-            .take_while(|(at, _)| now.duration_since(*at) <= window)
+            .take_while(|(at, _)| now.duration_since(*at) <= window + step)
             .map(|(_, units)| units)
             .sum()
     }
--- /dev/null
+++ b/lib/tests/test_http1.rs
@@ -0,0 +1,116 @@
+//! Framing of messages: what is one message, where it ends, and what is refused.
+
+use bytes::BytesMut;
+use poplarvale_lib::http1::{Body, BodyError, Framing, HeadError, Request, Response};
+use proptest::prelude::*;
+
+const MOST: usize = 4096;
+
+fn request(text: &str) -> Result<Option<Request>, HeadError> {
+    Request::take(&mut BytesMut::from(text), MOST)
+}
+
+/// A caller states a length and chunks at once, with a second request hidden where
+/// one reading ends and the other does not. If it were forwarded, an endpoint would
+/// run a request that nobody sent.
+#[test]
+fn a_request_with_two_framings_is_refused() {
+    let both = "POST / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert_eq!(request(both), Err(HeadError::Framing));
+    let twice = "POST / HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n";
+    assert_eq!(request(twice), Err(HeadError::Framing));
+    let other = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked, identity\r\n\r\n";
+    assert_eq!(request(other), Err(HeadError::Framing));
+    let signed = "POST / HTTP/1.1\r\nContent-Length: +4\r\n\r\n";
+    assert_eq!(request(signed), Err(HeadError::Framing));
+}
+
+/// A line that ends without a carriage return hides a field from one of two
+/// readers, and so does a name with a space before its colon.
+#[test]
+fn lines_that_two_readers_take_differently_are_refused() {
+    let bare = "GET / HTTP/1.1\nHost: a\r\n\r\n";
+    assert_eq!(request(bare), Err(HeadError::Malformed));
+    let space = "GET / HTTP/1.1\r\nContent-Length : 4\r\n\r\n";
+    assert_eq!(request(space), Err(HeadError::Malformed));
+    let folded = "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n";
+    assert_eq!(request(folded), Err(HeadError::Malformed));
+}
+
+#[test]
+fn a_head_over_the_limit_is_refused_before_it_is_whole() {
+    let long = format!("GET / HTTP/1.1\r\nA: {}", "b".repeat(MOST));
+    assert_eq!(request(&long), Err(HeadError::TooLarge));
+}
+
+#[test]
+fn fields_that_a_connection_field_names_stay_on_that_connection() {
+    let text = "GET / HTTP/1.1\r\nConnection: close, X-Own\r\nX-Own: 1\r\nX-Other: 2\r\n\r\n";
+    let head = request(text).expect("well formed").expect("whole");
+    assert!(head.fields.is_hop(b"x-own"));
+    assert!(!head.fields.is_hop(b"X-Other"));
+    assert!(!head.keep);
+}
+
+/// An endpoint dies in the middle of its answer. The caller must not take what came
+/// for all of it.
+#[test]
+fn a_body_that_breaks_off_is_not_whole() {
+    for framing in [Framing::Length(10), Framing::Chunked] {
+        let mut body = Body::new(framing);
+        let mut buffer = BytesMut::from("5\r\nabc");
+        while body.take(&mut buffer).expect("in the protocol").is_some() {}
+        assert!(!body.is_done());
+        assert_eq!(body.end(), Err(BodyError::Truncated));
+    }
+}
+
+#[test]
+fn bytes_after_an_answer_stay_in_the_buffer() {
+    let text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n";
+    let mut buffer = BytesMut::from(text);
+    let head = Response::take(&mut buffer)
+        .expect("well formed")
+        .expect("whole");
+    let mut body = Body::new(head.framing);
+    assert_eq!(body.take(&mut buffer), Ok(Some("ok".into())));
+    assert!(body.is_done());
+    assert!(!buffer.is_empty());
+}
+
+proptest! {
+    /// Whatever a peer sends, reading it ends without a panic.
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        let mut buffer = BytesMut::from(&*bytes);
+        while let Ok(Some(_)) = Request::take(&mut buffer, MOST) {}
+        let mut buffer = BytesMut::from(&*bytes);
+        while let Ok(Some(_)) = Response::take(&mut buffer) {}
+        let mut body = Body::new(Framing::Chunked);
+        let mut buffer = BytesMut::from(&*bytes);
+        while let Ok(Some(_)) = body.take(&mut buffer) {}
+    }
+
+    /// A body in chunks comes out the same however its bytes are cut.
+    #[test]
+    fn chunks_come_out_whole(parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..40), 0..8), cut in 1_usize..17) {
+        let mut wire = Vec::new();
+        for part in &parts {
+            wire.extend_from_slice(format!("{:x}\r\n", part.len()).as_bytes());
+            wire.extend_from_slice(part);
+            wire.extend_from_slice(b"\r\n");
+        }
+        wire.extend_from_slice(b"0\r\n\r\n");
+        let mut body = Body::new(Framing::Chunked);
+        let mut buffer = BytesMut::new();
+        let mut out = Vec::new();
+        for piece in wire.chunks(cut) {
+            buffer.extend_from_slice(piece);
+            while let Some(part) = body.take(&mut buffer).expect("in the protocol") {
+                out.extend_from_slice(&part);
+            }
+        }
+        prop_assert!(body.is_done());
+        prop_assert_eq!(out, parts.concat());
+    }
+}
--- /dev/null
+++ b/lib/tests/test_relay_board.rs
@@ -0,0 +1,111 @@
+//! The table of endpoints while the registry changes, is away and comes back.
+
+use std::time::{Duration, Instant};
+
+use poplarvale_lib::relay::board::{Board, Changed, RETURN, Standing};
+use poplarvale_lib::relay::listing::Listing;
+use poplarvale_lib::relay::quota::short;
+
+fn listing(id: &str) -> Listing {
+    Listing {
+        id: id.into(),
+        service: "pool".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "hanko".into(),
+        version: "v1".into(),
+        slots: 8,
+        leaving: false,
+        spot: false,
+        born: Some(1),
+    }
+}
+
+fn usable(board: &Board, id: &str, now: Instant) -> bool {
+    board.get(id).is_some_and(|row| row.is_usable(now))
+}
+
+/// An endpoint says that it leaves. What is sent to it later may be cut off when it
+/// ends.
+#[test]
+fn a_leaving_endpoint_gets_nothing_from_that_instant() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    board.put(listing("a"));
+    assert!(usable(&board, "a", now));
+    let left = Listing {
+        leaving: true,
+        ..listing("a")
+    };
+    assert_eq!(board.put(left), Changed::Left);
+    assert!(!usable(&board, "a", now));
+}
+
+/// The registry was away so long that the entries of living endpoints lapsed, and
+/// the first list after its return is empty. If they were dropped at once, every
+/// caller would be refused though all endpoints live.
+#[test]
+fn entries_missing_right_after_an_outage_stay_in_use_for_a_while() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    board.put(listing("a"));
+    board.put(listing("b"));
+    board.registry_back(now);
+    board.replace(Vec::new(), now);
+    assert!(usable(&board, "a", now));
+    let later = now + RETURN / 2;
+    board.put(listing("a"));
+    board.expire(later);
+    assert!(usable(&board, "b", later));
+    let end = now + RETURN;
+    assert_eq!(board.expire(end), vec!["b"]);
+    assert!(usable(&board, "a", end));
+    assert!(!usable(&board, "b", end));
+}
+
+/// An entry is removed while the registry is well: the endpoint leaves without
+/// saying so first.
+#[test]
+fn an_entry_that_is_removed_in_calm_times_is_a_leaving_endpoint() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    board.put(listing("a"));
+    board.registry_back(now);
+    let later = now + RETURN + Duration::from_millis(1);
+    assert_eq!(board.gone("a", later), Changed::Left);
+    assert!(!usable(&board, "a", later));
+}
+
+/// An endpoint crashes and starts again under the id that it had. What was learned
+/// of its first life must not be taken for its second.
+#[test]
+fn another_life_under_the_same_id_begins_anew() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    board.put(listing("a"));
+    let row = board.get_mut("a").expect("it is there");
+    for _ in 0..8 {
+        row.evidence.bad(now);
+    }
+    assert!(!usable(&board, "a", now));
+    let born = Listing {
+        born: Some(2),
+        ..listing("a")
+    };
+    assert_eq!(board.put(born), Changed::Joined);
+    assert!(usable(&board, "a", now));
+}
+
+/// Another daemon sees an endpoint leave before this one looks at the registry.
+#[test]
+fn an_endpoint_that_another_daemon_saw_leave_gets_nothing() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    board.put(listing("a"));
+    board.put(listing("b"));
+    assert_eq!(board.heard_left(&[short("a")]), vec!["a"]);
+    assert!(!usable(&board, "a", now));
+    assert_eq!(
+        board.get("b").map(|row| row.standing),
+        Some(Standing::Ready)
+    );
+}
--- /dev/null
+++ b/lib/tests/test_relay_fleet.rs
@@ -0,0 +1,164 @@
+//! Orders of endpoints under traffic that swings and zones that are reclaimed.
+
+use std::time::{Duration, Instant};
+
+use poplarvale_lib::relay::board::Board;
+use poplarvale_lib::relay::catalog::{Engine, Scaling, Service};
+use poplarvale_lib::relay::demand::Work;
+use poplarvale_lib::relay::fleet::{Orders, Wish, needed};
+use poplarvale_lib::relay::listing::Listing;
+
+const ZONES: [&str; 4] = ["espoo", "hanko", "kotka", "porkkala"];
+
+fn service() -> Service {
+    let price = |zone: &str, price| (zone.into(), price);
+    Service {
+        name: "pool".into(),
+        connections: None,
+        engine: Some(Engine {
+            slots: 64,
+            tokens: 600_000,
+            stride: 5,
+        }),
+        scaling: Some(Scaling {
+            least: 1,
+            most: 6,
+            boot: Duration::from_secs(4),
+            spot: Some(0.18),
+            zones: vec![
+                price("espoo", 1.25),
+                price("hanko", 1.0),
+                price("kotka", 0.9),
+                price("porkkala", 0.8),
+            ],
+        }),
+    }
+}
+
+fn board(dear: u32, cheap: u32) -> Board {
+    let mut board = Board::default();
+    for (zone, at) in ZONES.iter().zip(0_u32..) {
+        for number in 0..dear + cheap {
+            board.put(Listing {
+                id: format!("{zone}-{number}").into(),
+                service: "pool".into(),
+                address: format!("10.0.{at}.{number}:1").parse().expect("an address"),
+                zone: (*zone).into(),
+                version: "v1".into(),
+                slots: 64,
+                leaving: false,
+                spot: number >= dear,
+                born: None,
+            });
+        }
+    }
+    board
+}
+
+/// Work that keeps four engines fully busy.
+fn work() -> Work {
+    let one = needed(
+        Work {
+            read: 10_000.0,
+            write: 0.0,
+        },
+        64,
+    );
+    Work {
+        read: 10_000.0 * 4.0 / one,
+        write: 0.0,
+    }
+}
+
+fn run(orders: &mut Orders, board: &Board, work: Work, from: Instant, seconds: u64) -> Vec<Wish> {
+    let zones = ZONES.map(Into::into);
+    let mut wishes = Vec::new();
+    for step in 0..seconds * 4 {
+        let now = from + Duration::from_millis(step * 250);
+        wishes = orders.wishes(board, &service(), &zones, work, now);
+    }
+    wishes
+}
+
+fn total(wishes: &[Wish], spot: bool) -> u32 {
+    let kind = wishes.iter().filter(|wish| wish.spot == spot);
+    kind.map(|wish| wish.count).sum()
+}
+
+/// Nothing is asked yet. What the operators have stays, and cheap endpoints are
+/// ordered, as a wave of reclaims may come right after the start.
+#[test]
+fn before_the_first_request_only_cheap_endpoints_are_ordered() {
+    let now = Instant::now();
+    let wishes = run(
+        &mut Orders::default(),
+        &board(2, 0),
+        Work::default(),
+        now,
+        1,
+    );
+    assert!(wishes.iter().all(|wish| wish.spot));
+    assert_eq!(total(&wishes, true), 8);
+}
+
+/// All zones are reclaimed one after the other, and nothing is to be had meanwhile.
+/// The dear endpoints that stand must carry the work alone, so they are not given up.
+#[test]
+fn dear_endpoints_are_kept_while_cheap_ones_are_missing() {
+    let now = Instant::now();
+    let wishes = run(&mut Orders::default(), &board(2, 0), work(), now, 20);
+    let given_up = wishes.iter().filter(|wish| !wish.spot);
+    let left: u32 = 8 - given_up.map(|wish| 2 - wish.count.min(2)).sum::<u32>();
+    assert!(left >= 6, "{left} of 8 would be left for the work of 4");
+}
+
+/// Cheap endpoints stand in every zone. The dear ones that the work does not need
+/// any more cost five times as much and go.
+#[test]
+fn dear_endpoints_go_once_the_cheap_ones_stand() {
+    let now = Instant::now();
+    let wishes = run(&mut Orders::default(), &board(2, 2), work(), now, 20);
+    let dear: Vec<&Wish> = wishes.iter().filter(|wish| !wish.spot).collect();
+    assert_eq!(dear.len(), 4);
+    assert!(dear.iter().all(|wish| wish.count <= 1));
+}
+
+/// Traffic swings by a third. Following each swing would start and drain endpoints
+/// all day, each of which begins with an empty cache.
+#[test]
+fn a_swing_of_the_traffic_changes_no_order() {
+    let now = Instant::now();
+    let mut orders = Orders::default();
+    let board = board(1, 2);
+    let before = run(&mut orders, &board, work(), now, 8);
+    let lower = Work {
+        read: work().read * 0.8,
+        write: 0.0,
+    };
+    let after = run(&mut orders, &board, lower, now + Duration::from_secs(8), 20);
+    assert_eq!(before, after);
+}
+
+/// A refused order is not repeated at once: each call is paid for, and the platform
+/// limits them.
+#[test]
+fn a_refused_order_waits_longer_each_time() {
+    let now = Instant::now();
+    let mut orders = Orders::default();
+    let wish = Wish {
+        service: "pool".into(),
+        zone: "hanko".into(),
+        spot: true,
+        count: 2,
+    };
+    let boot = Duration::from_secs(4);
+    let mut calls = 0;
+    for step in 0..400 {
+        let at = now + Duration::from_millis(step * 50);
+        if orders.is_due(&wish, at) {
+            calls += 1;
+            orders.note(&wish, false, boot, at);
+        }
+    }
+    assert!(calls <= 7, "{calls} calls in 20 s");
+}
--- /dev/null
+++ b/lib/tests/test_relay_place.rs
@@ -0,0 +1,217 @@
+//! Which endpoint gets a request, under loads that plain counting serves badly.
+
+use std::time::{Duration, Instant};
+
+use poplarvale_lib::relay::ask::Prompt;
+use poplarvale_lib::relay::board::{Board, Others};
+use poplarvale_lib::relay::catalog::{Engine, Service};
+use poplarvale_lib::relay::evidence::Evidence;
+use poplarvale_lib::relay::listing::Listing;
+use poplarvale_lib::relay::place::{Choice, NoPlace, Wanted, book, choose};
+use poplarvale_lib::relay::quota::short;
+
+fn service() -> Service {
+    Service {
+        name: "pool".into(),
+        engine: Some(Engine {
+            slots: 4,
+            tokens: 600_000,
+            stride: 5,
+        }),
+        ..Service::default()
+    }
+}
+
+fn board(count: u32) -> Board {
+    let mut board = Board::default();
+    for number in 0..count {
+        board.put(Listing {
+            id: format!("e{number}").into(),
+            service: "pool".into(),
+            address: format!("10.0.0.{number}:1").parse().expect("an address"),
+            zone: "hanko".into(),
+            version: "v1".into(),
+            slots: 4,
+            leaving: false,
+            spot: false,
+            born: None,
+        });
+    }
+    board
+}
+
+fn prompt(session: u64, shared: u32, own: u32) -> Prompt {
+    Prompt {
+        input: shared + own,
+        output: 100,
+        guess: None,
+        parts: vec![(session, shared), (session * 1000 + 7, own)],
+    }
+}
+
+struct Trial {
+    board: Board,
+    service: Service,
+    number: u64,
+    now: Instant,
+}
+
+impl Trial {
+    fn new(count: u32) -> Self {
+        Self {
+            board: board(count),
+            service: service(),
+            number: 0,
+            now: Instant::now(),
+        }
+    }
+
+    fn choose(&self, prompt: &Prompt) -> Result<Choice, NoPlace> {
+        choose(&self.board, &self.wanted(prompt))
+    }
+
+    fn wanted<'r>(&'r self, prompt: &'r Prompt) -> Wanted<'r> {
+        Wanted {
+            service: &self.service,
+            prompt: Some(prompt),
+            zone: "hanko",
+            avoid: &[],
+            now: self.now,
+        }
+    }
+
+    fn send(&mut self, prompt: &Prompt) -> Choice {
+        let choice = self.choose(prompt).expect("there is room");
+        self.number += 1;
+        let service = self.service.clone();
+        let wanted = Wanted {
+            service: &service,
+            prompt: Some(prompt),
+            zone: "hanko",
+            avoid: &[],
+            now: self.now,
+        };
+        book(&mut self.board, &wanted, &choice, self.number);
+        choice
+    }
+}
+
+/// A long plan is being read at one engine. Counting requests, both engines have
+/// one, and a short question would wait half a second behind the plan.
+#[test]
+fn a_short_question_goes_past_a_long_prompt() {
+    let mut trial = Trial::new(2);
+    let long = trial.send(&prompt(1, 100, 40_000));
+    let short = trial.send(&prompt(2, 100, 200));
+    assert_ne!(long.id, short.id);
+    let next = trial.send(&prompt(3, 100, 200));
+    assert_eq!(short.id, next.id);
+}
+
+/// Requests of one session share the beginning of their prompts. Read again at
+/// every engine, it would take twice the time.
+#[test]
+fn a_session_stays_where_its_beginning_is_held() {
+    let mut trial = Trial::new(6);
+    let first = trial.send(&prompt(5, 8000, 500));
+    if let Some(row) = trial.board.get_mut(&first.id) {
+        row.began(1, trial.now + Duration::from_millis(200));
+        row.end(1);
+    }
+    let again = trial.choose(&prompt(5, 8000, 700)).expect("there is room");
+    assert_eq!(again.id, first.id);
+    assert!(again.own <= 700.0);
+}
+
+/// One session gets much of the traffic. Kept at its engine at all costs, its
+/// requests would wait while other engines are idle.
+#[test]
+fn a_session_in_great_demand_is_spread() {
+    let mut trial = Trial::new(4);
+    let mut used = Vec::new();
+    for _ in 0..8 {
+        used.push(trial.send(&prompt(5, 2000, 6000)).id);
+    }
+    used.sort();
+    used.dedup();
+    assert!(used.len() >= 3, "{used:?}");
+}
+
+/// Daemons that do not hear each other choose the same engine for a new session,
+/// so its beginning is read once.
+#[test]
+fn daemons_agree_on_an_engine_without_a_word() {
+    let one = Trial::new(9).choose(&prompt(11, 5000, 500));
+    let other = Trial::new(9).choose(&prompt(11, 5000, 900));
+    assert_eq!(one.map(|choice| choice.id), other.map(|choice| choice.id));
+}
+
+/// Other daemons fill an engine. One that looks only at its own requests would
+/// send there too, and be refused.
+#[test]
+fn what_other_daemons_sent_counts() {
+    let mut trial = Trial::new(2);
+    let full = Others {
+        requests: 4,
+        tokens: 9000.0,
+    };
+    trial
+        .board
+        .hear(&"b".into(), vec![(short("e0"), full)], trial.now);
+    for session in 20..24 {
+        assert_eq!(trial.send(&prompt(session, 100, 100)).id, "e1");
+    }
+    assert_eq!(trial.choose(&prompt(30, 100, 100)), Err(NoPlace::Full));
+}
+
+/// An engine turns ten times slower while it says that it is well. Its first
+/// answers show it, and the next requests go elsewhere.
+#[test]
+fn a_slow_engine_is_left_for_the_others() {
+    let mut trial = Trial::new(3);
+    let slow = "e1";
+    for round in 0..6 {
+        if let Some(row) = trial.board.get_mut(slow) {
+            row.speed.learn(1000.0, 0.0, Duration::from_millis(450));
+        }
+        trial.now += Duration::from_millis(round);
+    }
+    for session in 40..46 {
+        let choice = trial.send(&prompt(session, 100, 1000));
+        assert_ne!(choice.id, slow);
+    }
+}
+
+/// An engine fails its requests while its health check passes. It is left out, and
+/// comes back by a trial with one real request, not by all of them at once.
+#[test]
+fn a_failing_endpoint_is_left_out_and_tried_with_one_request() {
+    let now = Instant::now();
+    let mut evidence = Evidence::default();
+    for _ in 0..6 {
+        evidence.bad(now);
+    }
+    assert!(!evidence.is_fit(now));
+    let later = now + Duration::from_secs(1);
+    assert!(evidence.is_fit(later));
+    evidence.sent();
+    assert!(!evidence.is_fit(later));
+    evidence.good();
+    assert!(evidence.is_fit(later));
+}
+
+/// Some services fail 14 of 100 requests by themselves. Leaving their endpoints out
+/// for it would leave none.
+#[test]
+fn a_few_failures_leave_no_endpoint_out() {
+    let now = Instant::now();
+    let mut evidence = Evidence::default();
+    for at in 0..700 {
+        if at % 7 == 0 {
+            evidence.bad(now);
+        } else {
+            evidence.good();
+        }
+        assert!(evidence.is_fit(now));
+    }
+}
--- /dev/null
+++ b/lib/tests/test_relay_shared.rs
@@ -0,0 +1,220 @@
+//! What daemons keep together: allowances, repeats, usage, time and the lease.
+
+use std::time::{Duration, Instant};
+
+use poplarvale_lib::relay::budget::Budget;
+use poplarvale_lib::relay::catalog::{Team, Unit};
+use poplarvale_lib::relay::clock::Clock;
+use poplarvale_lib::relay::duty::Held;
+use poplarvale_lib::relay::quota::{Quota, Told, short};
+use poplarvale_lib::relay::usage::Usage;
+use proptest::prelude::*;
+
+const WINDOW: Duration = Duration::from_secs(8);
+const SILENT: Duration = Duration::from_secs(1);
+
+fn team(rate: f64) -> Team {
+    Team {
+        name: "club".into(),
+        rate: Some(rate),
+        burst: rate,
+        unit: Unit::Tokens(1.0),
+        ..Team::default()
+    }
+}
+
+/// Lets in all that is let in of a flood, in steps of 20 ms; gives the times and
+/// units of what came through.
+fn flood(
+    quota: &mut Quota,
+    team: &Team,
+    from: Instant,
+    span: Duration,
+    units: f64,
+) -> Vec<(Instant, f64)> {
+    let mut through = Vec::new();
+    let mut now = from;
+    while now < from + span {
+        if quota.take(team, units, now).is_ok() {
+            through.push((now, units));
+        }
+        now += Duration::from_millis(20);
+    }
+    through
+}
+
+fn most_in_a_window(through: &[(Instant, f64)]) -> f64 {
+    let from = |start: &(Instant, f64)| {
+        let within = through
+            .iter()
+            .filter(|row| row.0 >= start.0 && row.0 < start.0 + WINDOW);
+        within.map(|row| row.1).sum::<f64>()
+    };
+    through.iter().map(from).fold(0.0, f64::max)
+}
+
+/// One team sends many times its allowance. Windows slide, so any eight seconds
+/// count; forgetting what was let in too early lets more through than was bought.
+#[test]
+fn a_flood_stays_within_the_allowance_in_every_window() {
+    let start = Instant::now();
+    let team = team(1000.0);
+    let mut quota = Quota::new(WINDOW, start);
+    let through = flood(&mut quota, &team, start + WINDOW, WINDOW * 3, 100.0);
+    assert!(most_in_a_window(&through) <= 9.0 * 1000.0);
+    assert!(most_in_a_window(&through) >= 0.9 * 9.0 * 1000.0);
+}
+
+/// All clients of a team happen to sit on one daemon. It may use the whole
+/// allowance, as the others tell that they use none.
+#[test]
+fn a_team_on_one_daemon_has_its_whole_allowance() {
+    let start = Instant::now();
+    let now = start + WINDOW;
+    let team = team(1000.0);
+    let mut quota = Quota::new(WINDOW, start);
+    for name in ["b", "c", "d"] {
+        let told = Told {
+            name: name.into(),
+            heard: now,
+            teams: Vec::new(),
+        };
+        quota.hear(told, SILENT);
+    }
+    let let_in = (0..80).filter(|_| quota.take(&team, 100.0, now).is_ok());
+    assert_eq!(let_in.count(), 80);
+}
+
+/// A partition cuts the daemons into halves, and the team floods both. Each half
+/// must leave the other its part, or the team gets its allowance twice.
+#[test]
+fn the_halves_of_a_partition_stay_near_the_allowance_together() {
+    let start = Instant::now();
+    let cut = start + WINDOW;
+    let team = team(1000.0);
+    let names = ["a", "b", "c", "d"];
+    let mut quotas: Vec<Quota> = names.iter().map(|_| Quota::new(WINDOW, start)).collect();
+    for (at, quota) in quotas.iter_mut().enumerate() {
+        for (other, name) in names.iter().enumerate() {
+            if other != at {
+                let teams = vec![(short("club"), 1000.0, 125.0)];
+                let told = Told {
+                    name: (*name).into(),
+                    heard: cut,
+                    teams,
+                };
+                quota.hear(told, SILENT);
+            }
+        }
+    }
+    let mut through = Vec::new();
+    let mut now = cut + SILENT * 2;
+    while now < cut + SILENT * 2 + WINDOW {
+        for at in 0..4 {
+            if quotas[at].take(&team, 50.0, now).is_ok() {
+                through.push((now, 50.0));
+            }
+            let mate = at ^ 1;
+            let teams = quotas[at].tell(now);
+            let told = Told {
+                name: names[at].into(),
+                heard: now,
+                teams,
+            };
+            quotas[mate].hear(told, SILENT);
+        }
+        now += Duration::from_millis(20);
+    }
+    assert!(most_in_a_window(&through) <= 1.35 * 9.0 * 1000.0);
+}
+
+/// A daemon starts anew while a team floods it. It does not know what it let in
+/// before and must not give the whole allowance out again at once.
+#[test]
+fn a_daemon_that_just_started_does_not_give_the_whole_allowance_out() {
+    let start = Instant::now();
+    let team = team(1000.0);
+    let mut quota = Quota::new(WINDOW, start);
+    let through = flood(&mut quota, &team, start, Duration::from_secs(1), 100.0);
+    let sum: f64 = through.iter().map(|row| row.1).sum();
+    assert!(sum <= 2.0 * 1000.0);
+}
+
+/// Endpoints refuse everything. If each refused request were sent again and again,
+/// the overload would feed itself.
+#[test]
+fn repeats_stay_a_fraction_of_the_requests() {
+    let now = Instant::now();
+    let service = "pool".into();
+    let mut budget = Budget::new(0.2, 0.0, Duration::from_secs(10));
+    let mut repeats = 0;
+    for step in 0..1000 {
+        let now = now + Duration::from_millis(step * 5);
+        budget.request(&service, now);
+        while budget.repeat(&service, 4, now) {
+            repeats += 1;
+        }
+    }
+    assert!((100..=200).contains(&repeats), "{repeats}");
+}
+
+/// Counts of a daemon that was killed stay as it last told them, and an old word
+/// that arrives late takes nothing back.
+#[test]
+fn counts_of_others_only_grow() {
+    let mut usage = Usage::new("a".into(), 1);
+    usage.count(7, &"club".into());
+    usage.hear(7, ("b".into(), 5), vec![("club".into(), 3)]);
+    usage.hear(7, ("b".into(), 5), vec![("club".into(), 2)]);
+    usage.hear(7, ("b".into(), 6), vec![("club".into(), 1)]);
+    assert_eq!(usage.total(7), vec![("club".into(), 5)]);
+    assert_eq!(usage.total(8), Vec::new());
+}
+
+/// The clocks of some hosts jump by seconds. Their daemons would count runs into
+/// the wrong window.
+#[test]
+fn a_clock_that_jumps_is_outvoted() {
+    let start = Instant::now();
+    let mut clock = Clock::new(start);
+    for name in ["b", "c", "d", "e"] {
+        clock.hear(&name.into(), 1_000_000, start);
+    }
+    let later = start + Duration::from_secs(1);
+    assert_eq!(clock.now(1_003_400, later), 1_001_000);
+    clock.hear(&"b".into(), 1_003_400, later);
+    assert_eq!(clock.now(1_003_400, later), 1_001_000);
+}
+
+/// A daemon is paused right after it looked at its lease. When it goes on, another
+/// one holds the duty, and it must not act.
+#[test]
+fn a_holder_that_was_paused_does_not_act() {
+    let now = Instant::now();
+    let life = Duration::from_secs(3);
+    let held = Held::new(1, 2, life, now);
+    assert!(held.may_act(now));
+    assert!(!held.may_act(now + life));
+    assert!(held.is_over(now + life));
+    assert!(!held.may_act(now + life * 2 / 3));
+}
+
+proptest! {
+    /// Whatever order of requests and pauses, no window has more than the allowance.
+    #[test]
+    fn no_window_has_more_than_the_allowance(steps in prop::collection::vec((0_u64..400, 1_u32..900), 1..300)) {
+        let start = Instant::now();
+        let team = team(1000.0);
+        let mut quota = Quota::new(WINDOW, start);
+        let mut now = start;
+        let mut through = Vec::new();
+        for (pause, units) in steps {
+            now += Duration::from_millis(pause);
+            quota.expire(now);
+            if quota.take(&team, f64::from(units), now).is_ok() {
+                through.push((now, f64::from(units)));
+            }
+        }
+        prop_assert!(most_in_a_window(&through) <= 9.0 * 1000.0);
+    }
+}
