--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -22,4 +22,4 @@
 mod watch;
 mod wire;
 
-pub use run::{RelayError, run as run_relay};
+pub use run::{Relay, RelayError, run as run_relay};
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -86,7 +86,7 @@
     choice: &Choice,
     passed: &mut Passed,
     write: &mut WriteHalf<'_>,
-    patience: Patience,
+    mut patience: Patience<'_>,
 ) -> Ended {
     let booked = book(state, job, choice);
     let Some(address) = state
@@ -117,16 +117,16 @@
     let team = job.team.map(|team| &team.name);
     let sent_at = Std::now();
     let sent = exchange(&mut wire, &bytes, &job.ask.id);
-    let answer = match timeout_at(patience.first.min(patience.deadline), sent).await {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(Fault::NotSent)) => return Ended::NotSent,
-        Ok(Err(fault)) => {
+    let answer = match patience.wait(true, sent).await {
+        Some(Ok(answer)) => answer,
+        Some(Err(Fault::NotSent)) => return Ended::NotSent,
+        Some(Err(fault)) => {
             failed(&booked, job, choice, fault, kept);
             return Ended::Broken(fault);
         }
-        Err(_elapsed) => {
-            failed(&booked, job, choice, Fault::Broken, kept);
-            return Ended::Broken(Fault::Broken);
+        None => {
+            failed(&booked, job, choice, Fault::Silent, kept);
+            return Ended::Broken(Fault::Silent);
         }
     };
     if answer.said.not_run {
@@ -147,13 +147,13 @@
                 state.count_run(team, now);
             }
         };
-        match pass_on(&mut wire, &answer, passed, write, patience, began).await {
+        match pass_on(&mut wire, &answer, passed, write, &mut patience, began).await {
             StreamEnd::Whole => Ended::Streamed,
             StreamEnd::CallerGone => return Ended::CallerGone,
             StreamEnd::Broken => Ended::Broken(Fault::Broken),
         }
     } else {
-        whole(&mut wire, &answer, patience).await
+        whole(&mut wire, &answer, &mut patience).await
     };
     if !is_stream {
         state.count_run(team, sent_at);
@@ -212,14 +212,15 @@
     bytes.freeze()
 }
 
-async fn whole(wire: &mut Wire, answer: &Answer, patience: Patience) -> Ended {
+async fn whole(wire: &mut Wire, answer: &Answer, patience: &mut Patience<'_>) -> Ended {
     let body = whole_body(wire, &answer.head, MOST_ANSWER);
-    match timeout_at(patience.first.min(patience.deadline), body).await {
-        Ok(Ok(body)) if answer.head.status >= 300 || answer.said.sealed => {
+    match patience.wait(true, body).await {
+        Some(Ok(body)) if answer.head.status >= 300 || answer.said.sealed => {
             Ended::Whole(answer.head.clone(), body)
         }
-        Ok(Ok(_)) => Ended::Broken(Fault::Wrong),
-        Ok(Err(_)) | Err(_) => Ended::Broken(Fault::Broken),
+        Some(Ok(_)) => Ended::Broken(Fault::Wrong),
+        Some(Err(_)) => Ended::Broken(Fault::Broken),
+        None => Ended::Broken(Fault::Silent),
     }
 }
 
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -21,6 +21,9 @@
     /// The connection broke after something was sent.
     #[error("the connection broke")]
     Broken,
+    /// Nothing came for too long.
+    #[error("the endpoint was silent")]
+    Silent,
     /// What came is not an answer to this request.
     #[error("the answer is not one to this request")]
     Wrong,
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -51,6 +51,62 @@
     poplarvale_platform::read_settings(&text).change_context(RelayError::Settings)
 }
 
+/// A relaying daemon that serves.
+#[derive(Debug)]
+pub struct Relay {
+    state: Rc<State>,
+    callers: SocketAddr,
+    ready: SocketAddr,
+}
+
+impl Relay {
+    /// Starts to serve. To be called on the thread that runs everything.
+    ///
+    /// # Errors
+    /// If an address cannot be listened at.
+    pub async fn start(site: Site) -> Result<Self, Report<RelayError>> {
+        let callers = listen(site.callers)?;
+        let ready = listen(site.ready)?;
+        let socket = UdpSocket::bind(site.peers).await;
+        let socket = Rc::new(socket.change_context(RelayError::Listen)?);
+        let relay = Self {
+            callers: callers.local_addr().change_context(RelayError::Listen)?,
+            ready: ready.local_addr().change_context(RelayError::Listen)?,
+            state: State::new(site),
+        };
+        let state = || Rc::clone(&relay.state);
+        actix_web::rt::spawn(follow(state()));
+        actix_web::rt::spawn(accept(state(), callers, serve_caller));
+        actix_web::rt::spawn(accept(state(), ready, serve_probe));
+        actix_web::rt::spawn(receive(state(), Rc::clone(&socket)));
+        actix_web::rt::spawn(send(state(), socket));
+        actix_web::rt::spawn(serve_duties(state()));
+        actix_web::rt::spawn(clean(state()));
+        Ok(relay)
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Where the balancer asks for readiness.
+    pub fn ready(&self) -> SocketAddr {
+        self.ready
+    }
+
+    /// Takes no new callers and waits until all answers are out.
+    pub async fn stop(&self) {
+        self.state.ending.set(Some(Instant::now()));
+        self.state.told.notify_waiters();
+        let active = self.state.active.get();
+        log::info!("daemon: shutting down with {active} requests in progress.");
+        drained(&self.state).await;
+        let active = self.state.active.get();
+        log::info!("daemon: ends with {active} requests in progress.");
+    }
+}
+
 /// Runs until SIGTERM, and then until the last answer is out.
 ///
 /// # Errors
@@ -58,26 +114,9 @@
 pub async fn run(path: &Path) -> Result<(), Report<RelayError>> {
     let site = read_site(path)?;
     log::info!("daemon: {} starts in zone {}.", site.name, site.zone);
-    let callers = listen(site.callers)?;
-    let ready = listen(site.ready)?;
-    let socket = UdpSocket::bind(site.peers).await;
-    let socket = Rc::new(socket.change_context(RelayError::Listen)?);
-    let state = State::new(site);
-
-    actix_web::rt::spawn(follow(Rc::clone(&state)));
-    actix_web::rt::spawn(accept(Rc::clone(&state), callers, serve_caller));
-    actix_web::rt::spawn(accept(Rc::clone(&state), ready, serve_probe));
-    actix_web::rt::spawn(receive(Rc::clone(&state), Rc::clone(&socket)));
-    actix_web::rt::spawn(send(Rc::clone(&state), socket));
-    actix_web::rt::spawn(serve_duties(Rc::clone(&state)));
-    actix_web::rt::spawn(clean(Rc::clone(&state)));
-
-    wait_for_end(&state, path).await?;
-    drained(&state).await;
-    log::info!(
-        "daemon: ends with {} requests in progress.",
-        state.active.get()
-    );
+    let relay = Relay::start(site).await?;
+    wait_for_end(path).await?;
+    relay.stop().await;
     Ok(())
 }
 
@@ -127,7 +166,7 @@
 
 /// Waits for SIGTERM or SIGINT. SIGHUP reads the settings again; addresses and the
 /// zone stay, as another address needs another process.
-async fn wait_for_end(state: &State, path: &Path) -> Result<(), Report<RelayError>> {
+async fn wait_for_end(path: &Path) -> Result<(), Report<RelayError>> {
     let mut term = signal(SignalKind::terminate()).change_context(RelayError::Signals)?;
     let mut int = signal(SignalKind::interrupt()).change_context(RelayError::Signals)?;
     let mut hup = signal(SignalKind::hangup()).change_context(RelayError::Signals)?;
@@ -141,13 +180,6 @@
             },
         }
     }
-    let now = Instant::now();
-    state.ending.set(Some(now));
-    state.told.notify_waiters();
-    log::info!(
-        "daemon: shutting down with {} requests.",
-        state.active.get()
-    );
     Ok(())
 }
 
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -6,11 +6,11 @@
 use bytes::Bytes;
 use poplarvale_lib::http1::{Framing, Request, Response};
 use poplarvale_lib::relay::ask::Ask;
-use poplarvale_lib::relay::catalog::{Backend, Catalog, Repeat, Route};
+use poplarvale_lib::relay::catalog::{Backend, Catalog, Route};
 use poplarvale_lib::relay::demand;
-use poplarvale_lib::relay::place::{NoPlace, Wanted, choose};
+use poplarvale_lib::relay::place::{Choice, NoPlace, Wanted, choose};
 use poplarvale_lib::relay::quota;
-use poplarvale_lib::{Code, Ran};
+use poplarvale_lib::{Code, EndpointId, Ran};
 use poplarvale_platform::{refusal, response_head};
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::tcp::WriteHalf;
@@ -29,6 +29,9 @@
 const SOON: Duration = Duration::from_millis(500);
 /// Most endpoints that a request reaches, those that did not run it included.
 const MOST_SENDS: u32 = 3;
+/// Least silence after which a request is moved; a slow tail of plain answers lasts
+/// about 200 ms.
+const LEAST_SILENCE: Duration = Duration::from_millis(350);
 /// Least time that an endpoint must have for an answer to be worth asking for.
 const LEAST: Duration = Duration::from_millis(5);
 
@@ -173,6 +176,7 @@
     let mut runs = 0;
     let mut sends = 0;
     let mut limited = false;
+    let mut reserved = false;
     state
         .budget
         .borrow_mut()
@@ -184,17 +188,7 @@
         if now + LEAST >= job.deadline {
             break;
         }
-        let chosen = choose(
-            &state.board.borrow(),
-            &Wanted {
-                service: job.service,
-                prompt: job.ask.prompt.as_ref(),
-                zone: &state.site.zone,
-                avoid: &avoid,
-                now: Std::now(),
-            },
-        );
-        let choice = match chosen {
+        let choice = match pick(state, job, &avoid) {
             Ok(choice) => choice,
             Err(why) if runs == 0 && !maybe_ran => {
                 let code = match why {
@@ -209,13 +203,21 @@
             }
             Err(_) => break,
         };
-        if sends > 0 && (sends >= MOST_SENDS || !may_repeat(state, job)) {
+        let granted = std::mem::take(&mut reserved);
+        if sends > 0 && !granted && (sends >= MOST_SENDS || !may_repeat(state, job)) {
             limited = true;
             break;
         }
-        let patience = patience(job, choice.wait, now, runs + 1 < job.route.attempts);
+        avoid.push(choice.id.clone());
+        let more = job.route.repeat.may_repeat()
+            && runs + 1 < job.route.attempts
+            && sends + 1 < MOST_SENDS;
+        let mut moves = || {
+            reserved = more && pick(state, job, &avoid).is_ok() && may_repeat(state, job);
+            reserved
+        };
+        let patience = patience(job, choice.wait, now, &mut moves);
         let ended = attempt(state, job, &choice, &mut passed, write, patience).await;
-        avoid.push(choice.id);
         match ended {
             Ended::Streamed => return after(keep),
             Ended::CallerGone => return After::Close,
@@ -276,27 +278,31 @@
     budget.repeat(&job.service.name, daemons, now)
 }
 
-/// How long an endpoint may be silent. Where the request may go on elsewhere, a
-/// silent endpoint is given up before the caller gives up.
-fn patience(job: &Job<'_>, wait: Duration, now: Instant, more: bool) -> Patience {
-    let repeat = job.route.repeat;
-    if !more || !repeat.may_repeat() {
-        return Patience {
-            first: job.deadline,
-            pause: job.deadline.saturating_duration_since(now),
-            deadline: job.deadline,
-        };
-    }
-    let first = (wait * 3).max(job.route.target * 3 / 2);
-    let pause = job.route.pause.unwrap_or(job.route.target) * 3;
-    let first = match repeat {
-        Repeat::Safe => first.max(Duration::from_millis(350)),
-        _ => first,
+/// An endpoint for the request, other than those it was at.
+fn pick(state: &State, job: &Job<'_>, avoid: &[EndpointId]) -> Result<Choice, NoPlace> {
+    let wanted = Wanted {
+        service: job.service,
+        prompt: job.ask.prompt.as_ref(),
+        zone: &state.site.zone,
+        avoid,
+        now: Std::now(),
     };
+    choose(&state.board.borrow(), &wanted)
+}
+
+/// How long an endpoint may be silent before the request is moved, if it can be.
+fn patience<'m>(
+    job: &Job<'_>,
+    wait: Duration,
+    now: Instant,
+    moves: &'m mut dyn FnMut() -> bool,
+) -> Patience<'m> {
+    let first = (wait * 3).max(job.route.target * 3 / 2).max(LEAST_SILENCE);
     Patience {
         first: now + first,
-        pause,
+        pause: job.route.pause.unwrap_or(job.route.target) * 3,
         deadline: job.deadline,
+        moves,
     }
 }
 
--- a/daemon/src/relay/stream.rs
+++ b/daemon/src/relay/stream.rs
@@ -36,15 +36,48 @@
     }
 }
 
-/// How long an endpoint may be silent.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Patience {
-    /// When the first event must have come.
+/// How long an endpoint may be silent before the request is moved, if it can be.
+///
+/// Silence alone is no reason to end an answer: an endpoint that is only slow would
+/// still have given it. So silence ends an exchange only if the request may be
+/// repeated, another endpoint has room and a repeat is left, which `moves` tells
+/// and then holds in reserve.
+pub(crate) struct Patience<'m> {
+    /// When the first event should have come.
     pub(crate) first: Instant,
-    /// Longest pause between events afterwards.
+    /// Longest usual pause between events afterwards.
     pub(crate) pause: Duration,
     /// When the request ends in any case.
     pub(crate) deadline: Instant,
+    /// Whether the request can be moved now.
+    pub(crate) moves: &'m mut dyn FnMut() -> bool,
+}
+
+impl Patience<'_> {
+    /// Waits for something that an endpoint does; `None` if the endpoint was silent
+    /// for too long.
+    pub(crate) async fn wait<T>(
+        &mut self,
+        first: bool,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        let mut work = std::pin::pin!(work);
+        let mut until = if first {
+            self.first
+        } else {
+            Instant::now() + self.pause
+        };
+        loop {
+            let done = timeout_at(until.min(self.deadline), &mut work).await;
+            if let Ok(done) = done {
+                return Some(done);
+            }
+            if Instant::now() >= self.deadline || (self.moves)() {
+                return None;
+            }
+            until = Instant::now() + self.pause;
+        }
+    }
 }
 
 /// How a stream ended.
@@ -65,7 +98,7 @@
     answer: &Answer,
     passed: &mut Passed,
     write: &mut WriteHalf<'_>,
-    patience: Patience,
+    patience: &mut Patience<'_>,
     mut began: impl FnMut(),
 ) -> StreamEnd {
     let (mut read, _write) = wire.stream.split();
@@ -103,18 +136,11 @@
         if done {
             return StreamEnd::Whole;
         }
-        let until = if passed.events.count() > first {
-            Instant::now() + patience.pause
-        } else {
-            patience.first
-        };
-        let more = timeout_at(
-            until.min(patience.deadline),
-            fill(&mut read, &mut wire.buffer),
-        );
-        match more.await {
-            Ok(Ok(0)) if body.end().is_ok() => {}
-            Ok(Ok(len)) if len > 0 => {}
+        let is_first = passed.events.count() == first;
+        let more = fill(&mut read, &mut wire.buffer);
+        match patience.wait(is_first, more).await {
+            Some(Ok(0)) if body.end().is_ok() => {}
+            Some(Ok(len)) if len > 0 => {}
             _ => return StreamEnd::Broken,
         }
     }
--- /dev/null
+++ b/daemon/tests/relay_site.rs
@@ -0,0 +1,103 @@
+//! A relaying daemon among stand-ins of its platform.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use poplarvale_platform::read_settings;
+use poplarvale_standin::{Cloud, Endpoint, Route, Store, config, settings};
+use poplarvaled::Relay;
+
+/// Routes of all kinds.
+pub(crate) const ROUTES: [Route; 4] = [
+    Route {
+        prefix: "/safe/",
+        kind: "safe",
+        resumable: false,
+        attempts: 2,
+    },
+    Route {
+        prefix: "/once/",
+        kind: "unsafe",
+        resumable: false,
+        attempts: 2,
+    },
+    Route {
+        prefix: "/resume/",
+        kind: "stream",
+        resumable: true,
+        attempts: 2,
+    },
+    Route {
+        prefix: "/stream/",
+        kind: "stream",
+        resumable: false,
+        attempts: 2,
+    },
+];
+
+/// A daemon and what it talks to.
+pub(crate) struct Site {
+    pub(crate) store: Store,
+    pub(crate) cloud: Cloud,
+    pub(crate) relay: Relay,
+}
+
+impl Site {
+    /// Starts a daemon with these endpoints of service `app` and waits until it is
+    /// ready.
+    pub(crate) async fn start(endpoints: &[&Endpoint]) -> Self {
+        let store = Store::start().await;
+        store.put("op/config", config(1, &ROUTES, 0).as_bytes());
+        for endpoint in endpoints {
+            let key = format!("servers/{}", endpoint.id);
+            store.put(&key, endpoint.entry("app", "ready").as_bytes());
+        }
+        Self::with_store(store).await
+    }
+
+    /// Starts a daemon on a store and waits until it is ready.
+    pub(crate) async fn with_store(store: Store) -> Self {
+        let cloud = Cloud::start().await;
+        let settings = read_settings(&settings(store.address, cloud.address));
+        let relay = Relay::start(settings.expect("they are good")).await;
+        let site = Self {
+            store,
+            cloud,
+            relay: relay.expect("it listens"),
+        };
+        site.until_ready().await;
+        site
+    }
+
+    async fn until_ready(&self) {
+        let ready = self.relay.ready();
+        until(Duration::from_secs(5), async || is_ready(ready).await).await;
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.relay.callers()
+    }
+}
+
+pub(crate) async fn is_ready(ready: SocketAddr) -> bool {
+    let question = "GET /poplarvale/readiness HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n";
+    let answer = poplarvale_standin::ask(ready, question).await;
+    answer.is_ok_and(|answer| answer.status == 200)
+}
+
+/// Waits until something holds.
+pub(crate) async fn until(limit: Duration, mut holds: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + limit;
+    while !holds().await {
+        assert!(Instant::now() < end, "it does not hold after {limit:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// A request as a caller writes it; `more` holds further header lines.
+pub(crate) fn request(method: &str, path: &str, id: &str, more: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: site.example\r\nPoplarvale-Request-Id: {id}\r\n\
+         Poplarvale-Deadline-Ms: 3000\r\nAuthorization: Bearer k1\r\n{more}\r\n"
+    )
+}
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -1,5 +1,6 @@
 //! Integration tests of the daemon, gathered in one program.
 
+mod relay_site;
 mod site;
 mod test_answer;
 mod test_failures;
@@ -13,5 +14,9 @@
 mod test_peers;
 mod test_platform;
 mod test_probe;
+mod test_relay_answers;
+mod test_relay_callers;
+mod test_relay_end;
+mod test_relay_store;
 mod test_shares;
 mod test_shutdown;
--- /dev/null
+++ b/daemon/tests/test_relay_store.rs
@@ -0,0 +1,154 @@
+//! The platform's store silent, refusing, forgetful or full of foreign rows, and
+//! the duties that need it.
+
+use std::time::Duration;
+
+use poplarvale_standin::{Endpoint, Mode, ask, config, plain};
+
+use crate::relay_site::{ROUTES, Site, request, until};
+
+const SOON: Duration = Duration::from_secs(6);
+
+async fn endpoint(id: &str) -> Endpoint {
+    Endpoint::start(id, |seen| vec![plain(seen, 200, "done")]).await
+}
+
+async fn status(site: &Site, path: &str) -> u16 {
+    let answer = ask(site.address(), &request("GET", path, "r1", "")).await;
+    answer.map_or(0, |answer| answer.status)
+}
+
+/// The store swallows a watch and comes back on new connections only. An endpoint
+/// that leaves then must be noticed within the time that it still serves.
+#[actix_web::test]
+async fn a_store_that_was_silent_is_noticed_when_it_is_back() {
+    let (one, other) = (endpoint("i-1").await, endpoint("i-2").await);
+    let site = Site::start(&[&one, &other]).await;
+    site.store.set(Mode::Silent);
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    assert_eq!(status(&site, "/safe/a").await, 200);
+    site.store.set(Mode::Well);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    site.store
+        .put("servers/i-1", one.entry("app", "draining").as_bytes());
+    tokio::time::sleep(Duration::from_millis(1900)).await;
+    let before = one.seen().len();
+    for _ in 0..20 {
+        assert_eq!(status(&site, "/safe/a").await, 200);
+    }
+    assert_eq!(one.seen().len(), before);
+}
+
+/// The store forgets its history while an endpoint leaves. The daemon reads
+/// everything anew and does not miss it.
+#[actix_web::test]
+async fn forgotten_history_hides_no_endpoint_that_left() {
+    let (one, other) = (endpoint("i-1").await, endpoint("i-2").await);
+    let site = Site::start(&[&one, &other]).await;
+    site.store.remove("servers/i-1");
+    site.store.compact();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = one.seen().len();
+    for _ in 0..10 {
+        assert_eq!(status(&site, "/safe/a").await, 200);
+    }
+    assert_eq!(one.seen().len(), before);
+}
+
+/// Another writer leaves rows under the registry's keys. They name no endpoint, and
+/// the others hold.
+#[actix_web::test]
+async fn foreign_rows_name_no_endpoint() {
+    let one = endpoint("i-1").await;
+    let site = Site::start(&[&one]).await;
+    site.store.put("servers/i-2", b"{\"service\":\"app\"}");
+    site.store.put("servers/i-3", b"\xff\xfe");
+    let state = one.entry("app", "asleep");
+    site.store.put("servers/i-4", state.as_bytes());
+    site.store.put_raw("servers/i-5", "not base64!");
+    site.store.put("op/config", b"{}");
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    for _ in 0..5 {
+        assert_eq!(status(&site, "/safe/a").await, 200);
+    }
+}
+
+/// An older configuration appears again. Callers must not see it come back.
+#[actix_web::test]
+async fn an_older_configuration_never_comes_back() {
+    let one = endpoint("i-1").await;
+    let site = Site::start(&[&one]).await;
+    let fewer = &ROUTES[1..];
+    site.store.put("op/config", config(3, fewer, 0).as_bytes());
+    until(SOON, async || status(&site, "/safe/a").await == 404).await;
+    site.store
+        .put("op/config", config(2, &ROUTES, 0).as_bytes());
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    assert_eq!(status(&site, "/safe/a").await, 404);
+}
+
+/// A window's usage is reported once, with the same bytes each time, though the
+/// platform refuses it at first.
+#[actix_web::test]
+async fn a_window_has_one_report_only() {
+    let one = endpoint("i-1").await;
+    let site = Site::start(&[&one]).await;
+    site.cloud.set(503);
+    for _ in 0..5 {
+        status(&site, "/safe/a").await;
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    site.cloud.set(200);
+    until(Duration::from_secs(10), async || {
+        let seen = site.cloud.seen();
+        seen.iter()
+            .any(|call| String::from_utf8_lossy(&call.body).contains("\"club\":5"))
+    })
+    .await;
+    let calls: Vec<String> = site
+        .cloud
+        .seen()
+        .iter()
+        .map(|call| String::from_utf8_lossy(&call.body).into_owned())
+        .collect();
+    let window = |call: &String| call.split(',').next().map(str::to_owned);
+    for call in &calls {
+        let same: Vec<&String> = calls
+            .iter()
+            .filter(|other| window(other) == window(call))
+            .collect();
+        assert!(same.iter().all(|other| *other == call), "{same:?}");
+    }
+}
+
+/// The store does what it is told and loses its answers. The daemon reads back what
+/// lies there and goes on from it, and no window gets two counts.
+#[actix_web::test]
+async fn lost_answers_make_no_second_count() {
+    let one = endpoint("i-1").await;
+    let site = Site::start(&[&one]).await;
+    until(SOON, async || site.store.get("poplarvale/usage").is_some()).await;
+    site.store.set(Mode::Lost);
+    status(&site, "/safe/a").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    site.store.set(Mode::Well);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let bodies: Vec<String> = site
+        .cloud
+        .seen()
+        .iter()
+        .map(|call| String::from_utf8_lossy(&call.body).into_owned())
+        .collect();
+    let mut windows: Vec<&str> = bodies
+        .iter()
+        .filter_map(|body| body.split(',').next())
+        .collect();
+    let all = windows.len();
+    assert!(all > 2);
+    windows.sort_unstable();
+    windows.dedup();
+    let mut distinct = bodies.clone();
+    distinct.sort();
+    distinct.dedup();
+    assert_eq!(distinct.len(), windows.len());
+}
