relay: structured logs, metrics, a dump, and poplarvale explain

Cause: what a request met could be told from nothing but lines of text on standard error, without ids or the age of what decided. Now each decision is a line of JSON on standard output, queued and dropped rather than waited for; what went well is told ten times a second at most. Counters, histograms and a dump are served on the control address, and explain joins the logs of several daemons. Dispatch is taken apart into steps.

--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -1,6 +1,7 @@
 //! The commands, one file each.
 
 mod dump;
+mod explain;
 mod lists;
 mod moves;
 mod settings;
@@ -34,6 +35,7 @@
             }
         },
         PoplarvaleCmd::Move(wish) => moves::run(&Client::new(&flags)?, wish, flags.json).await,
+        PoplarvaleCmd::Explain(wish) => explain::run(&wish.id, &wish.logs),
         PoplarvaleCmd::Status(_) => status::run(&Client::new(&flags)?, flags.json).await,
         PoplarvaleCmd::Dump(dump) => {
             let client = Client::new(&flags)?;
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -109,6 +109,14 @@
             optional --within seconds: u64
         }
 
+        /// What the daemons' logs tell of one request, in the order of time.
+        cmd explain {
+            /// Id of the request.
+            required id: String
+            /// Log files of daemons.
+            repeated logs: PathBuf
+        }
+
         /// State of a daemon in short.
         cmd status {}
 
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the command, gathered in one program.
 
 mod command;
+mod test_explain;
 mod test_help;
 mod test_lists;
 mod test_moves;
--- a/cli/tests/test_help.rs
+++ b/cli/tests/test_help.rs
@@ -97,6 +97,17 @@
               Seconds in which the move must be finished.
 
 
+        poplarvale explain
+          What the daemons' logs tell of one request, in the order of time.
+
+          ARGS:
+            <id>
+              Id of the request.
+
+            <logs>...
+              Log files of daemons.
+
+
         poplarvale status
           State of a daemon in short.
 
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -52,7 +52,7 @@
         eprintln!("give --settings FILE, or set {variable} to the platform's settings file");
         return ExitCode::from(2);
     };
-    poplarvaled::start_logs("info");
+    poplarvaled::start_trail("info");
     match poplarvaled::run_relay(&PathBuf::from(path)).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -10,16 +10,21 @@
 mod attempt;
 mod caller;
 mod client;
+mod dispatch;
 mod duties;
 mod exchange;
+mod metrics;
 mod peers;
 mod probe;
 mod run;
 mod serve;
 mod state;
+mod status;
 mod stream;
+mod trail;
 mod upstream;
 mod watch;
 mod wire;
 
 pub use run::{Relay, RelayError, run as run_relay};
+pub use trail::start as start_trail;
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use poplarvale_lib::http1::{Request, Response};
 use poplarvale_lib::relay::ask::Ask;
-use poplarvale_lib::relay::catalog::{Route, Service, Team};
+use poplarvale_lib::relay::catalog::{CatalogVersion, Route, Service, Team};
 use poplarvale_lib::relay::place::{self, Choice, Wanted};
 use poplarvale_platform::{Outbound, request_head};
 use tokio::net::tcp::WriteHalf;
@@ -33,7 +33,10 @@
     pub(crate) team: Option<&'r Team>,
     pub(crate) service: &'r Service,
     pub(crate) rank: u8,
+    pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
+    /// Version of the configuration that it is served by.
+    pub(crate) version: CatalogVersion,
 }
 
 /// How a sending ended.
@@ -131,6 +134,11 @@
     };
     if answer.said.not_run {
         booked.note(|row| row.full = Some(Std::now() + FULL));
+        state.measure(|metrics| metrics.sent("not run"));
+        log::info!(
+            request = job.ask.id.as_str(), endpoint = choice.id.as_str(),
+            status = answer.head.status; "send: not run there."
+        );
         finish(state, address, wire, &answer).await;
         return Ended::NotRun;
     }
@@ -144,6 +152,7 @@
                 counted = true;
                 let now = Std::now();
                 booked.note(|row| row.began(number, now));
+                state.measure(|metrics| metrics.first(job.arrived.elapsed()));
                 state.count_run(team, now);
             }
         };
@@ -167,6 +176,7 @@
             keep(state, address, wire, &answer);
         }
         _ => {
+            state.measure(|metrics| metrics.sent("answered"));
             booked.note(|row| row.evidence.good());
             keep(state, address, wire, &answer);
         }
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -16,6 +16,7 @@
 use super::peers::{receive, send};
 use super::probe::serve_probe;
 use super::state::State;
+use super::status::serve_status;
 use super::watch::follow;
 
 /// Connections that may wait to be accepted; a burst after a restart must not
@@ -57,6 +58,7 @@
     state: Rc<State>,
     callers: SocketAddr,
     ready: SocketAddr,
+    status: Option<SocketAddr>,
 }
 
 impl Relay {
@@ -67,17 +69,22 @@
     pub async fn start(site: Site) -> Result<Self, Report<RelayError>> {
         let callers = listen(site.callers)?;
         let ready = listen(site.ready)?;
+        let status = site.metrics.map(listen).transpose()?;
         let socket = UdpSocket::bind(site.peers).await;
         let socket = Rc::new(socket.change_context(RelayError::Listen)?);
         let relay = Self {
             callers: callers.local_addr().change_context(RelayError::Listen)?,
             ready: ready.local_addr().change_context(RelayError::Listen)?,
+            status: status.as_ref().and_then(|status| status.local_addr().ok()),
             state: State::new(site),
         };
         let state = || Rc::clone(&relay.state);
         actix_web::rt::spawn(follow(state()));
         actix_web::rt::spawn(accept(state(), callers, serve_caller));
         actix_web::rt::spawn(accept(state(), ready, serve_probe));
+        if let Some(status) = status {
+            actix_web::rt::spawn(accept(state(), status, serve_status));
+        }
         actix_web::rt::spawn(receive(state(), Rc::clone(&socket)));
         actix_web::rt::spawn(send(state(), socket));
         actix_web::rt::spawn(serve_duties(state()));
@@ -95,6 +102,11 @@
         self.ready
     }
 
+    /// Where operators read metrics and the dump, if the settings give an address.
+    pub fn status(&self) -> Option<SocketAddr> {
+        self.status
+    }
+
     /// Takes no new callers and waits until all answers are out.
     pub async fn stop(&self) {
         self.state.ending.set(Some(Instant::now()));
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -18,6 +18,8 @@
 use poplarvale_lib::{CustomerId, Incarnation};
 use tokio::sync::Notify;
 
+use super::metrics::Metrics;
+use super::trail::Sampler;
 use super::upstream::Upstreams;
 
 /// Shared state; all tasks run on one thread and none holds a borrow across a wait.
@@ -41,6 +43,11 @@
     /// Whether the list of endpoints was read at least once.
     pub(crate) listed: Cell<bool>,
     pub(crate) upstreams: Upstreams,
+    /// When the store last answered.
+    pub(crate) heard: Cell<Instant>,
+    pub(crate) metrics: Option<Metrics>,
+    /// Which requests that went well are told.
+    pub(crate) sampler: Sampler,
     /// Requests in progress.
     pub(crate) active: Cell<usize>,
     /// When SIGTERM came.
@@ -83,6 +90,9 @@
             site,
             listed: Cell::new(false),
             upstreams: Upstreams::default(),
+            heard: Cell::new(started),
+            metrics: Metrics::new(),
+            sampler: Sampler::new(started),
             active: Cell::new(0),
             ending: Cell::new(None),
             left: RefCell::default(),
@@ -124,6 +134,13 @@
         }
     }
 
+    /// Counts something, if metrics are kept.
+    pub(crate) fn measure(&self, count: impl FnOnce(&Metrics)) {
+        if let Some(metrics) = &self.metrics {
+            count(metrics);
+        }
+    }
+
     /// A number for a request that no other of this process has.
     pub(crate) fn number(&self) -> u64 {
         self.numbers.set(self.numbers.get() + 1);
--- /dev/null
+++ b/daemon/src/relay/status.rs
@@ -0,0 +1,107 @@
+//! What operators read: metrics and a dump of the daemon's state.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::BytesMut;
+use poplarvale_lib::http1::Request;
+use poplarvale_lib::relay::board::{Endpoint, Standing};
+use poplarvale_lib::{Code, Ran};
+use poplarvale_platform::refusal;
+use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+
+use super::state::State;
+use super::wire::fill;
+
+/// Longest head of a question, in bytes.
+const MOST_HEAD: usize = 4096;
+
+/// Answers one connection's questions until it ends.
+pub(crate) async fn serve_status(state: Rc<State>, mut stream: TcpStream) {
+    let (mut read, mut write) = stream.split();
+    let mut buffer = BytesMut::new();
+    loop {
+        match Request::take(&mut buffer, MOST_HEAD) {
+            Ok(Some(request)) => {
+                let out = answer(&state, &request);
+                if write.write_all(&out).await.is_err() || !request.keep {
+                    return;
+                }
+            }
+            Ok(None) => {
+                if !matches!(fill(&mut read, &mut buffer).await, Ok(len) if len > 0) {
+                    return;
+                }
+            }
+            Err(_) => return,
+        }
+    }
+}
+
+fn answer(state: &State, request: &Request) -> BytesMut {
+    let (kind, body) = match &*request.target {
+        b"/metrics" => {
+            let page = state.metrics.as_ref().map(super::metrics::Metrics::page);
+            ("text/plain; version=0.0.4", page.unwrap_or_default())
+        }
+        b"/dump" => ("application/json", dump(state).to_string()),
+        _ => return refusal(Code::NoTable, Ran::No, None, None, request.keep),
+    };
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    BytesMut::from((head + &body).as_bytes())
+}
+
+/// State of the daemon; holds no key and nothing of a request's content.
+fn dump(state: &State) -> Value {
+    let now = Instant::now();
+    let board = state.board.borrow();
+    let endpoints: Vec<Value> = board.rows().iter().map(|row| endpoint(row, now)).collect();
+    let peers = state.peers.borrow();
+    let peers: Vec<Value> = peers
+        .rows()
+        .iter()
+        .map(|row| {
+            let name = row.known.as_ref().map(|known| known.0.as_str());
+            json!({"address": row.address.to_string(), "name": name,
+                   "heard_ms": now.duration_since(row.heard).as_millis() as u64})
+        })
+        .collect();
+    json!({
+        "name": state.site.name.as_str(),
+        "zone": state.site.zone.as_str(),
+        "ready": state.is_ready(),
+        "ending": state.ending.get().is_some(),
+        "active": state.active.get(),
+        "catalog": state.catalog.borrow().as_ref().map(|held| held.version),
+        "store_heard_ms": now.duration_since(state.heard.get()).as_millis() as u64,
+        "holder": state.leader.borrow().as_deref(),
+        "log_lines_dropped": super::trail::dropped(),
+        "endpoints": endpoints,
+        "daemons": peers,
+    })
+}
+
+fn endpoint(row: &Endpoint, now: Instant) -> Value {
+    let standing = match row.standing {
+        Standing::Ready => "ready",
+        Standing::Doubtful(_) => "doubtful",
+        Standing::Leaving => "leaving",
+    };
+    json!({
+        "id": row.listing.id.as_str(),
+        "service": row.listing.service.as_str(),
+        "zone": row.listing.zone.as_str(),
+        "address": row.listing.address.to_string(),
+        "standing": standing,
+        "fit": row.evidence.is_fit(now),
+        "requests": row.flights.len(),
+        "others": row.others.requests,
+        "backlog_tokens": row.backlog() as u64,
+        "speed_factor": row.speed.factor(),
+    })
+}
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -73,12 +73,15 @@
                 }
                 revision = Some(next);
                 heard = Instant::now();
+                state.heard.set(heard);
+                state.measure(|metrics| metrics.called("store", "done"));
                 pause = RETRY;
                 let others = state.peers.borrow().rows().len() as u32;
                 let pause = (PAUSE + PAUSE_EACH * others).min(MOST_PAUSE);
                 tokio::time::sleep(pause).await;
             }
             Err(error) => {
+                state.measure(|metrics| metrics.called("store", "failed"));
                 if !failing {
                     log::warn!("store: away, {error}.");
                     failing = true;
