quota: lone daemons keep to an even part of allowances

Where half or more of the others are silent, the whole part is counted now. Test: lone_daemons_keep_to_an_even_part, failing before (18,000 where 3,000 is even).

--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -27,7 +27,9 @@
 /// all let in between two digests fills the rest.
 const USED: f64 = 0.97;
 /// Share of an even part that a silent daemon is taken to use at least. Daemons use
-/// about 55 in 100 of the allowance on an ordinary day.
+/// about 55 in 100 of the allowance on an ordinary day. Where half or more are
+/// silent, this daemon is probably the one that is cut off, perhaps with many others
+/// that are each alone, and counts the whole part.
 const SILENT_SHARE: f64 = 0.75;
 /// Shortest and longest time after which a refused team is told to come back.
 const SOONEST: f64 = 0.3;
@@ -163,7 +165,14 @@
     /// Units that the others let in within the window, as far as is known.
     fn theirs(&self, team: &str, whole: f64, now: Instant) -> f64 {
         let team = short(team);
-        let even = whole / (self.others.len() + 1) as f64 * SILENT_SHARE;
+        let is_silent = |told: &&Told| now.duration_since(told.heard) > self.silent;
+        let silent = self.others.iter().filter(is_silent).count();
+        let share = if silent * 2 >= self.others.len() + 1 {
+            1.0
+        } else {
+            SILENT_SHARE
+        };
+        let even = whole * USED / (self.others.len() + 1) as f64 * share;
         let part = |told: &Told| {
             let at = told.teams.binary_search_by_key(&team, |row| row.0);
             let (units, rate) = at.map_or((0.0, 0.0), |at| (told.teams[at].1, told.teams[at].2));
--- a/lib/tests/test_relay_shared.rs
+++ b/lib/tests/test_relay_shared.rs
@@ -128,6 +128,33 @@
     assert!(most_in_a_window(&through) <= 1.35 * 9.0 * 1000.0);
 }
 
+/// A third of the hosts are cut off, each by itself, and a team floods all of them.
+/// Each of those must keep to an even part: a quarter of the allowance at each of
+/// many lone daemons would be many times the allowance.
+#[test]
+fn lone_daemons_keep_to_an_even_part() {
+    let start = Instant::now();
+    let cut = start + WINDOW;
+    let team = team(8000.0);
+    let told = |name: usize, at: Instant, teams: Vec<(u32, f64, f64)>| Told {
+        name: format!("d{name:02}").into(),
+        heard: at,
+        teams,
+    };
+    let mut lone = Quota::new(WINDOW, start);
+    for other in 1..24 {
+        lone.hear(told(other, cut, Vec::new()), SILENT);
+    }
+    let through = flood(&mut lone, &team, cut + SILENT * 2, WINDOW, 100.0);
+    let even = 9.0 * 8000.0 / 24.0;
+    assert!(
+        most_in_a_window(&through) <= even,
+        "{}",
+        most_in_a_window(&through)
+    );
+    assert!(most_in_a_window(&through) >= even * 0.3);
+}
+
 /// A daemon starts anew while a team floods it. It does not know what it let in
 /// before and must not give the whole allowance out again at once.
 #[test]
