place: shared parts that are read again have a price

Cause: a session's request left the engine that holds its beginning for a few milliseconds of waiting, and the beginning (4,870 tokens) was read again elsewhere. Placement now weighs the tokens read again, and waiting beyond 0.6 of the target.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -193,6 +193,7 @@
     let wanted = Wanted {
         service: job.service,
         prompt: job.ask.prompt.as_ref(),
+        target: job.route.target,
         zone: &state.site.zone,
         avoid: &[],
         now: Std::now(),
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -212,6 +212,7 @@
     let wanted = Wanted {
         service: job.service,
         prompt: job.ask.prompt.as_ref(),
+        target: job.route.target,
         zone: &state.site.zone,
         avoid,
         now: Std::now(),
--- a/lib/src/relay/place.rs
+++ b/lib/src/relay/place.rs
@@ -24,6 +24,15 @@
 /// Advantage that the first choice of a session has, as a share of the time that
 /// reading its shared beginning takes.
 const PRESUMED: f64 = 0.8;
+/// Price of a shared token that is read again, in seconds: reading it takes a
+/// fiftieth of a millisecond, and the same engine time is then missing to others. At
+/// five times that, a long session's request waits up to half a second more for the
+/// engine that holds its beginning.
+const READ_AGAIN: f64 = 0.000_1;
+/// Share of the target up to which waiting costs no more than its time, and the
+/// factor beyond it, where answers begin to be late.
+const ON_TIME: f64 = 0.6;
+const LATE: f64 = 4.0;
 /// Price of one more running request at an engine, in seconds of its own answer:
 /// each lengthens all steps of the others by about a fortieth.
 const RUNNING: f64 = 0.002;
@@ -41,6 +50,8 @@
     pub service: &'r Service,
     /// Prompt; `None` for plain requests.
     pub prompt: Option<&'r Prompt>,
+    /// Time within which the first event is on time.
+    pub target: Duration,
     /// Zone of this daemon.
     pub zone: &'r str,
     /// Endpoints that this request was at before.
@@ -192,10 +203,15 @@
     } else {
         0.0
     };
-    let own = (f64::from(prompt.input) - held.max(presumed)).max(1.0);
+    let kept = held.max(presumed);
+    let own = (f64::from(prompt.input) - kept).max(1.0);
     let ahead = row.backlog();
     let wait = row.speed.first(own, ahead);
-    let cost = wait.as_secs_f64() + far + f64::from(row.busy()) * RUNNING;
+    let seconds = wait.as_secs_f64();
+    let late = (seconds - wanted.target.as_secs_f64() * ON_TIME).max(0.0);
+    let again = (f64::from(total) - kept).max(0.0);
+    let running = f64::from(row.busy());
+    let cost = seconds + late * LATE + again * READ_AGAIN + running * RUNNING + far;
     (
         cost,
         Choice {
--- a/lib/tests/test_relay_place.rs
+++ b/lib/tests/test_relay_place.rs
@@ -74,6 +74,7 @@
         Wanted {
             service: &self.service,
             prompt: Some(prompt),
+            target: Duration::from_secs(1),
             zone: "hanko",
             avoid: &[],
             now: self.now,
@@ -87,6 +88,7 @@
         let wanted = Wanted {
             service: &service,
             prompt: Some(prompt),
+            target: Duration::from_secs(1),
             zone: "hanko",
             avoid: &[],
             now: self.now,
