logs: failed sendings carry the request's id

Cause, found while writing the page for on-call engineers: lines of failed sendings named the request in their text only, so explain showed a failure without its endpoint.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -108,10 +108,10 @@
                 .borrow_mut()
                 .get_mut(&choice.id)
                 .is_some_and(|row| row.evidence.unreached(Std::now()));
+            state.measure(|metrics| metrics.sent("not connected"));
             log::info!(
-                "send: {} not connected to {}, {error}, left out: {out}.",
-                job.ask.id,
-                choice.id
+                request = job.ask.id.as_str(), endpoint = choice.id.as_str(), left_out = out;
+                "send: not connected, {error}."
             );
             return Ended::NotSent;
         }
@@ -238,10 +238,11 @@
 fn failed(booked: &Booked, job: &Job<'_>, choice: &Choice, fault: Fault, kept: bool) {
     let mut out = false;
     booked.note(|row| out = row.evidence.bad(Std::now()));
+    booked.state.measure(|metrics| metrics.sent("failed"));
     log::info!(
-        "send: {} failed at {}, {fault}, kept connection: {kept}, left out: {out}.",
-        job.ask.id,
-        choice.id
+        request = job.ask.id.as_str(), endpoint = choice.id.as_str(), kept, left_out = out,
+        after_ms = job.arrived.elapsed().as_millis() as u64;
+        "send: failed, {fault}."
     );
 }
 
--- a/daemon/src/relay/caller.rs
+++ b/daemon/src/relay/caller.rs
@@ -76,7 +76,10 @@
         biased;
         after = serve(state, &request, &body, &ask, arrived, write) => Some(after),
         () = left(read, buffer) => {
-            log::info!("caller: {} left.", ask.id);
+            log::info!(
+                request = ask.id.as_str(), after_ms = arrived.elapsed().as_millis() as u64;
+                "caller: left before its answer was out."
+            );
             None
         }
     }
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -138,6 +138,10 @@
     let site = read_site(path)?;
     log::info!("daemon: {} starts in zone {}.", site.name, site.zone);
     let relay = Relay::start(site).await?;
+    log::info!(
+        callers:% = relay.callers, ready:% = relay.ready, status:? = relay.status;
+        "daemon: serves."
+    );
     wait_for_end(&relay, path).await?;
     relay.stop().await;
     Ok(())
