--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -17,13 +17,14 @@
 use super::probe::serve_probe;
 use super::state::State;
 use super::status::serve_status;
+use super::trail::last_lines;
 use super::watch::follow;
 
 /// Connections that may wait to be accepted; a burst after a restart must not
 /// overflow it, as the next try of a dropped opening packet comes seconds later.
 const BACKLOG: u32 = 1024;
 /// How long before SIGKILL the process ends by itself, so that it ends in order.
-const SPARE: Duration = Duration::from_millis(400);
+const SPARE: Duration = Duration::from_millis(700);
 /// Least time from SIGTERM to the end: the balancer needs two questions, a second
 /// apart, to send nobody new.
 const LEAST_END: Duration = Duration::from_millis(2800);
@@ -144,6 +145,7 @@
     );
     wait_for_end(&relay, path).await?;
     relay.stop().await;
+    last_lines().await;
     Ok(())
 }
 
--- a/daemon/src/relay/trail.rs
+++ b/daemon/src/relay/trail.rs
@@ -25,6 +25,11 @@
 /// Requests a second that went well and are told.
 const TOLD: u32 = 10;
 
+/// Longest time that the end of the process waits for its last lines.
+const LAST: Duration = Duration::from_millis(300);
+
+/// Lines that are queued or being written.
+static WAITING: AtomicU64 = AtomicU64::new(0);
 /// Lines that were dropped because the queue was full.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -43,7 +48,9 @@
 impl Append for Queue {
     fn append(&self, record: &Record<'_>, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
         let line = self.layout.format(record, diags)?;
+        WAITING.fetch_add(1, Ordering::Relaxed);
         if self.lines.try_send(line).is_err() {
+            WAITING.fetch_sub(1, Ordering::Relaxed);
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
@@ -77,8 +84,10 @@
     while let Ok(first) = queue.recv() {
         thread::sleep(GATHER);
         let mut out = first;
+        let mut lines = 1;
         out.push(b'\n');
         while let Ok(line) = queue.try_recv() {
+            lines += 1;
             out.extend_from_slice(&line);
             out.push(b'\n');
         }
@@ -89,8 +98,18 @@
             .is_err()
         {
             // Nobody reads; the lines are lost and counted.
-            DROPPED.fetch_add(1, Ordering::Relaxed);
+            DROPPED.fetch_add(lines, Ordering::Relaxed);
         }
+        WAITING.fetch_sub(lines, Ordering::Relaxed);
+    }
+}
+
+/// Waits a moment until the last lines are written; without it the reason why a
+/// process ended would be missing.
+pub(crate) async fn last_lines() {
+    let end = Instant::now() + LAST;
+    while WAITING.load(Ordering::Relaxed) > 0 && Instant::now() < end {
+        tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
 
