quota: what is held back follows how late daemons hear of one another

Test: a_flood_over_many_daemons_stays_within_the_allowance (1.10 of the allowance before, at most 1.05 after). Questions of balancer and operators share one module; metrics one exporter.

--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -35,20 +35,26 @@
 #[error("the metrics could not be set up: {0}")]
 pub struct MetricsError(String);
 
+/// A registry for the page, and what makes the instruments that show there.
+pub(crate) fn provider() -> Result<(Registry, SdkMeterProvider), MetricsError> {
+    let registry = Registry::new();
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .without_scope_info()
+        .without_target_info()
+        .build()
+        .map_err(|error| MetricsError(error.to_string()))?;
+    let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+    Ok((registry, provider))
+}
+
 impl Metrics {
     /// Instruments that count from zero.
     ///
     /// # Errors
     /// If the exporter refuses its registry.
     pub fn new() -> Result<Self, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_scope_info()
-            .without_target_info()
-            .build()
-            .map_err(|error| MetricsError(error.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (registry, provider) = provider()?;
         let meter = provider.meter("poplarvale");
         let seconds = |name: &'static str, about: &'static str| {
             meter
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod peers;
 mod probe;
+mod questions;
 mod run;
 mod serve;
 mod state;
--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
 use super::trail;
+use crate::metrics::provider;
 
 /// Bounds of the latency histograms, in seconds; the targets of the routes lie
 /// between 0.1 and 1.5.
@@ -32,20 +33,13 @@
     /// Instruments that count from zero; `None`, with a log line, if the exporter
     /// refuses its registry.
     pub(crate) fn new() -> Option<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_scope_info()
-            .without_target_info()
-            .build();
-        let exporter = match exporter {
-            Ok(exporter) => exporter,
+        let (registry, provider) = match provider() {
+            Ok(both) => both,
             Err(error) => {
                 log::warn!("metrics: none are kept, {error}.");
                 return None;
             }
         };
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("poplarvale");
         let counter = |name: &'static str, about: &'static str| {
             meter.u64_counter(name).with_description(about).build()
--- a/daemon/src/relay/status.rs
+++ b/daemon/src/relay/status.rs
@@ -9,35 +9,14 @@
 use poplarvale_lib::{Code, Ran};
 use poplarvale_platform::refusal;
 use serde_json::{Value, json};
-use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
 
+use super::questions::serve_questions;
 use super::state::State;
-use super::wire::fill;
-
-/// Longest head of a question, in bytes.
-const MOST_HEAD: usize = 4096;
 
 /// Answers one connection's questions until it ends.
-pub(crate) async fn serve_status(state: Rc<State>, mut stream: TcpStream) {
-    let (mut read, mut write) = stream.split();
-    let mut buffer = BytesMut::new();
-    loop {
-        match Request::take(&mut buffer, MOST_HEAD) {
-            Ok(Some(request)) => {
-                let out = answer(&state, &request);
-                if write.write_all(&out).await.is_err() || !request.keep {
-                    return;
-                }
-            }
-            Ok(None) => {
-                if !matches!(fill(&mut read, &mut buffer).await, Ok(len) if len > 0) {
-                    return;
-                }
-            }
-            Err(_) => return,
-        }
-    }
+pub(crate) async fn serve_status(state: Rc<State>, stream: TcpStream) {
+    serve_questions(state, stream, answer).await;
 }
 
 fn answer(state: &State, request: &Request) -> BytesMut {
--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -23,9 +23,13 @@
 /// Steps in which the window moves on. A step counts until all of it is out of the
 /// window; forgetting it when its beginning is out let a flood use 6 in 100 more.
 const STEPS: u32 = 40;
-/// Share of the allowance that is given out while others are silent or late; what
-/// all let in between two digests fills the rest.
-const USED: f64 = 0.97;
+/// Share of the allowance that is held back for each second of silence after which
+/// a daemon counts as silent. What all let in between two digests is not known to
+/// the others; with 24 daemons that tell every 0.6 s, a flood used a tenth more than
+/// the allowance without it.
+const HELD_BACK: f64 = 0.04;
+/// Most that is held back.
+const MOST_HELD: f64 = 0.3;
 /// Share of an even part that a silent daemon is taken to use at least. Daemons use
 /// about 55 in 100 of the allowance on an ordinary day. Where half or more are
 /// silent, this daemon is probably the one that is cut off, perhaps with many others
@@ -104,7 +108,7 @@
         let whole = rate * span + team.burst;
         let mine = self.mine(&team.name, now);
         let theirs = self.theirs(&team.name, whole, now);
-        let over = mine + theirs + units - allowed * USED;
+        let over = mine + theirs + units - allowed * self.given_out();
         if over > 0.0 {
             let wait = (over / rate).clamp(SOONEST, LATEST);
             return Err(Duration::from_secs_f64(wait));
@@ -154,6 +158,14 @@
             .retain(|told| now.duration_since(told.heard) <= window * 2);
     }
 
+    /// Share of the allowance that is given out.
+    fn given_out(&self) -> f64 {
+        if self.others.is_empty() {
+            return 1.0;
+        }
+        1.0 - (self.silent.as_secs_f64() * HELD_BACK).min(MOST_HELD)
+    }
+
     /// Units that this daemon let in within the window.
     fn mine(&self, team: &str, now: Instant) -> f64 {
         let at = self.find(team);
@@ -172,7 +184,7 @@
         } else {
             SILENT_SHARE
         };
-        let even = whole * USED / (self.others.len() + 1) as f64 * share;
+        let even = whole * self.given_out() / (self.others.len() + 1) as f64 * share;
         let part = |told: &Told| {
             let at = told.teams.binary_search_by_key(&team, |row| row.0);
             let (units, rate) = at.map_or((0.0, 0.0), |at| (told.teams[at].1, told.teams[at].2));
--- a/lib/tests/test_relay_shared.rs
+++ b/lib/tests/test_relay_shared.rs
@@ -155,6 +155,48 @@
     assert!(most_in_a_window(&through) >= even * 0.3);
 }
 
+/// A team floods many daemons at once, which tell one another every 0.6 s only.
+/// What all of them let in between two words must stay within what the window
+/// allows on top.
+#[test]
+fn a_flood_over_many_daemons_stays_within_the_allowance() {
+    const DAEMONS: usize = 24;
+    let period = Duration::from_millis(600);
+    let start = Instant::now();
+    let team = team(24_000.0);
+    let mut quotas: Vec<Quota> = (0..DAEMONS).map(|_| Quota::new(WINDOW, start)).collect();
+    let step = Duration::from_millis(25);
+    let mut through = Vec::new();
+    for round in 0..1000_usize {
+        let now = start + step * round as u32;
+        for from in 0..DAEMONS {
+            if round % DAEMONS == from {
+                let teams = quotas[from].tell(now);
+                for to in (0..DAEMONS).filter(|to| *to != from) {
+                    let told = Told {
+                        name: format!("d{from:02}").into(),
+                        heard: now,
+                        teams: teams.clone(),
+                    };
+                    quotas[to].hear(told, period * 4);
+                }
+            }
+            // Nine seconds of ordinary traffic, then a flood of five times the rate.
+            let units = if now < start + Duration::from_secs(9) {
+                14.0
+            } else {
+                125.0
+            };
+            if quotas[from].take(&team, units, now).is_ok() {
+                through.push((now, units));
+            }
+        }
+    }
+    let most = most_in_a_window(&through) / (9.0 * 24_000.0);
+    assert!(most <= 1.05, "{most} of the allowance");
+    assert!(most >= 0.85, "{most} of the allowance");
+}
+
 /// A daemon starts anew while a team floods it. It does not know what it let in
 /// before and must not give the whole allowance out again at once.
 #[test]
