relay: times to come back are spread; a request without a service is not charged

Found while reading the change: all who were refused at one moment were told the same time to come back, and a request on a route without a service used up allowance.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -1,18 +1,21 @@
 //! One sending of a request to one endpoint.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant as Std;
+use std::time::{Duration, Instant as Std};
 
 use bytes::Bytes;
+use poplarvale_lib::EndpointId;
 use poplarvale_lib::http1::{Request, Response};
 use poplarvale_lib::relay::ask::Ask;
+use poplarvale_lib::relay::board::Endpoint;
 use poplarvale_lib::relay::catalog::{CatalogVersion, Route, Service, Team};
 use poplarvale_lib::relay::place::{self, Choice, Wanted};
 use poplarvale_platform::{Outbound, request_head};
 use tokio::net::tcp::WriteHalf;
 use tokio::time::{Instant, timeout_at};
 
-use super::exchange::{Answer, Fault, exchange, whole_body};
+use super::exchange::{Answer, FAILED, Fault, exchange, whole_body};
 use super::state::State;
 use super::stream::{Passed, Patience, StreamEnd, pass_on};
 use super::wire::Wire;
@@ -20,6 +23,9 @@
 /// Longest answer that is not a stream, in bytes; it is held whole, so that one
 /// that breaks off can still be asked for elsewhere.
 const MOST_ANSWER: usize = 4 * 1024 * 1024;
+/// How long an endpoint that said it is full gets nothing; its queue empties by a
+/// request every few milliseconds.
+const FULL: Duration = Duration::from_millis(60);
 /// Status of an answer whose body is a stream.
 const OK: u16 = 200;
 
@@ -61,7 +67,7 @@
 #[derive(Debug)]
 struct Booked {
     state: Rc<State>,
-    endpoint: poplarvale_lib::EndpointId,
+    endpoint: EndpointId,
     number: u64,
 }
 
@@ -75,7 +81,7 @@
 }
 
 impl Booked {
-    fn note(&self, change: impl FnOnce(&mut poplarvale_lib::relay::board::Endpoint)) {
+    fn note(&self, change: impl FnOnce(&mut Endpoint)) {
         if let Some(row) = self.state.board.borrow_mut().get_mut(&self.endpoint) {
             change(row);
         }
@@ -169,7 +175,7 @@
     }
     match &ended {
         Ended::Broken(fault) => failed(&booked, job, choice, *fault, kept),
-        Ended::Whole(head, _) if head.status >= 500 => {
+        Ended::Whole(head, _) if head.status >= FAILED => {
             booked.note(|row| {
                 row.evidence.bad(Std::now());
             });
@@ -184,10 +190,6 @@
     ended
 }
 
-/// How long an endpoint that said it is full gets nothing; its queue empties by a
-/// request every few milliseconds.
-const FULL: std::time::Duration = std::time::Duration::from_millis(60);
-
 fn book(state: &Rc<State>, job: &Job<'_>, choice: &Choice) -> Booked {
     let number = state.number();
     let wanted = Wanted {
@@ -247,7 +249,7 @@
 }
 
 /// Reads a refusal's body, so that its connection can be used again.
-async fn finish(state: &Rc<State>, address: std::net::SocketAddr, mut wire: Wire, answer: &Answer) {
+async fn finish(state: &Rc<State>, address: SocketAddr, mut wire: Wire, answer: &Answer) {
     let limit = Instant::now() + FULL;
     let body = whole_body(&mut wire, &answer.head, MOST_ANSWER);
     if let Ok(Ok(_)) = timeout_at(limit, body).await {
@@ -255,7 +257,7 @@
     }
 }
 
-fn keep(state: &Rc<State>, address: std::net::SocketAddr, wire: Wire, answer: &Answer) {
+fn keep(state: &Rc<State>, address: SocketAddr, wire: Wire, answer: &Answer) {
     if answer.head.keep && answer.sent && wire.buffer.is_empty() {
         state.upstreams.put(address, wire, answer.said.idle);
     }
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use super::attempt::{Ended, Job, attempt};
+use super::exchange::FAILED;
 use super::serve::{After, Refusal, SOON, after, answer, refuse};
 use super::state::State;
 use super::stream::{Passed, Patience};
@@ -23,8 +24,6 @@
 const LEAST_SILENCE: Duration = Duration::from_millis(350);
 /// Least time that an endpoint must have for an answer to be worth asking for.
 const LEAST: Duration = Duration::from_millis(5);
-/// Status from which on an endpoint's answer is a failure.
-const FAILED: u16 = 500;
 
 /// What happened to a request so far.
 #[derive(Debug)]
@@ -237,7 +236,7 @@
     let took = job.arrived.elapsed();
     state.measure(|metrics| metrics.ended(&job.route.name, 0, took));
     let late = !job.route.repeat.is_stream() && took > job.route.target;
-    if status < 500 && !late && !state.sampler.lets(Std::now()) {
+    if status < FAILED && !late && !state.sampler.lets(Std::now()) {
         return;
     }
     log::info!(
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -12,6 +12,9 @@
 /// Answers to earlier requests that are passed over before a connection is given up.
 const MOST_STRAY: usize = 3;
 
+/// Status from which on an endpoint's answer is a failure.
+pub(crate) const FAILED: u16 = 500;
+
 /// Why no answer came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum Fault {
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -29,6 +29,9 @@
 /// endpoints has spread.
 pub(crate) const SOON: Duration = Duration::from_millis(500);
 
+/// Share by which the time to come back is spread.
+const SPREAD: f64 = 0.3;
+
 /// What becomes of the caller's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum After {
@@ -94,17 +97,17 @@
         Err(refused) => return refuse(state, write, ask, refused, keep).await,
     };
     let team = team.map(|at| &catalog.teams[at]);
+    let wait = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+    let Some(service) = pick_backend(route).and_then(|name| catalog.service(&name.service)) else {
+        let refused = Refusal::later(Code::NoEndpoint, SOON);
+        return refuse(state, write, ask, refused, keep).await;
+    };
     let cost = team.map_or(0.0, |team| quota::units(team, ask));
     let allowed = team.map(|team| state.quota.borrow_mut().take(team, cost, Std::now()));
     if let Some(Err(again)) = allowed {
         let refused = Refusal::later(Code::TokenRate, again);
         return refuse(state, write, ask, refused, keep).await;
     }
-    let wait = ask.patience.unwrap_or(route.timeout).min(route.timeout);
-    let Some(service) = pick_backend(route).and_then(|name| catalog.service(&name.service)) else {
-        let refused = Refusal::later(Code::NoEndpoint, SOON);
-        return refuse(state, write, ask, refused, keep).await;
-    };
     if let Some(prompt) = &ask.prompt {
         let work = demand::work(prompt);
         let mut demand = state.demand.borrow_mut();
@@ -192,13 +195,11 @@
         store_heard_ms = state.heard.get().elapsed().as_millis() as u64;
         "refuse: {}", refused.code.title()
     );
-    let out = refusal(
-        refused.code,
-        refused.ran,
-        Some(&ask.id),
-        refused.again,
-        keep,
-    );
+    // Those who are refused at one moment must not come back at one moment.
+    let again = refused
+        .again
+        .map(|again| again.mul_f64(1.0 + SPREAD * fastrand::f64()));
+    let out = refusal(refused.code, refused.ran, Some(&ask.id), again, keep);
     match write.write_all(&out).await {
         Ok(()) => after(keep),
         Err(_) => After::Close,
--- a/lib/src/relay/board.rs
+++ b/lib/src/relay/board.rs
@@ -253,7 +253,8 @@
     }
 
     /// Drops doubtful endpoints whose time is over, and forgets those that left and
-    /// have nothing in progress. Gives the ids of the first.
+    /// have nothing in progress. Gives the ids of the first. Learned slowness fades a
+    /// little with each call.
     pub fn expire(&mut self, now: Instant) -> Vec<EndpointId> {
         let mut dropped = Vec::new();
         for row in &mut self.rows {
