relay: a request that comes late to an ending daemon is refused at once

Ruled out: streams that were begun in time (all were out). Now, from 2.8 s after SIGTERM on, a request whose time may outlast the process is refused as not run. Test: a_request_that_comes_late_to_an_ending_daemon_is_refused_at_once, failing before (with eight seconds of patience; one of three seconds fits and is served).

--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -24,10 +24,10 @@
 /// overflow it, as the next try of a dropped opening packet comes seconds later.
 const BACKLOG: u32 = 1024;
 /// How long before SIGKILL the process ends by itself, so that it ends in order.
-const SPARE: Duration = Duration::from_millis(700);
+pub(crate) const SPARE: Duration = Duration::from_millis(700);
 /// Least time from SIGTERM to the end: the balancer needs two questions, a second
 /// apart, to send nobody new.
-const LEAST_END: Duration = Duration::from_millis(2800);
+pub(crate) const LEAST_END: Duration = Duration::from_millis(2800);
 /// How often a daemon that ends looks whether all answers are out.
 const END_LOOK: Duration = Duration::from_millis(50);
 /// How often the settings file is looked at.
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -17,6 +17,7 @@
 
 use super::attempt::Job;
 use super::dispatch::dispatch;
+use super::run::{LEAST_END, SPARE};
 use super::state::{Active, State};
 
 /// Rank of a team that states none.
@@ -98,6 +99,10 @@
     };
     let team = team.map(|at| &catalog.teams[at]);
     let wait = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+    if comes_late(state, arrived + wait) {
+        let refused = Refusal::later(Code::Draining, SOON);
+        return refuse(state, write, ask, refused, keep).await;
+    }
     let Some(service) = pick_backend(route).and_then(|name| catalog.service(&name.service)) else {
         let refused = Refusal::later(Code::NoEndpoint, SOON);
         return refuse(state, write, ask, refused, keep).await;
@@ -128,6 +133,17 @@
     dispatch(state, &job, write, keep).await
 }
 
+/// Whether a request comes to an ending daemon so late that its end may come first.
+/// The balancer sends nobody after two seconds, unless most daemons of the zone are
+/// ending too; a stream that is begun then would be cut off.
+fn comes_late(state: &State, deadline: Instant) -> bool {
+    let Some(told) = state.ending.get() else {
+        return false;
+    };
+    let end = told + state.site.bounds.grace;
+    told.elapsed() > LEAST_END && deadline + SPARE > Instant::from_std(end)
+}
+
 /// Route and team of a request.
 fn admit<'c>(catalog: &'c Catalog, ask: &Ask) -> Result<(&'c Route, Option<usize>), Refusal> {
     let route = catalog
--- a/daemon/tests/relay_site.rs
+++ b/daemon/tests/relay_site.rs
@@ -52,13 +52,16 @@
             let key = format!("servers/{}", endpoint.id);
             store.put(&key, endpoint.entry("app", "ready").as_bytes());
         }
-        Self::with_store(store).await
+        Self::with_grace(store, 3).await
     }
 
-    /// Starts a daemon on a store and waits until it is ready.
-    pub(crate) async fn with_store(store: Store) -> Self {
+    /// Starts a daemon on a store, with this many seconds from SIGTERM to SIGKILL, and
+    /// waits until it is ready.
+    pub(crate) async fn with_grace(store: Store, grace: u32) -> Self {
         let cloud = Cloud::start().await;
-        let settings = read_settings(&settings(store.address, cloud.address));
+        let settings = settings(store.address, cloud.address);
+        let grace = format!("\"graceS\":{grace}");
+        let settings = read_settings(&settings.replace("\"graceS\":3", &grace));
         let relay = Relay::start(settings.expect("they are good")).await;
         let site = Self {
             store,
