rollout: ordered version moves are carried out; quota: a deeper bucket

Cause (rollout): orders under the store's keys were not read, so a new version's endpoints got an even share of requests from their first second, and no state was ever told. Change: each daemon sends half, then one and a half times the allowed exposure of its own requests to a few of the new endpoints, all from 0.6 of the time on; a likelihood ratio against the old version by route and part of the time convicts, the verdict is final and spreads with digests; the duties' holder writes the state, completed ones once the old endpoints are empty. Through stand-ins: completed, rolled back, foreign rows.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -11,6 +11,8 @@
 use poplarvale_lib::relay::board::Endpoint;
 use poplarvale_lib::relay::catalog::{CatalogVersion, Route, Service, Team};
 use poplarvale_lib::relay::place::{self, Choice, Wanted};
+use poplarvale_lib::relay::rollout::Versions;
+use poplarvale_lib::relay::rollout::evidence::Sample;
 use poplarvale_platform::{Outbound, request_head};
 use tokio::net::tcp::WriteHalf;
 use tokio::time::{Instant, timeout_at};
@@ -43,6 +45,8 @@
     pub(crate) deadline: Instant,
     /// Version of the configuration that it is served by.
     pub(crate) version: CatalogVersion,
+    /// Versions of the service that it may go to.
+    pub(crate) versions: Versions,
 }
 
 /// How a sending ended.
@@ -98,30 +102,9 @@
     mut patience: Patience<'_>,
 ) -> Ended {
     let booked = book(state, job, choice);
-    let Some(address) = state
-        .board
-        .borrow()
-        .get(&choice.id)
-        .map(|row| row.listing.address)
-    else {
+    let Some((address, mut wire, kept)) = connect(state, job, choice).await else {
         return Ended::NotSent;
     };
-    let (mut wire, kept) = match state.upstreams.get(address).await {
-        Ok(wire) => wire,
-        Err(error) => {
-            let out = state
-                .board
-                .borrow_mut()
-                .get_mut(&choice.id)
-                .is_some_and(|row| row.evidence.unreached(Std::now()));
-            state.measure(|metrics| metrics.sent("not connected"));
-            log::info!(
-                request = job.ask.id.as_str(), endpoint = choice.id.as_str(), left_out = out;
-                "send: not connected, {error}."
-            );
-            return Ended::NotSent;
-        }
-    };
     let bytes = head_and_body(job, choice, passed);
     let team = job.team.map(|team| &team.name);
     let sent_at = Std::now();
@@ -129,13 +112,13 @@
     let answer = match patience.wait(true, sent).await {
         Some(Ok(answer)) => answer,
         Some(Err(Fault::NotSent)) => return Ended::NotSent,
-        Some(Err(fault)) => {
+        silent_or_broken => {
+            let fault = silent_or_broken.and_then(Result::err);
+            let fault = fault.unwrap_or(Fault::Silent);
             failed(&booked, job, choice, fault, kept);
-            return Ended::Broken(fault);
-        }
-        None => {
-            failed(&booked, job, choice, Fault::Silent, kept);
-            return Ended::Broken(Fault::Silent);
+            let ended = Ended::Broken(fault);
+            compare(state, job, choice, &ended, sent_at.elapsed());
+            return ended;
         }
     };
     if answer.said.not_run {
@@ -150,6 +133,7 @@
     }
     let is_stream = job.route.repeat.is_stream() && answer.head.status == OK;
     passed.events.restart();
+    let events = passed.events.count();
     let ended = if is_stream && answer.said.sealed {
         let number = booked.number;
         let mut counted = false;
@@ -173,6 +157,9 @@
     if !is_stream {
         state.count_run(team, sent_at);
     }
+    let events = passed.events.count().saturating_sub(events).max(1);
+    let took = sent_at.elapsed() / u32::try_from(events).unwrap_or(u32::MAX);
+    compare(state, job, choice, &ended, took);
     match &ended {
         Ended::Broken(fault) => failed(&booked, job, choice, *fault, kept),
         Ended::Whole(head, _) if head.status >= FAILED => {
@@ -190,6 +177,30 @@
     ended
 }
 
+/// A connection to the chosen endpoint, and whether it was used before; `None` if
+/// there is none to be had.
+async fn connect(
+    state: &Rc<State>,
+    job: &Job<'_>,
+    choice: &Choice,
+) -> Option<(SocketAddr, Wire, bool)> {
+    let address = state.board.borrow().get(&choice.id)?.listing.address;
+    match state.upstreams.get(address).await {
+        Ok((wire, kept)) => Some((address, wire, kept)),
+        Err(error) => {
+            let mut board = state.board.borrow_mut();
+            let row = board.get_mut(&choice.id);
+            let out = row.is_some_and(|row| row.evidence.unreached(Std::now()));
+            state.measure(|metrics| metrics.sent("not connected"));
+            log::info!(
+                request = job.ask.id.as_str(), endpoint = choice.id.as_str(), left_out = out;
+                "send: not connected, {error}."
+            );
+            None
+        }
+    }
+}
+
 fn book(state: &Rc<State>, job: &Job<'_>, choice: &Choice) -> Booked {
     let number = state.number();
     let wanted = Wanted {
@@ -198,6 +209,7 @@
         target: job.route.target,
         zone: &state.site.zone,
         avoid: &[],
+        versions: &Versions::Any,
         now: Std::now(),
     };
     place::book(&mut state.board.borrow_mut(), &wanted, choice, number);
@@ -237,6 +249,32 @@
     }
 }
 
+/// Counts how a request went for the move of its service to another version.
+fn compare(state: &State, job: &Job<'_>, choice: &Choice, ended: &Ended, took: Duration) {
+    let good = match ended {
+        Ended::Whole(head, _) => head.status < FAILED,
+        Ended::Streamed => true,
+        Ended::Broken(_) => false,
+        Ended::NotRun | Ended::NotSent | Ended::CallerGone => return,
+    };
+    let board = state.board.borrow();
+    let Some(row) = board.get(&choice.id) else {
+        return;
+    };
+    let version = &row.listing.version;
+    let (service, route) = (&job.service.name, &job.route.name);
+    let sample = Sample { good, took };
+    let mut rollouts = state.rollouts.borrow_mut();
+    if rollouts.note(service, route, version, sample, state.true_ms()) {
+        log::warn!(
+            request = job.ask.id.as_str(), route = route.as_str(), good,
+            took_ms = took.as_millis() as u64;
+            "rollout: {service} goes back from version {version}."
+        );
+        state.news.notify_one();
+    }
+}
+
 fn failed(booked: &Booked, job: &Job<'_>, choice: &Choice, fault: Fault, kept: bool) {
     let mut out = false;
     booked.note(|row| out = row.evidence.bad(Std::now()));
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -208,15 +208,27 @@
 
 /// An endpoint for the request, other than those it was at.
 fn pick(state: &State, job: &Job<'_>, avoid: &[EndpointId]) -> Result<Choice, NoPlace> {
+    let board = state.board.borrow();
     let wanted = Wanted {
         service: job.service,
         prompt: job.ask.prompt.as_ref(),
         target: job.route.target,
         zone: &state.site.zone,
         avoid,
+        versions: &job.versions,
         now: Std::now(),
     };
-    choose(&state.board.borrow(), &wanted)
+    let chosen = choose(&board, &wanted);
+    match job.versions.otherwise() {
+        Some(versions) if chosen.is_err() => choose(
+            &board,
+            &Wanted {
+                versions: &versions,
+                ..wanted
+            },
+        ),
+        _ => chosen,
+    }
 }
 
 /// How long an endpoint may be silent before the request is moved, if it can be.
--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -8,10 +8,11 @@
 use poplarvale_lib::protos::relay::UsageRecord;
 use poplarvale_lib::relay::duty::Held;
 use poplarvale_lib::relay::fleet::{Orders, Wish};
+use poplarvale_lib::relay::rollout::Status;
 use poplarvale_lib::relay::usage::{Counts, WindowId};
 use poplarvale_platform::{
-    Duty, Order, StoreError, Txn, get, grant, keep_alive, order_call, read_granted, read_item,
-    read_txn, txn, usage_call,
+    Duty, Order, STATUS, StoreError, Txn, get, grant, keep_alive, order_call, read_granted,
+    read_item, read_txn, status_value, txn, usage_call,
 };
 use prost::Message as _;
 
@@ -52,23 +53,17 @@
 
 /// Takes the duties up whenever nobody holds them.
 pub(crate) async fn serve_duties(state: Rc<State>) {
-    let Some(cloud) = state.site.cloud else {
-        return;
-    };
-    if !state.site.reports && !state.site.orders {
-        return;
-    }
     let mut store = Client::new(state.site.store);
-    let mut cloud = Client::new(cloud);
+    let mut cloud = state.site.cloud.map(Client::new);
     loop {
         tokio::time::sleep(wait(&state)).await;
-        if !is_vacant(&state) {
+        if !has_duty(&state) || !is_vacant(&state) {
             continue;
         }
         match acquire(&state, &mut store).await {
             Ok(Some(held)) => {
                 log::info!("duty: held with fence {}.", held.fence);
-                hold(&state, &mut store, &mut cloud, held).await;
+                hold(&state, &mut store, cloud.as_mut(), held).await;
                 log::info!("duty: no longer held.");
             }
             Ok(None) => {}
@@ -77,6 +72,11 @@
     }
 }
 
+fn has_duty(state: &State) -> bool {
+    let cloud = state.site.cloud.is_some() && (state.site.reports || state.site.orders);
+    cloud || !state.rollouts.borrow().is_empty()
+}
+
 fn is_vacant(state: &State) -> bool {
     state.listed.get() && state.ending.get().is_none() && state.leader.borrow().is_none()
 }
@@ -131,7 +131,7 @@
 }
 
 /// Does the duties until the lease ends or the daemon does.
-async fn hold(state: &State, store: &mut Client, cloud: &mut Client, held: Held) {
+async fn hold(state: &State, store: &mut Client, mut cloud: Option<&mut Client>, held: Held) {
     let Some(mut holder) = begin(state, store, held).await else {
         return;
     };
@@ -147,11 +147,14 @@
             give_up(store, &holder).await;
             return;
         }
-        if state.site.reports {
-            report(state, store, cloud, &mut holder).await;
-        }
-        if state.site.orders {
-            order(state, cloud, &mut holder).await;
+        announce(state, store, &holder).await;
+        if let Some(cloud) = cloud.as_deref_mut() {
+            if state.site.reports {
+                report(state, store, cloud, &mut holder).await;
+            }
+            if state.site.orders {
+                order(state, cloud, &mut holder).await;
+            }
         }
         tokio::time::sleep(LOOK).await;
     }
@@ -233,6 +236,46 @@
     }
 }
 
+/// Writes how version moves stand where the store holds something else.
+async fn announce(state: &State, store: &mut Client, holder: &Holder) {
+    let busy = |service: &str, target: &str| {
+        let board = state.board.borrow();
+        board.of_other_versions(service, target).1
+    };
+    let due = state.rollouts.borrow_mut().due(state.true_ms(), busy);
+    for status in due {
+        if !holder.held.may_act(Instant::now()) {
+            return;
+        }
+        let (service, outcome) = (&status.service, status.outcome);
+        match write_status(store, holder, &status).await {
+            Ok(Some(revision)) => {
+                log::info!("rollout: {service} told as {outcome:?}.");
+                let mut rollouts = state.rollouts.borrow_mut();
+                rollouts.status(service, &status.target, outcome, revision);
+            }
+            Ok(None) => log::info!("rollout: {service} not told, the duty is another's."),
+            Err(error) => log::info!("rollout: {service} not told, {error}."),
+        }
+    }
+}
+
+/// Writes a move's state, if this daemon still holds the duty; gives the revision.
+async fn write_status(
+    store: &mut Client,
+    holder: &Holder,
+    status: &Status,
+) -> Result<Option<u64>, DutyError> {
+    let value = status_value(&status.target, status.outcome)?;
+    let key = format_compact!("{STATUS}{}", status.service);
+    let call = txn(&Txn {
+        expect: vec![(LEADER.into(), holder.duty.fence)],
+        puts: vec![(key, value, 0)],
+        removes: Vec::new(),
+    })?;
+    Ok(read_txn(&store.call(&call, CALL).await?)?)
+}
+
 /// Reports the windows that are due.
 async fn report(state: &State, store: &mut Client, cloud: &mut Client, holder: &mut Holder) {
     let now = Instant::now();
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -2,13 +2,15 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use poplarvale_lib::protos::relay::{Digest, digest};
 use poplarvale_lib::relay::board::Others;
 use poplarvale_lib::relay::demand::Work;
 use poplarvale_lib::relay::quota::{Told, Use, short};
+use poplarvale_lib::relay::rollout::evidence::{Key, Side, Sides};
+use poplarvale_lib::relay::rollout::{Order, Outcome, Word};
 use prost::Message as _;
 use tokio::net::UdpSocket;
 
@@ -115,6 +117,69 @@
         windows: windows.collect(),
         services: services.collect(),
         left: std::mem::take(&mut *state.left.borrow_mut()),
+        uptime_ms: state.started.elapsed().as_millis() as u64,
+        moves: state.rollouts.borrow().tell().map(tell_move).collect(),
+    }
+}
+
+fn tell_move(word: Word) -> digest::Move {
+    let side = |side: Side| digest::Side {
+        all: side.all,
+        bad: side.bad,
+        time: side.time as f32,
+    };
+    let seen = |((route, slot), sides): (Key, Sides)| digest::Seen {
+        route,
+        slot,
+        old: Some(side(sides.old)),
+        new: Some(side(sides.new)),
+    };
+    let outcome = match word.outcome {
+        Outcome::Running => digest::Outcome::Running,
+        Outcome::Completed => digest::Outcome::Completed,
+        Outcome::RolledBack => digest::Outcome::RolledBack,
+    };
+    digest::Move {
+        service: word.order.service.to_string(),
+        target: word.order.target.to_string(),
+        revision: word.order.revision,
+        begin_ms: word.begin,
+        finish_ms: word.finish,
+        outcome: outcome.into(),
+        seen: word.sides.into_iter().map(seen).collect(),
+    }
+}
+
+fn hear_move(told: digest::Move) -> Word {
+    let side = |side: Option<digest::Side>| {
+        side.map_or(Side::default(), |side| Side {
+            all: side.all,
+            bad: side.bad,
+            time: f64::from(side.time),
+        })
+    };
+    let outcome = match told.outcome() {
+        digest::Outcome::Running => Outcome::Running,
+        digest::Outcome::Completed => Outcome::Completed,
+        digest::Outcome::RolledBack => Outcome::RolledBack,
+    };
+    let seen = |seen: digest::Seen| {
+        let sides = Sides {
+            old: side(seen.old),
+            new: side(seen.new),
+        };
+        ((seen.route, seen.slot), sides)
+    };
+    Word {
+        order: Order {
+            service: told.service.into(),
+            target: told.target.into(),
+            revision: told.revision,
+        },
+        begin: told.begin_ms,
+        finish: told.finish_ms,
+        outcome,
+        sides: told.seen.into_iter().map(seen).collect(),
     }
 }
 
@@ -157,6 +222,18 @@
         (row.service, work)
     });
     state.demand.borrow_mut().hear(&name, work.collect(), now);
+    for told in digest.moves {
+        let heard = hear_move(told);
+        if state.rollouts.borrow_mut().hear(&name, &heard) {
+            let order = &heard.order;
+            log::info!(
+                "rollout: {} to version {} has ended, {name} tells.",
+                order.service,
+                order.target
+            );
+            state.news.notify_one();
+        }
+    }
     let mut usage = state.usage.borrow_mut();
     for window in digest.windows {
         let row = |count: digest::Count| (CompactString::from(count.team), count.runs);
@@ -176,6 +253,9 @@
         name,
         incarnation: digest.incarnation,
         heard: now,
+        started: now
+            .checked_sub(Duration::from_millis(digest.uptime_ms))
+            .unwrap_or(now),
         uses,
     };
     let silent = state.peers.borrow().silent();
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -9,6 +9,7 @@
 use poplarvale_lib::relay::catalog::{Backend, Catalog, Route};
 use poplarvale_lib::relay::demand;
 use poplarvale_lib::relay::quota;
+use poplarvale_lib::relay::rollout::Versions;
 use poplarvale_lib::{Code, Ran};
 use poplarvale_platform::{refusal, response_head};
 use tokio::io::AsyncWriteExt as _;
@@ -129,10 +130,21 @@
         arrived,
         deadline: arrived + wait,
         version: catalog.version,
+        versions: versions(state, &service.name),
     };
     dispatch(state, &job, write, keep).await
 }
 
+/// Versions of a service that a new request may go to.
+fn versions(state: &State, service: &str) -> Versions {
+    let olds = |version: &str| {
+        let board = state.board.borrow();
+        board.of_other_versions(service, version).0
+    };
+    let mut rollouts = state.rollouts.borrow_mut();
+    rollouts.versions(service, olds, state.true_ms())
+}
+
 /// Whether a request comes to an ending daemon so late that its end may come first.
 /// The balancer sends nobody after two seconds, unless most daemons of the zone are
 /// ending too; a stream that is begun then would be cut off.
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -13,6 +13,7 @@
 use poplarvale_lib::relay::demand::Demand;
 use poplarvale_lib::relay::digest::Peers;
 use poplarvale_lib::relay::quota::Quota;
+use poplarvale_lib::relay::rollout::Rollouts;
 use poplarvale_lib::relay::site::Site;
 use poplarvale_lib::relay::usage::{Usage, WindowId};
 use poplarvale_lib::{CustomerId, Incarnation};
@@ -32,6 +33,7 @@
     pub(crate) quota: RefCell<Quota>,
     pub(crate) budget: RefCell<Budget>,
     pub(crate) demand: RefCell<Demand>,
+    pub(crate) rollouts: RefCell<Rollouts>,
     pub(crate) usage: RefCell<Usage>,
     pub(crate) clock: RefCell<Clock>,
     pub(crate) peers: RefCell<Peers>,
@@ -72,13 +74,18 @@
         Rc::new(Self {
             catalog: RefCell::new(None),
             board: RefCell::default(),
-            quota: RefCell::new(Quota::new(site.bounds.quota_window, started)),
+            quota: RefCell::new(Quota::new(
+                site.bounds.quota_window,
+                site.bounds.quota_tolerance,
+                started,
+            )),
             budget: RefCell::new(Budget::new(
                 site.bounds.repeat,
                 site.bounds.repeat_slack,
                 site.bounds.repeat_window,
             )),
             demand: RefCell::default(),
+            rollouts: RefCell::new(Rollouts::new(site.bounds.exposure)),
             usage: RefCell::new(Usage::new(site.name.clone(), incarnation)),
             clock: RefCell::new(Clock::new(started)),
             peers: RefCell::new(Peers::new(me, &seeds, started)),
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -10,9 +10,10 @@
 use poplarvale_lib::relay::board::Changed;
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::quota::short;
+use poplarvale_lib::relay::rollout::Order;
 use poplarvale_platform::{
-    CONFIG_KEY, Change, Item, REGISTRY, Reply, StoreError, range, read_config, read_listing,
-    read_range, read_watched, watch,
+    CONFIG_KEY, Change, Item, OPERATORS, REGISTRY, ROLLOUTS, Reply, STATUS, StoreError, range,
+    read_config, read_listing, read_range, read_rollout, read_status, read_watched, watch,
 };
 
 use super::client::{CallError, Client};
@@ -104,9 +105,16 @@
 
 /// Reads the configuration and the whole list; gives the revision to go on from.
 async fn read_all(state: &State, client: &mut Client, heard: Instant) -> Result<u64, WatchError> {
-    let (items, revision) = list(client, CONFIG_KEY).await?;
+    let (items, revision) = list(client, OPERATORS).await?;
     for item in &items {
-        take_config(state, item);
+        take_order(state, item);
+    }
+    let moves = !state.rollouts.borrow().is_empty();
+    if moves {
+        let (items, _) = list(client, STATUS).await?;
+        for item in &items {
+            take_status(state, item);
+        }
     }
     let (items, _) = list(client, OWN).await?;
     take_leader(state, items.iter().find(|item| item.key == LEADER));
@@ -157,7 +165,8 @@
 fn take_change(state: &State, change: &Change) {
     let now = Instant::now();
     match change {
-        Change::Put(item) if item.key == CONFIG_KEY => take_config(state, item),
+        Change::Put(item) if item.key.starts_with(OPERATORS) => take_order(state, item),
+        Change::Put(item) if item.key.starts_with(STATUS) => take_status(state, item),
         Change::Put(item) if item.key.starts_with(REGISTRY) => {
             if let Some(listing) = listing(item) {
                 let id = listing.id.clone();
@@ -177,6 +186,49 @@
     }
 }
 
+/// Takes in what operators wrote: the configuration or a version move.
+fn take_order(state: &State, item: &Item) {
+    if item.key == CONFIG_KEY {
+        take_config(state, item);
+    } else if item.key.starts_with(ROLLOUTS) {
+        take_rollout(state, item);
+    }
+}
+
+fn take_rollout(state: &State, item: &Item) {
+    let (service, target, life) = match read_rollout(&item.value) {
+        Ok(order) => order,
+        Err(error) => {
+            log::warn!("rollout: revision {} skipped, {error}.", item.revision);
+            return;
+        }
+    };
+    let now = state.true_ms();
+    let finish = now + life.as_millis() as u64;
+    let order = Order {
+        service,
+        target,
+        revision: item.revision,
+    };
+    let (service, target) = (order.service.clone(), order.target.clone());
+    if state.rollouts.borrow_mut().order(order, now, finish) {
+        log::info!("rollout: {service} is to go to version {target} within {life:?}.");
+    }
+}
+
+fn take_status(state: &State, item: &Item) {
+    let Some(service) = item.key.strip_prefix(STATUS) else {
+        return;
+    };
+    match read_status(&item.value) {
+        Ok((target, outcome)) => {
+            let mut rollouts = state.rollouts.borrow_mut();
+            rollouts.status(service, &target, outcome, item.revision);
+        }
+        Err(error) => log::warn!("rollout: state of {service} skipped, {error}."),
+    }
+}
+
 /// Notes who holds the duties.
 fn take_leader(state: &State, item: Option<&Item>) {
     let name = item.map(|item| String::from_utf8_lossy(&item.value).into());
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -18,6 +18,7 @@
 mod test_relay_callers;
 mod test_relay_end;
 mod test_relay_log;
+mod test_relay_rollout;
 mod test_relay_store;
 mod test_shares;
 mod test_shutdown;
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -34,6 +34,12 @@
     /// Endpoints that the sender has just seen to leave.
     #[prost(fixed32, repeated, tag = "11")]
     pub left: ::prost::alloc::vec::Vec<u32>,
+    /// How long the sender runs, in milliseconds.
+    #[prost(uint64, tag = "13")]
+    pub uptime_ms: u64,
+    /// Ordered version moves.
+    #[prost(message, repeated, tag = "12")]
+    pub moves: ::prost::alloc::vec::Vec<digest::Move>,
 }
 /// Nested message and enum types in `Digest`.
 pub mod digest {
@@ -81,6 +87,55 @@
         #[prost(uint32, tag = "3")]
         pub write: u32,
     }
+    /// A version move, and what the sender itself saw of it.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, ::prost::Message)]
+    pub struct Move {
+        #[prost(string, tag = "1")]
+        pub service: ::prost::alloc::string::String,
+        #[prost(string, tag = "2")]
+        pub target: ::prost::alloc::string::String,
+        /// Revision of the order in the store.
+        #[prost(uint64, tag = "3")]
+        pub revision: u64,
+        /// True time of its begin and end, in milliseconds since 1970.
+        #[prost(uint64, tag = "4")]
+        pub begin_ms: u64,
+        #[prost(uint64, tag = "5")]
+        pub finish_ms: u64,
+        #[prost(enumeration = "Outcome", tag = "6")]
+        pub outcome: i32,
+        #[prost(message, repeated, tag = "7")]
+        pub seen: ::prost::alloc::vec::Vec<Seen>,
+    }
+    /// Requests of one route in one part of the move's time.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, Copy, PartialEq, ::prost::Message)]
+    pub struct Seen {
+        #[prost(fixed32, tag = "1")]
+        pub route: u32,
+        #[prost(message, optional, tag = "2")]
+        pub old: ::core::option::Option<Side>,
+        #[prost(message, optional, tag = "3")]
+        pub new: ::core::option::Option<Side>,
+        #[prost(uint32, tag = "4")]
+        pub slot: u32,
+    }
+    /// Requests at one version, those of them that failed, and the sum of the
+    /// others' times in seconds.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, Copy, PartialEq, ::prost::Message)]
+    pub struct Side {
+        #[prost(uint32, tag = "1")]
+        pub all: u32,
+        #[prost(uint32, tag = "2")]
+        pub bad: u32,
+        #[prost(float, tag = "3")]
+        pub time: f32,
+    }
     /// Runs that began within a usage window, by team.
     #[derive(serde::Serialize, serde::Deserialize)]
     #[serde(default)]
@@ -100,6 +155,46 @@
         #[prost(uint32, tag = "2")]
         pub runs: u32,
     }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[derive(
+        Clone,
+        Copy,
+        Debug,
+        PartialEq,
+        Eq,
+        Hash,
+        PartialOrd,
+        Ord,
+        ::prost::Enumeration
+    )]
+    #[repr(i32)]
+    pub enum Outcome {
+        Running = 0,
+        Completed = 1,
+        RolledBack = 2,
+    }
+    impl Outcome {
+        /// String value of the enum field names used in the ProtoBuf definition.
+        ///
+        /// The values are not transformed in any way and thus are considered stable
+        /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+        pub fn as_str_name(&self) -> &'static str {
+            match self {
+                Self::Running => "RUNNING",
+                Self::Completed => "COMPLETED",
+                Self::RolledBack => "ROLLED_BACK",
+            }
+        }
+        /// Creates an enum from field names used in the ProtoBuf definition.
+        pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+            match value {
+                "RUNNING" => Some(Self::Running),
+                "COMPLETED" => Some(Self::Completed),
+                "ROLLED_BACK" => Some(Self::RolledBack),
+                _ => None,
+            }
+        }
+    }
 }
 /// The last usage report as it lies in the store; written before it is sent, so
 /// that whoever comes next sends the same bytes again.
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -21,6 +21,7 @@
 pub mod listing;
 pub mod place;
 pub mod quota;
+pub mod rollout;
 pub mod site;
 pub mod sse;
 pub mod usage;
--- a/lib/src/relay/board.rs
+++ b/lib/src/relay/board.rs
@@ -142,6 +142,17 @@
             .binary_search_by(|row| row.listing.id.as_str().cmp(id))
     }
 
+    /// How many endpoints of a service have another version than this one, and how
+    /// many requests they work on.
+    pub fn of_other_versions(&self, service: &str, version: &str) -> (u32, u32) {
+        let rows = self.rows.iter().filter(|row| {
+            row.listing.service == service
+                && row.listing.version != version
+                && row.standing != Standing::Leaving
+        });
+        rows.fold((0, 0), |sum, row| (sum.0 + 1, sum.1 + row.busy()))
+    }
+
     /// Takes an entry in.
     pub fn put(&mut self, listing: Listing) -> Changed {
         let standing = if listing.leaving {
--- a/lib/src/relay/place.rs
+++ b/lib/src/relay/place.rs
@@ -16,6 +16,7 @@
 use super::board::{Board, Endpoint, Flight};
 use super::cache::{Chain, chains};
 use super::catalog::Service;
+use super::rollout::Versions;
 use crate::EndpointId;
 
 /// What an endpoint in another zone must gain, in seconds. Crossing costs about 3 ms
@@ -56,6 +57,8 @@
     pub zone: &'r str,
     /// Endpoints that this request was at before.
     pub avoid: &'r [EndpointId],
+    /// Versions that it may go to while its service moves from one to another.
+    pub versions: &'r Versions,
     /// Now.
     pub now: Instant,
 }
@@ -89,10 +92,11 @@
 pub fn choose(board: &Board, wanted: &Wanted<'_>) -> Result<Choice, NoPlace> {
     let shared = wanted.prompt.map(chains).unwrap_or_default();
     let favourite = favourite(board, wanted, &shared);
+    let tried = tried(board, wanted);
     let mut best: Option<(f64, Choice)> = None;
     let mut full = false;
     for row in board.rows() {
-        if !serves(row, wanted) {
+        if !serves(row, wanted) || !is_tried(row, tried.as_deref()) {
             continue;
         }
         if is_full(row, wanted) {
@@ -142,9 +146,25 @@
 fn serves(row: &Endpoint, wanted: &Wanted<'_>) -> bool {
     row.listing.service == wanted.service.name
         && row.is_usable(wanted.now)
+        && wanted.versions.allow(&row.listing.version)
         && !wanted.avoid.contains(&row.listing.id)
 }
 
+/// The few endpoints on which a version is tried, the same for all daemons; `None`
+/// if all may be used.
+fn tried<'b>(board: &'b Board, wanted: &Wanted<'_>) -> Option<Vec<&'b str>> {
+    let Versions::Only(_, Some(most)) = wanted.versions else {
+        return None;
+    };
+    let rows = board.rows().iter().filter(|row| serves(row, wanted));
+    let ids = rows.map(|row| row.listing.id.as_str());
+    Some(ids.take(*most as usize).collect())
+}
+
+fn is_tried(row: &Endpoint, tried: Option<&[&str]>) -> bool {
+    tried.is_none_or(|ids| ids.contains(&row.listing.id.as_str()))
+}
+
 fn is_full(row: &Endpoint, wanted: &Wanted<'_>) -> bool {
     if row.full.is_some_and(|until| wanted.now < until) {
         return true;
@@ -168,6 +188,7 @@
         .rows()
         .iter()
         .filter(|row| row.listing.service == wanted.service.name && row.is_usable(wanted.now));
+    let rows = rows.filter(|row| wanted.versions.allow(&row.listing.version));
     let rank = |row: &&Endpoint| xxh3_64_with_seed(row.listing.id.as_bytes(), *session);
     rows.max_by_key(rank).map(|row| row.listing.id.as_str())
 }
--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -10,8 +10,8 @@
 //! The others' figures are as old as their last word. When a flood has emptied the
 //! bucket and a little comes in, all daemons would see it at once and each let its
 //! whole queue of callers in: bursts of three times the allowance, and then seconds
-//! of nothing. So below a quarter of its depth each daemon draws at most its share of
-//! the rate, by what is asked of it and of the others.
+//! of nothing. So when little is left each daemon draws at most its share of the
+//! rate, by what is asked of it and of the others.
 //!
 //! A daemon that has just started does not know what was let in before; its bucket
 //! begins empty. The fleet may restart as a whole in the middle of a flood, and
@@ -33,11 +33,18 @@
 /// Steps in which the window moves on. A step counts until all of it is out of the
 /// window; forgetting it when its beginning is out let a flood use 6 in 100 more.
 const STEPS: u32 = 40;
-/// Least depth of a bucket, in seconds of its rate, for teams without a burst: a
-/// bucket of no depth would let nothing in at all.
-const LEAST_BURST: f64 = 0.5;
-/// Share of the fleet's bucket above which daemons draw from it freely.
-const PLENTY: f64 = 0.25;
+/// Depth of the bucket beyond the burst, in seconds of its rate. What a team did not
+/// use in the window may be used at once that far. The bucket begins empty after a
+/// restart of all, so a flood across one comes to this, the burst and the rate: 8.5
+/// seconds of the rate of the 9 that a window allows.
+const DEEPER: f64 = 0.5;
+/// Part of the tolerance that deepens the bucket. Prompts are long beside a second
+/// of a team's rate, so teams well within it were refused in 2 to 3 requests of a
+/// hundred by chance; the rest of the tolerance covers what is let in unheard.
+const TOLERATED: f64 = 0.4;
+/// Periods between words before a daemon counts as silent. What a bucket holds for
+/// one of them may be let in unheard, so below it daemons draw by their shares.
+const PERIODS: f64 = 4.0;
 /// Depth of a daemon's own share, in seconds of its rate. What has gathered in all
 /// shares while the fleet's bucket was empty comes out at once, so it is little.
 const SHARE_BURST: f64 = 0.25;
@@ -143,6 +150,8 @@
     pub incarnation: Incarnation,
     /// When it told.
     pub heard: Instant,
+    /// When it started.
+    pub started: Instant,
     /// Its uses, sorted by team.
     pub uses: Vec<Use>,
 }
@@ -163,6 +172,7 @@
     name: CompactString,
     incarnation: Incarnation,
     heard: Instant,
+    started: Instant,
     /// Sorted by team.
     teams: Vec<Known>,
 }
@@ -173,13 +183,25 @@
     rate: f64,
     /// Depth of the bucket.
     depth: f64,
+    /// Most within a window.
+    whole: f64,
     /// Whether most other daemons are silent, so that this one is probably cut off.
     alone: bool,
 }
 
+/// How far beyond its allowance a team may come within a window.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tolerance {
+    /// Share of the window's allowance.
+    pub share: f64,
+    /// Units on top.
+    pub units: f64,
+}
+
 /// Allowances of all teams.
 #[derive(Clone, Debug)]
 pub struct Quota {
+    tolerance: Tolerance,
     started: Instant,
     window: Duration,
     /// After how long without a word a daemon counts as silent.
@@ -206,8 +228,9 @@
 
 impl Quota {
     /// Begins when the daemon starts.
-    pub fn new(window: Duration, now: Instant) -> Self {
+    pub fn new(window: Duration, tolerance: Tolerance, now: Instant) -> Self {
         Self {
+            tolerance,
             started: now,
             window,
             silent: window,
@@ -246,7 +269,7 @@
         if room < wanted {
             return Err(wait(wanted - room, part.rate));
         }
-        if part.alone || room < part.depth * PLENTY {
+        if part.alone || room < self.unheard(part.rate) {
             let share = self.share(&team.name, now) * part.rate;
             let level = self.share_level(&team.name, share, now);
             // A request may overdraw the share, so that long ones pass as often as
@@ -283,7 +306,8 @@
                     name: told.name.clone(),
                     incarnation: told.incarnation,
                     // Nothing was heard of it yet: its whole window is news.
-                    heard: told.heard.checked_sub(self.window).unwrap_or(told.heard),
+                    heard: told.started,
+                    started: told.started,
                     teams: Vec::new(),
                 };
                 self.others.insert(at, other);
@@ -355,13 +379,33 @@
         let each = if alone { 1.0 } else { SILENT_SHARE };
         let daemons = (self.others.len() + 1) as f64;
         let left = self.given_out() * (1.0 - silent as f64 * each / daemons);
+        let whole = rate * self.window.as_secs_f64() + burst;
+        let tolerated = whole * self.tolerance.share + self.tolerance.units;
+        let tolerated = tolerated * TOLERATED;
         Part {
             rate: rate * left,
-            depth: burst.max(rate * LEAST_BURST) * left,
+            depth: (burst + rate * DEEPER + tolerated) * left,
+            whole: (whole + tolerated) * left,
             alone,
         }
     }
 
+    /// Units that may be let in elsewhere before this daemon hears of it.
+    fn unheard(&self, rate: f64) -> f64 {
+        if self.others.is_empty() {
+            return 0.0;
+        }
+        rate * self.silent.as_secs_f64() / PERIODS
+    }
+
+    /// Whether nobody knows what was let in before this daemon started: it runs for
+    /// less than a window, and so did most others then.
+    fn is_fresh(&self, now: Instant) -> bool {
+        let older = |other: &&Other| other.started + self.window <= self.started;
+        let older = self.others.iter().filter(older).count();
+        self.first_step(now) < 0 && older * 2 <= self.others.len()
+    }
+
     /// Share of the allowance that is given out.
     fn given_out(&self) -> f64 {
         if self.others.is_empty() {
@@ -380,8 +424,10 @@
         let length = self.window.as_secs_f64() / f64::from(STEPS);
         let begun = now.saturating_duration_since(self.began(last));
         // The bucket of a daemon that has just started begins empty, with its start.
-        let mut level = if first < 0 { 0.0 } else { part.depth };
-        for (step, units) in (first..=last).zip(spent).filter(|row| row.0 >= 0) {
+        let fresh = self.is_fresh(now);
+        let mut level = if fresh { 0.0 } else { part.depth };
+        let steps = (first..=last).zip(spent);
+        for (step, units) in steps.filter(|row| !fresh || row.0 >= 0) {
             let time = match step {
                 // The oldest step lies partly outside of the window.
                 step if step == first => 0.0,
@@ -390,16 +436,16 @@
             };
             level = (level + part.rate * time).min(part.depth) - units;
         }
-        level
+        level.min(part.whole - spent.iter().sum::<f64>())
     }
 
     /// Units that daemons which hear too few others may still let in: an even part of
     /// what a window allows, whoever else uses the rest.
     fn room_alone(&self, team: &str, part: &Part, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.started);
-        let allowed = part.rate * age.min(self.window).as_secs_f64() + part.depth;
+        let grown = part.rate * age.as_secs_f64();
         let spent = self.spent(team, self.first_step(now), now);
-        allowed - spent.map(|row| row.1).sum::<f64>()
+        part.whole.min(grown) - spent.map(|row| row.1).sum::<f64>()
     }
 
     /// What all that are not silent let in, by step; what they have probably let in
@@ -541,5 +587,6 @@
             known.asked = row.asked;
         }
         self.heard = told.heard;
+        self.started = told.started;
     }
 }
--- a/lib/src/relay/site.rs
+++ b/lib/src/relay/site.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 
+use super::quota::Tolerance;
 use crate::ZoneId;
 
 /// Where a daemon runs, what it talks to and what binds it.
@@ -53,6 +54,8 @@
     pub repeat_slack: f64,
     /// Window over which a team's allowance is counted.
     pub quota_window: Duration,
+    /// How far beyond its allowance a team may come within it.
+    pub quota_tolerance: Tolerance,
     /// Life of a lease that guards a duty.
     pub lease: Duration,
     /// Length of a usage window.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -25,6 +25,7 @@
 mod test_relay_board;
 mod test_relay_fleet;
 mod test_relay_place;
+mod test_relay_rollout;
 mod test_relay_shared;
 mod test_relay_stream;
 mod test_routing;
--- a/lib/tests/test_relay_place.rs
+++ b/lib/tests/test_relay_place.rs
@@ -9,6 +9,7 @@
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::place::{Choice, NoPlace, Wanted, book, choose};
 use poplarvale_lib::relay::quota::short;
+use poplarvale_lib::relay::rollout::Versions;
 
 fn service() -> Service {
     Service {
@@ -72,6 +73,7 @@
 
     fn wanted<'r>(&'r self, prompt: &'r Prompt) -> Wanted<'r> {
         Wanted {
+            versions: &Versions::Any,
             service: &self.service,
             prompt: Some(prompt),
             target: Duration::from_secs(1),
@@ -86,6 +88,7 @@
         self.number += 1;
         let service = self.service.clone();
         let wanted = Wanted {
+            versions: &Versions::Any,
             service: &service,
             prompt: Some(prompt),
             target: Duration::from_secs(1),
