routing: doubt about cached blocks decides between equals only

Cause: with one cache event in five lost some event is always missing, so all entries of every endpoint are doubtful all the time; counting them at 0.9 then only tilts the choice towards computing prompts anew. Ruled out: less trust; 0.5 computes 1.369 times the tokens of an exact view in the mean of 24 traces. Change: 0.99. The gain over 0.9 in the mean is small; a lossy view still costs a quarter.

--- a/lib/src/routing/cache.rs
+++ b/lib/src/routing/cache.rs
@@ -21,9 +21,10 @@
 use crate::routing::filter::Filter;
 
 /// What a doubtful block counts for. A lost event names a few of two thousand
-/// blocks; at one half, one lost event makes an endpoint's whole cache lose against
-/// computing the prompt anew elsewhere.
-const DOUBT: f64 = 0.9;
+/// blocks, so doubt decides only between endpoints that are equal otherwise. Tokens
+/// computed with one event in five lost, over those of an exact view, mean of 24
+/// replayed traces: 1.26 at 0.99, 1.27 at 0.9 and 1.37 at 0.5.
+const DOUBT: f64 = 0.99;
 /// Tokens in a block.
 pub const BLOCK: u32 = 64;
 /// Most blocks kept of one endpoint: 128 Ki tokens, of which a prompt of the
--- a/lib/tests/test_routing.rs
+++ b/lib/tests/test_routing.rs
@@ -163,6 +163,27 @@
     assert!(lossy.recomputed < 1.3 * exact.recomputed);
 }
 
+/// The same over several traces: one trace's ratio lies up to a seventh off the mean,
+/// so the one above alone tells little.
+#[test]
+fn lost_cache_events_add_less_than_a_third_in_the_mean() {
+    let speed = Speed {
+        blocks: 400,
+        ..SPEED
+    };
+    let recomputed = |lost: f64, seed: u64| {
+        let trace = conversations(seed, 20.0, 20.0, 6, 0.1);
+        let scene = Scene {
+            speed,
+            lost,
+            ..SCENE
+        };
+        replay(&scene, &trace, &[]).recomputed as f64
+    };
+    let sum = |lost: f64| (0..12).map(|seed| recomputed(lost, seed)).sum::<f64>();
+    assert!(sum(0.2) < 1.3 * sum(0.0));
+}
+
 /// The own zone has no endpoint left; a guest's request goes to another zone
 /// instead of waiting for a replacement.
 #[test]
