--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod relay_site;
 mod site;
+mod soak;
 mod test_answer;
 mod test_failures;
 mod test_fleet;
@@ -22,3 +23,4 @@
 mod test_relay_store;
 mod test_shares;
 mod test_shutdown;
+mod test_soak;
--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -1,5 +1,6 @@
 //! Runs the real programs for a test and ends them with it.
 
+use std::fs::File;
 use std::io::{BufRead as _, BufReader, Read as _};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -9,7 +10,8 @@
 #[derive(Debug)]
 pub struct Process {
     child: Child,
-    out: BufReader<ChildStdout>,
+    /// What it writes, unless that goes to a file.
+    out: Option<BufReader<ChildStdout>>,
     /// First line that it wrote.
     pub first: String,
 }
@@ -29,11 +31,34 @@
         out.read_line(&mut first).expect("the program writes text");
         Self {
             child,
-            out,
+            out: Some(out),
             first: first.trim().to_owned(),
         }
     }
 
+    /// Starts a program with one more variable in its environment; what it writes is
+    /// added to a file.
+    pub fn start_logged(program: &Path, variable: (&str, &Path), log: &Path) -> Self {
+        let file = File::options().create(true).append(true).open(log);
+        let child = Command::new(program)
+            .env(variable.0, variable.1)
+            .stdin(Stdio::null())
+            .stdout(file.expect("the log can be written"))
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap_or_else(|error| panic!("{} does not start: {error}", program.display()));
+        Self {
+            child,
+            out: None,
+            first: String::new(),
+        }
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// The address behind a word of its first line.
     pub fn address(&self, word: &str) -> SocketAddr {
         let mut words = self.first.split_whitespace();
@@ -70,7 +95,9 @@
     pub fn wait(&mut self) -> ExitStatus {
         let mut rest = String::new();
         // Reading to the end keeps a full pipe from holding the program up.
-        let _ = self.out.read_to_string(&mut rest);
+        if let Some(out) = &mut self.out {
+            let _ = out.read_to_string(&mut rest);
+        }
         self.child.wait().expect("the program was started here")
     }
 }
