--- a/lib/tests/test_routing.rs
+++ b/lib/tests/test_routing.rs
@@ -178,7 +178,7 @@
             lost,
             ..SCENE
         };
-        replay(&scene, &trace, &[]).recomputed as f64
+        replay(&scene, &trace, &[]).recomputed
     };
     let sum = |lost: f64| (0..12).map(|seed| recomputed(lost, seed)).sum::<f64>();
     assert!(sum(0.2) < 1.3 * sum(0.0));
