fleet: a new holder of the duty gives no endpoint up before it knows the need

Change: while the need is unknown no cheap one is given up; while nobody asks, and once as many cheap ones stand and the list has not grown for 3 s, 0.65 of the dear ones are kept by zone. Tests: both failed against the old code.

--- a/lib/src/relay/fleet.rs
+++ b/lib/src/relay/fleet.rs
@@ -35,6 +35,14 @@
 const ALONE: f64 = 1.7;
 /// Least number of each kind in all, as soon as anything is asked.
 const LEAST: f64 = 2.0;
+/// Share of the operators' own endpoints that is kept before anything is asked, once as
+/// many cheap ones stand beside them. On a grown site half of a calm day's price was for
+/// those that waited for the first callers; with half of them a reclaim in the first
+/// seconds left too few.
+const WAITING: f64 = 0.65;
+/// How long no further endpoint must have registered before any is given up: a list
+/// that is still being filled would seem to have few.
+const LISTED: Duration = Duration::from_secs(3);
 /// How long work is asked for before its rate is taken as whole; the span of the
 /// rates.
 const FIRST: Duration = Duration::from_secs(4);
@@ -89,9 +97,49 @@
     lower: Option<(Instant, f64)>,
 }
 
+/// Most dear endpoints of a service that stood by zone, since this daemon looks.
+#[derive(Clone, Debug, PartialEq)]
+struct First {
+    service: ServiceId,
+    zones: Vec<(ZoneId, u32)>,
+    /// When their number last grew.
+    grew: Instant,
+}
+
+impl First {
+    fn total(&self) -> u32 {
+        self.zones.iter().map(|row| row.1).sum()
+    }
+
+    fn look(&mut self, stand: &Stand, now: Instant) {
+        for (zone, dear, _) in &stand.0 {
+            match self.zones.iter_mut().find(|row| row.0 == *zone) {
+                Some(row) if row.1 >= *dear => {}
+                Some(row) => (row.1, self.grew) = (*dear, now),
+                None => self.zones.push((zone.clone(), *dear)),
+            }
+        }
+    }
+
+    /// Dear endpoints of a zone that are kept while nobody asks anything; all until as
+    /// many cheap ones stand beside them.
+    fn kept(&self, zone: &str, stand: &Stand, asked: bool, now: Instant) -> u32 {
+        let held = stand.in_zone(zone).0;
+        let settled = now.duration_since(self.grew) >= LISTED;
+        if asked || !settled || stand.cheap() < self.total() {
+            return held;
+        }
+        let row = self.zones.iter().find(|row| row.0 == zone);
+        let first = row.map_or(held, |row| row.1);
+        held.min((f64::from(first) * WAITING).ceil() as u32)
+    }
+}
+
 /// Needs and the orders given so far.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Orders {
+    /// What stood before the need was known, by service.
+    first: Vec<First>,
     given: Vec<Given>,
     levels: Vec<Level>,
 }
@@ -135,12 +183,15 @@
     cheap: u32,
 }
 
-fn totals(scaling: &Scaling, level: Option<f64>, stand: &Stand) -> Totals {
+fn totals(scaling: &Scaling, level: Option<f64>, stand: &Stand, first: u32) -> Totals {
     let spot = scaling.spot.is_some();
     let Some(need) = level else {
+        // Fewer cheap ones than stand are not ordered: whoever takes the duty over in
+        // the middle of the day knows no need for a few seconds, and what it gave up
+        // then would take as long again to come back.
         return Totals {
             dear: stand.dear(),
-            cheap: if spot { stand.dear() } else { 0 },
+            cheap: if spot { stand.cheap().max(first) } else { 0 },
         };
     };
     if !spot {
@@ -220,6 +271,21 @@
 }
 
 impl Orders {
+    /// What stood of a service at first.
+    fn first(&mut self, service: &ServiceId, stand: &Stand, now: Instant) -> First {
+        let at = self.first.iter().position(|row| row.service == *service);
+        let at = at.unwrap_or_else(|| {
+            self.first.push(First {
+                service: service.clone(),
+                zones: Vec::new(),
+                grew: now,
+            });
+            self.first.len() - 1
+        });
+        self.first[at].look(stand, now);
+        self.first[at].clone()
+    }
+
     /// Level that orders of a service go by; `None` while it is not known.
     fn level(&mut self, service: &ServiceId, need: f64, now: Instant) -> Option<f64> {
         let at = self.levels.iter().position(|row| row.service == *service);
@@ -238,7 +304,8 @@
     /// What is wanted of a service now, where it differs from what stands.
     ///
     /// Until the need is known, the dear endpoints stay as the operators have them
-    /// and as many cheap ones are ordered: a wave of reclaims may follow at once.
+    /// and as many cheap ones are ordered: a wave of reclaims may follow at once. While
+    /// nothing is asked at all, some of the dear ones make room for these.
     pub fn wishes(
         &mut self,
         board: &Board,
@@ -259,17 +326,23 @@
         } else {
             self.level(&service.name, needed(work, engine.slots), now)
         };
-        let total = totals(scaling, level, &stand);
+        let first = self.first(&service.name, &stand, now);
+        let total = totals(scaling, level, &stand, first.total());
         let dear = deal(scaling, zones, total.dear);
         let cheap = deal(scaling, zones, total.cheap);
         let mut wishes = Vec::new();
         for ((zone, dear), (_, cheap)) in dear.into_iter().zip(cheap) {
             let (others, spots) = stand.in_zone(&zone);
             let dear = if level.is_none() {
-                others
+                first.kept(&zone, &stand, work != Work::default(), now)
             } else {
                 dear.min(scaling.most)
             };
+            let cheap = if level.is_none() {
+                cheap.max(spots)
+            } else {
+                cheap
+            };
             let cheap = cheap.min(scaling.most.saturating_sub(dear.max(others)));
             for (spot, wanted, held) in [(true, cheap, spots), (false, dear, others)] {
                 if wanted != held {
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -55,6 +55,35 @@
     board
 }
 
+/// The endpoints of the day's begin stand and nobody asks anything yet. Keeping all of
+/// the dear ones beside as many cheap ones would pay twice for the same places.
+#[test]
+fn some_dear_endpoints_make_room_for_cheap_ones_before_the_first_request() {
+    let mut orders = Orders::default();
+    let start = Instant::now();
+    let none = Work::default();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    run(&mut orders, &board(1, 0), none, start, 1);
+    // The list is still being filled: nothing is given up.
+    let wishes = run(&mut orders, &board(3, 3), none, at(1), 1);
+    assert!(wishes.is_empty(), "{wishes:?}");
+    let wishes = run(&mut orders, &board(3, 3), none, at(5), 1);
+    assert_eq!(total(&wishes, false), 8);
+    assert!(wishes.iter().all(|wish| !wish.spot));
+    // Callers come, and their need is not known yet: nothing more is given up.
+    let wishes = run(&mut orders, &board(2, 3), work(), at(6), 1);
+    assert!(wishes.is_empty(), "{wishes:?}");
+}
+
+/// The daemon that ordered is killed in the middle of the day, and the next one knows
+/// no need yet. Cheap endpoints that it gave up would be missing for seconds.
+#[test]
+fn a_new_holder_gives_no_endpoint_up_before_it_knows_the_need() {
+    let mut orders = Orders::default();
+    let wishes = run(&mut orders, &board(1, 3), work(), Instant::now(), 1);
+    assert!(wishes.is_empty(), "{wishes:?}");
+}
+
 /// Work that keeps four engines fully busy.
 fn work() -> Work {
     let one = needed(
