rollout: a move that the store holds as completed is not taken back

Cause, found on reading: a daemon that convicts a version after the holder wrote the move as completed spread its verdict, and all would send requests to old endpoints that are stopped by then. A move's time beyond what a number holds would have overflowed. Test: failed before.

--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -204,7 +204,8 @@
         }
     };
     let now = state.true_ms();
-    let finish = now + life.as_millis() as u64;
+    let life_ms = u64::try_from(life.as_millis()).unwrap_or(u64::MAX);
+    let finish = now.saturating_add(life_ms);
     let order = Order {
         service,
         target,
--- a/lib/src/relay/rollout.rs
+++ b/lib/src/relay/rollout.rs
@@ -181,6 +181,10 @@
         let row = &mut self.rows[at];
         if row.order.target == target && row.order.revision < revision {
             row.reported = Some(outcome);
+            if outcome == Outcome::Completed {
+                // The old endpoints are stopped: there is nothing to go back to.
+                row.outcome = outcome;
+            }
             row.settle(outcome);
         }
     }
@@ -344,9 +348,12 @@
     }
 
     /// A verdict against the version holds whatever else is heard: of two daemons one
-    /// of which saw the version fail, the other did not see it yet.
+    /// of which saw the version fail, the other did not see it yet. Only a completed
+    /// move that the store holds cannot be taken back any more.
     fn settle(&mut self, outcome: Outcome) {
-        if self.outcome != Outcome::RolledBack && outcome != Outcome::Running {
+        let is_final =
+            self.outcome == Outcome::RolledBack || self.reported == Some(Outcome::Completed);
+        if !is_final && outcome != Outcome::Running {
             self.outcome = outcome;
         }
     }
--- a/lib/tests/test_relay_rollout.rs
+++ b/lib/tests/test_relay_rollout.rs
@@ -219,3 +219,30 @@
         Versions::Not("v2".into())
     );
 }
+
+/// The last daemon to see a fault tells it after the move was written as completed. The
+/// old endpoints are stopped by then; going back would leave callers with none.
+#[test]
+fn a_completed_move_is_not_taken_back() {
+    let mut late = Rollouts::new(0.1);
+    late.order(order(), BEGIN, BEGIN + LIFE);
+    for _ in 0..10 {
+        let sample = Sample {
+            good: false,
+            took: Duration::ZERO,
+        };
+        late.note("pool", "booking", "v2", sample, BEGIN + LIFE / 2);
+    }
+    let word = late.tell().next().expect("it has a move");
+    assert_eq!(word.outcome, Outcome::RolledBack);
+    let mut other = Rollouts::new(0.1);
+    other.order(order(), BEGIN, BEGIN + LIFE);
+    other.status("pool", "v2", Outcome::Completed, 8);
+    assert!(!other.hear("d1", &word));
+    late.status("pool", "v2", Outcome::Completed, 8);
+    for daemon in [&mut other, &mut late] {
+        let versions = daemon.versions("pool", |_| OLDS, BEGIN + LIFE);
+        assert_eq!(versions, Versions::Only("v2".into(), None));
+        assert!(daemon.due(BEGIN + LIFE, |_, _| 0).is_empty());
+    }
+}
