daemon: pieces that cannot be read leave a log line and reach the caller as they came

Cause: three places of the embedded mode took an error for an empty value. A piece that is no JSON object reached the caller as an object with an id only, its content lost without a word. Change: a log line without the content; the piece goes on as the engine made it. The tests of streams and attempts pass; no test plays such a piece yet.

--- a/daemon/src/attempt/model.rs
+++ b/daemon/src/attempt/model.rs
@@ -91,11 +91,17 @@
     let Some(piece) = job.answer.view(last as usize).pieces.pop() else {
         return false;
     };
-    let chunk: Chunk = serde_json::from_slice(&piece).unwrap_or_default();
-    chunk
-        .choices
-        .iter()
-        .any(|choice| choice.finish_reason.is_some())
+    match serde_json::from_slice::<Chunk>(&piece) {
+        Ok(chunk) => {
+            let mut choices = chunk.choices.iter();
+            choices.any(|choice| choice.finish_reason.is_some())
+        }
+        Err(error) => {
+            // The engine goes on or breaks off; either shows by itself.
+            log::warn!("attempt: the last piece could not be read, {error}.");
+            false
+        }
+    }
 }
 
 fn report(send: &Send, core: &Addr<Core>, count: u32) {
--- a/daemon/src/callers/stream.rs
+++ b/daemon/src/callers/stream.rs
@@ -123,12 +123,24 @@
 
 /// A piece with the request's id in place of the attempt's.
 fn event(id: &str, at: usize, piece: &Bytes) -> Event {
-    let mut value: Value = serde_json::from_slice(piece).unwrap_or_default();
-    value["id"] = Value::from(id);
-    Event::Data(Data::new(value.to_string()).id(format!("{id}-{at}")))
+    let text = match serde_json::from_slice::<Value>(piece) {
+        Ok(mut value) if value.is_object() => {
+            value["id"] = Value::from(id);
+            value.to_string()
+        }
+        _ => {
+            // The caller gets what the engine made, though without the request's id.
+            log::warn!("stream: piece {at} of {id} is no object.");
+            String::from_utf8_lossy(piece).into_owned()
+        }
+    };
+    Event::Data(Data::new(text).id(format!("{id}-{at}")))
 }
 
 fn failure(problem: &Problem) -> Event {
-    let body = serde_json::to_string(&problem.body()).unwrap_or_default();
+    let body = serde_json::to_string(&problem.body()).unwrap_or_else(|error| {
+        log::error!("stream: a problem could not be written, {error}.");
+        String::from("{}")
+    });
     Event::Data(Data::new(body).event("error"))
 }
