--- a/daemon/src/answer.rs
+++ b/daemon/src/answer.rs
@@ -168,6 +168,7 @@
             if view.ending.is_some() {
                 return view;
             }
+            // As above: the sender lives as long as `self`.
             let _ = changes.changed().await;
         }
     }
