--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -9,9 +9,6 @@
 
 use failure::Failure;
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 #[actix_web::main]
 async fn main() -> ExitCode {
     let flags = flags::Poplarvale::from_env_or_exit();
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,11 +1,12 @@
 //! `poplarvaled`, the daemon of poplarvale.
+//!
+//! It keeps the system's allocator. With mimalloc a relaying daemon peaked at 15.1 MB on a
+//! calm day and 17.8 MB on one with faults, without it at 3.7 and 5.1 MB, for 5 in 100
+//! more processor time; a host may have 160 MB for everything.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 mod flags {
     use std::path::PathBuf;
 
