--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -309,9 +309,8 @@
         let last = self.step(now);
         let team = |row: Spent| {
             let mut steps = Steps::default();
-            let count = row.steps.len() as StepId;
-            for (at, units) in (0..).zip(row.steps) {
-                steps.add(last - count + 1 + at, f64::from(units));
+            for (back, units) in (0..).zip(row.steps.into_iter().rev()) {
+                steps.add(last - back, f64::from(units));
             }
             steps.add(last, row.rate * UNSAVED);
             (row.team, steps)
