duties: a call that is given up is reset, so that it cannot arrive later

Ruled out: a holder that acts beyond its lease (its log says no longer held, and the call is by the fence of before the cut); the checkpoint, whose writes are fenced by the store. The test failed first: the platform read an orderly end. Now it sees a reset.

--- a/daemon/src/relay/wire.rs
+++ b/daemon/src/relay/wire.rs
@@ -45,6 +45,14 @@
         Ok(Self::new(stream))
     }
 
+    /// Ends the connection by a reset. What was sent and is held up on the way is lost
+    /// with it; after an ordinary close the system goes on delivering it for minutes.
+    pub(crate) fn abort(self) {
+        if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
+            log::debug!("wire: closed without a reset, {error}.");
+        }
+    }
+
     /// Whether an idle connection is still as the last exchange left it: open, and
     /// without bytes that belong to no request.
     pub(crate) fn is_clean(&self) -> bool {
