engine: the speed of a service's engines is learned, no figure of a deployment is left

Cause: 50 prompt tokens a millisecond and steps of 3.8 ms stood in the code. With engines of a quarter of the speed callers were placed, waited for and endpoints ordered by a fourth of the time. A line is fitted to first events for predictions; orders go by quantiles of requests that waited for nobody. The tests failed first: predictions of a quarter of the time; one fallback of the two quantiles was wrong, which the test of orders showed.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -141,13 +141,20 @@
             if !counted {
                 counted = true;
                 let now = Std::now();
-                booked.note(|row| row.began(number, now));
+                let mut board = state.board.borrow_mut();
+                board.began(&choice.id, number, now);
                 state.measure(|metrics| metrics.first(job.arrived.elapsed()));
                 state.count_run(team, now);
             }
         };
         match pass_on(&mut wire, &answer, passed, write, &mut patience, began).await {
-            StreamEnd::Whole => Ended::Streamed,
+            StreamEnd::Whole => {
+                let events = passed.events.count().saturating_sub(events + 1) as u32;
+                let tokens = events * job.service.engine.as_ref().map_or(0, |row| row.stride);
+                let mut board = state.board.borrow_mut();
+                board.streamed(&choice.id, number, tokens, Std::now());
+                Ended::Streamed
+            }
             StreamEnd::CallerGone => return Ended::CallerGone,
             StreamEnd::Broken => Ended::Broken(Fault::Broken),
         }
--- a/lib/src/relay/board.rs
+++ b/lib/src/relay/board.rs
@@ -12,11 +12,11 @@
 use compact_str::CompactString;
 
 use super::cache::Cache;
-use super::engine::Speed;
+use super::engine::{Line, Pace, Speed};
 use super::evidence::Evidence;
 use super::listing::Listing;
 use super::quota::short;
-use crate::EndpointId;
+use crate::{EndpointId, ServiceId};
 
 /// How long an endpoint stays in use whose entry is missing after an outage of the
 /// registry. Entries of living endpoints are back within about two seconds, and
@@ -26,6 +26,11 @@
 /// How long another daemon's word on its requests counts.
 const CURRENT: Duration = Duration::from_secs(2);
 
+/// Tokens after the first event from which on a stream teaches how long one takes.
+/// Those of shorter ones come in one event or two, and read together they seem to have
+/// taken no time.
+const LEAST_STREAM: u32 = 20;
+
 /// Request in progress at an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Flight {
@@ -39,8 +44,8 @@
     pub memory: u64,
     /// When it was sent.
     pub sent: Instant,
-    /// Whether its first event came.
-    pub began: bool,
+    /// When its first event came.
+    pub began: Option<Instant>,
 }
 
 /// Whether an endpoint may get requests.
@@ -97,6 +102,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Board {
     rows: Vec<Endpoint>,
+    /// Learned speed of the engines of each service, sorted by service.
+    paces: Vec<(ServiceId, Pace)>,
     /// What the other daemons told, sorted by name.
     told: Vec<Told>,
     /// Until when missing entries are doubtful, after an outage.
@@ -142,6 +149,69 @@
             .binary_search_by(|row| row.listing.id.as_str().cmp(id))
     }
 
+    /// Learned speed of a service's engines.
+    pub fn pace(&self, service: &str) -> Pace {
+        let at = self.find_pace(service);
+        at.map_or_else(|_| Pace::default(), |at| self.paces[at].1.clone())
+    }
+
+    /// Learned time to the first event at a service's engines.
+    pub fn line(&self, service: &str) -> Line {
+        let at = self.find_pace(service);
+        at.map_or_else(|_| Line::usual(), |at| self.paces[at].1.line())
+    }
+
+    fn pace_mut(&mut self, service: &ServiceId) -> &mut Pace {
+        let at = self.find_pace(service).unwrap_or_else(|at| {
+            self.paces.insert(at, (service.clone(), Pace::default()));
+            at
+        });
+        &mut self.paces[at].1
+    }
+
+    fn find_pace(&self, service: &str) -> Result<usize, usize> {
+        self.paces
+            .binary_search_by(|row| row.0.as_str().cmp(service))
+    }
+
+    /// Notes the first event of a request; teaches the speed of its engine and service.
+    pub fn began(&mut self, id: &str, number: u64, now: Instant) {
+        let Ok(at) = self.find(id) else {
+            return;
+        };
+        let row = &mut self.rows[at];
+        let flights = row.flights.iter_mut();
+        let mut waiting = flights.filter(|flight| flight.began.is_none());
+        let Some(flight) = waiting.find(|flight| flight.number == number) else {
+            return;
+        };
+        flight.began = Some(now);
+        let took = now.saturating_duration_since(flight.sent);
+        let (own, ahead, mut speed) = (flight.own, flight.ahead, row.speed);
+        let service = row.listing.service.clone();
+        speed.learn(self.pace_mut(&service), own, ahead, took);
+        self.rows[at].speed = speed;
+    }
+
+    /// Notes that a stream of so many tokens after its first event is out; teaches how
+    /// long a token takes.
+    pub fn streamed(&mut self, id: &str, number: u64, tokens: u32, now: Instant) {
+        let Ok(at) = self.find(id) else {
+            return;
+        };
+        let row = &self.rows[at];
+        let flight = row.flights.iter().find(|flight| flight.number == number);
+        let Some(began) = flight.and_then(|flight| flight.began) else {
+            return;
+        };
+        if tokens < LEAST_STREAM {
+            return;
+        }
+        let service = row.listing.service.clone();
+        let token = now.saturating_duration_since(began) / tokens;
+        self.pace_mut(&service).learn_step(token);
+    }
+
     /// How many endpoints of a service have another version than this one, and how
     /// many requests they work on.
     pub fn of_other_versions(&self, service: &str, version: &str) -> (u32, u32) {
@@ -320,7 +390,7 @@
 
     /// Prompt tokens that wait to be read, from all daemons.
     pub fn backlog(&self) -> f64 {
-        let waiting = self.flights.iter().filter(|flight| !flight.began);
+        let waiting = self.flights.iter().filter(|flight| flight.began.is_none());
         waiting.map(|flight| flight.own).sum::<f64>() + self.others.tokens
     }
 
@@ -335,17 +405,6 @@
         self.flights.push(flight);
     }
 
-    /// Notes the first event of a request; teaches the engine's speed.
-    pub fn began(&mut self, number: u64, now: Instant) {
-        if let Some(flight) = self.flights.iter_mut().find(|row| row.number == number)
-            && !flight.began
-        {
-            flight.began = true;
-            let took = now.saturating_duration_since(flight.sent);
-            self.speed.learn(flight.own, flight.ahead, took);
-        }
-    }
-
     /// Notes that a request is no longer in progress.
     pub fn end(&mut self, number: u64) {
         self.flights.retain(|flight| flight.number != number);
--- a/lib/src/relay/fleet.rs
+++ b/lib/src/relay/fleet.rs
@@ -6,7 +6,7 @@
 //! must survive such a wave has to stand beforehand and be of the other kind; what
 //! is there for speed on the other days is of the cheap kind, in every zone.
 //!
-//! The need is taken from what callers ask for and the engines' published speed.
+//! The need is taken from what callers ask for and the engines' learned speed.
 //! Fewer endpoints are ordered only after the need was lower for a while: an
 //! endpoint that is given up too early takes seconds to come back.
 
@@ -15,15 +15,9 @@
 use super::board::{Board, Standing};
 use super::catalog::{Scaling, Service};
 use super::demand::Work;
+use super::engine::Pace;
 use crate::{ServiceId, ZoneId};
 
-/// Prompt tokens that an engine reads in a second; the published figures are 48.2
-/// and 56.6 a millisecond.
-const READ: f64 = 50_000.0;
-/// Time of one step of an engine without and for each running request, in
-/// seconds; of the published 2.6 to 3.79 ms and 0.0893 ms.
-const STEP: f64 = 0.0038;
-const STEP_EACH: f64 = 0.000_09;
 /// Share of its places at which an engine is reckoned to work.
 const FILL: f64 = 0.5;
 /// Dear endpoints for each one that the work needs when nothing waits.
@@ -144,11 +138,10 @@
     levels: Vec<Level>,
 }
 
-/// Endpoints that a second's work keeps fully busy.
-pub fn needed(work: Work, slots: u32) -> f64 {
+/// Endpoints of the learned speed that a second's work keeps fully busy.
+pub fn needed(work: Work, slots: u32, pace: &Pace) -> f64 {
     let running = f64::from(slots.max(1)) * FILL;
-    let each = (STEP + STEP_EACH * running) / running;
-    work.read / READ + work.write * each
+    work.read * pace.read() + work.write * pace.step() / running
 }
 
 /// Endpoints that serve, by zone: dear and cheap ones.
@@ -343,7 +336,8 @@
                 .find(|row| row.service == service.name)
                 .and_then(|row| row.need)
         } else {
-            self.level(&service.name, needed(work, engine.slots), now)
+            let pace = board.pace(&service.name);
+            self.level(&service.name, needed(work, engine.slots, &pace), now)
         };
         let first = self.first(&service.name, &stand, now);
         let total = totals(scaling, level, &stand, first.total());
--- a/lib/src/relay/place.rs
+++ b/lib/src/relay/place.rs
@@ -16,6 +16,7 @@
 use super::board::{Board, Endpoint, Flight};
 use super::cache::{Chain, chains};
 use super::catalog::Service;
+use super::engine::Line;
 use super::rollout::Versions;
 use crate::EndpointId;
 
@@ -93,6 +94,7 @@
     let shared = wanted.prompt.map(chains).unwrap_or_default();
     let favourite = favourite(board, wanted, &shared);
     let tried = tried(board, wanted);
+    let line = board.line(&wanted.service.name);
     let mut best: Option<(f64, Choice)> = None;
     let mut full = false;
     for row in board.rows() {
@@ -103,7 +105,7 @@
             full = true;
             continue;
         }
-        let (cost, choice) = weigh(row, wanted, &shared, favourite);
+        let (cost, choice) = weigh(row, &line, wanted, &shared, favourite);
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, choice));
         }
@@ -130,7 +132,7 @@
         ahead: choice.ahead,
         memory,
         sent: wanted.now,
-        began: false,
+        began: None,
     });
     if let Some(prompt) = wanted.prompt {
         row.cache.note(&chains(prompt), capacity, wanted.now);
@@ -195,6 +197,7 @@
 
 fn weigh(
     row: &Endpoint,
+    line: &Line,
     wanted: &Wanted<'_>,
     shared: &[(Chain, u32)],
     favourite: Option<&str>,
@@ -227,7 +230,7 @@
     let kept = held.max(presumed);
     let own = (f64::from(prompt.input) - kept).max(1.0);
     let ahead = row.backlog();
-    let wait = row.speed.first(own, ahead);
+    let wait = row.speed.first(line, own, ahead);
     let seconds = wait.as_secs_f64();
     let late = (seconds - wanted.target.as_secs_f64() * ON_TIME).max(0.0);
     let again = (f64::from(total) - kept).max(0.0);
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -5,6 +5,7 @@
 use poplarvale_lib::relay::board::Board;
 use poplarvale_lib::relay::catalog::{Engine, Scaling, Service};
 use poplarvale_lib::relay::demand::Work;
+use poplarvale_lib::relay::engine::Pace;
 use poplarvale_lib::relay::fleet::{Orders, Wish, needed};
 use poplarvale_lib::relay::listing::Listing;
 
@@ -92,6 +93,7 @@
             write: 0.0,
         },
         64,
+        &Pace::default(),
     );
     Work {
         read: 10_000.0 * 4.0 / one,
--- a/lib/tests/test_relay_place.rs
+++ b/lib/tests/test_relay_place.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use poplarvale_lib::relay::ask::Prompt;
-use poplarvale_lib::relay::board::{Board, Others};
+use poplarvale_lib::relay::board::{Board, Flight, Others};
 use poplarvale_lib::relay::catalog::{Engine, Service};
 use poplarvale_lib::relay::evidence::Evidence;
 use poplarvale_lib::relay::listing::Listing;
@@ -119,8 +119,9 @@
 fn a_session_stays_where_its_beginning_is_held() {
     let mut trial = Trial::new(6);
     let first = trial.send(&prompt(5, 8000, 500));
+    let began = trial.now + Duration::from_millis(200);
+    trial.board.began(&first.id, 1, began);
     if let Some(row) = trial.board.get_mut(&first.id) {
-        row.began(1, trial.now + Duration::from_millis(200));
         row.end(1);
     }
     let again = trial.choose(&prompt(5, 8000, 700)).expect("there is room");
@@ -176,8 +177,21 @@
     let mut trial = Trial::new(3);
     let slow = "e1";
     for round in 0..6 {
+        let flight = Flight {
+            number: 900 + round,
+            own: 1000.0,
+            ahead: 0.0,
+            memory: 1000,
+            sent: trial.now,
+            began: None,
+        };
+        let came = trial.now + Duration::from_millis(450);
+        if let Some(row) = trial.board.get_mut(slow) {
+            row.send(flight);
+        }
+        trial.board.began(slow, 900 + round, came);
         if let Some(row) = trial.board.get_mut(slow) {
-            row.speed.learn(1000.0, 0.0, Duration::from_millis(450));
+            row.end(900 + round);
         }
         trial.now += Duration::from_millis(round);
     }
