duties: a lease that goes on in the store is kept; needs follow overloads slowly

Change: the holder renews as long as the store does not say that the lease has ended, and acts only with a renewed one; quantiles go six hundredths of the way up for each batch and down at once; the first request counts from any daemon's word.

--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -140,9 +140,9 @@
     };
     loop {
         let now = Instant::now();
-        if holder.held.is_over(now) {
-            return;
-        }
+        // A lease that is over by this daemon's reckoning may go on in the store, as
+        // leases can stand still while it is away. Nobody else holds the duties then, and
+        // waiting for its end left them undone for three seconds after each outage.
         if holder.held.is_due(now) && !renew(store, &mut holder).await {
             return;
         }
@@ -188,7 +188,7 @@
             Some(item) => (item.revision, read_record(item.value)),
             None => (0, None),
         };
-        let mut orders = Orders::default();
+        let mut orders = Orders::new(state.demand.borrow().first());
         let saved = saved.and_then(|item| checkpoint::read(&item.value));
         if let Some(saved) = &saved {
             checkpoint::restore_usage(state, saved);
--- a/daemon/tests/test_relay_store.rs
+++ b/daemon/tests/test_relay_store.rs
@@ -155,6 +155,24 @@
     assert_eq!(distinct.len(), windows.len());
 }
 
+/// The store is away for longer than the lease of the holder of the duties, and leases
+/// stand still meanwhile. The holder goes on with the lease that it has as soon as the
+/// store is back; given up, its key would keep all others from the duties until it ends.
+#[actix_web::test]
+async fn a_lease_that_stood_still_is_kept() {
+    let one = endpoint("i-1").await;
+    let site = Site::start(&[&one]).await;
+    until(SOON, async || site.store.get("poplarvale/usage").is_some()).await;
+    let leader = site.store.get("poplarvale/leader");
+    site.store.set(Mode::Paused);
+    tokio::time::sleep(Duration::from_millis(1600)).await;
+    site.store.set(Mode::Well);
+    let before = site.cloud.seen().len();
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    assert_eq!(site.store.get("poplarvale/leader"), leader);
+    assert!(site.cloud.seen().len() > before, "nothing is reported");
+}
+
 /// All daemons are killed at once while a usage window runs, and with them goes what
 /// they had counted. The next holder of the duties reports the window from the
 /// checkpoint; without it customers are charged for a part of their requests only.
--- a/lib/src/relay/demand.rs
+++ b/lib/src/relay/demand.rs
@@ -49,6 +49,8 @@
 pub struct Demand {
     asked: Vec<Asked>,
     told: Vec<Told>,
+    /// When anything was first asked for, here or elsewhere.
+    first: Option<Instant>,
 }
 
 /// Work that a prompt brings.
@@ -65,6 +67,7 @@
 impl Demand {
     /// Counts a request.
     pub fn ask(&mut self, service: &str, work: Work, now: Instant) {
+        self.first.get_or_insert(now);
         self.asked.push(Asked {
             service: short(service),
             at: now,
@@ -72,6 +75,11 @@
         });
     }
 
+    /// When anything was first asked for, as far as this daemon knows.
+    pub fn first(&self) -> Option<Instant> {
+        self.first
+    }
+
     /// Forgets what is out of the span.
     pub fn expire(&mut self, now: Instant) {
         self.asked.retain(|row| now.duration_since(row.at) <= SPAN);
@@ -100,6 +108,9 @@
 
     /// Takes in another daemon's rates.
     pub fn hear(&mut self, name: &CompactString, services: Vec<(u32, Work)>, now: Instant) {
+        if !services.is_empty() {
+            self.first.get_or_insert(now);
+        }
         let told = Told {
             name: name.clone(),
             heard: now,
--- a/lib/src/relay/engine.rs
+++ b/lib/src/relay/engine.rs
@@ -16,7 +16,6 @@
 //! overloaded, more would be ordered for it, and in trials the need rose by half
 //! within two seconds of a wave of reclaims and stayed there.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Prompt tokens that an engine is taken to read in a millisecond before anything was
@@ -44,10 +43,11 @@
 /// always share their engine with prompts, the lower quarter.
 const READ_SHARE: f64 = 0.1;
 const STEP_SHARE: f64 = 0.25;
-/// Observations that a quantile is taken of, a few seconds of one daemon's, and how
-/// many there must be before it goes before the usual figure.
-const RECENT: usize = 64;
-const ENOUGH: usize = 16;
+/// Observations that a quantile is taken of, one to three seconds of a daemon's.
+const BATCH: usize = 24;
+/// Part of the way up that a quantile goes for each batch, so that an overload of ten
+/// seconds raises it by a third of what was seen.
+const RISE: f64 = 0.06;
 /// Weight of a new observation of one engine's factor; one in five makes a lasting
 /// change known within ten answers and a single odd one harmless.
 const LEARN: f64 = 0.2;
@@ -124,39 +124,48 @@
     }
 }
 
-/// A quantile of the last observations.
+/// A quantile of what was observed lately. It falls at once and rises slowly: what is
+/// observed under an overload is longer than what engines need, and the engines that are
+/// ordered for it come when the overload is over.
 #[derive(Clone, Debug, PartialEq)]
 struct Quantile {
     /// Share of the observations that lie below.
     share: f64,
-    /// Before there are enough observations.
-    usual: f64,
-    seen: VecDeque<f64>,
+    value: f64,
+    /// Whether the value was observed.
+    known: bool,
+    /// Observations since the value was last looked at.
+    fresh: Vec<f64>,
 }
 
 impl Quantile {
     fn new(share: f64, usual: f64) -> Self {
         Self {
             share,
-            usual,
-            seen: VecDeque::new(),
+            value: usual,
+            known: false,
+            fresh: Vec::new(),
         }
     }
 
     fn learn(&mut self, seen: f64) {
-        if self.seen.len() == RECENT {
-            self.seen.pop_front();
+        self.fresh.push(seen);
+        if self.fresh.len() < BATCH {
+            return;
         }
-        self.seen.push_back(seen);
+        self.fresh.sort_by(f64::total_cmp);
+        let now = self.fresh[(BATCH as f64 * self.share) as usize];
+        self.fresh.clear();
+        if self.known && now > self.value {
+            self.value += (now - self.value) * RISE;
+        } else {
+            self.value = now;
+        }
+        self.known = true;
     }
 
     fn value(&self) -> f64 {
-        if self.seen.len() < ENOUGH {
-            return self.usual;
-        }
-        let mut sorted: Vec<f64> = self.seen.iter().copied().collect();
-        sorted.sort_by(f64::total_cmp);
-        sorted[(sorted.len() as f64 * self.share) as usize]
+        self.value
     }
 }
 
--- a/lib/src/relay/fleet.rs
+++ b/lib/src/relay/fleet.rs
@@ -140,6 +140,8 @@
     first: Vec<First>,
     given: Vec<Given>,
     levels: Vec<Level>,
+    /// When work was first asked for, if that was before this daemon took the duty up.
+    asked: Option<Instant>,
 }
 
 /// Endpoints of the learned speed that a second's work keeps fully busy.
@@ -283,6 +285,16 @@
 }
 
 impl Orders {
+    /// Begins with when work was first asked for, as far as this daemon knows. Whoever
+    /// takes the duty up in the middle of the day knows the rates already; counting from
+    /// its own begin, it ordered nothing for four seconds of a wave.
+    pub fn new(asked: Option<Instant>) -> Self {
+        Self {
+            asked,
+            ..Self::default()
+        }
+    }
+
     /// Needs that orders go by, for a checkpoint.
     pub fn needs(&self) -> impl Iterator<Item = (&ServiceId, f64)> {
         let rows = self.levels.iter();
@@ -323,7 +335,7 @@
         let at = at.unwrap_or_else(|| {
             self.levels.push(Level {
                 service: service.clone(),
-                since: now,
+                since: self.asked.unwrap_or(now),
                 need: None,
                 lower: None,
             });
--- a/lib/tests/test_relay_engine.rs
+++ b/lib/tests/test_relay_engine.rs
@@ -71,3 +71,24 @@
     let slow = engines[3].0.first(&pace.line(), 4000.0, 0.0).as_secs_f64();
     assert!(slow >= truth(4000.0, 0.1) * 0.5, "{slow}");
 }
+
+/// A wave of reclaims leaves too few engines for ten seconds, and all prompts take four
+/// times as long as they need. An order for four times the engines would come when the
+/// wave is over, and be paid for until the need is seen to have fallen.
+#[test]
+fn an_overload_hardly_raises_the_need() {
+    let mut pace = Pace::default();
+    let mut engines = vec![(Speed::default(), 1.0); 7];
+    learn(&mut pace, &mut engines, 200);
+    let work = Work {
+        read: 400_000.0,
+        write: 10_000.0,
+    };
+    let before = needed(work, 48, &pace);
+    for engine in &mut engines {
+        engine.1 = 0.25;
+    }
+    learn(&mut pace, &mut engines, 100);
+    let during = needed(work, 48, &pace);
+    assert!(during <= before * 1.7, "{before} {during}");
+}
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -219,3 +219,19 @@
         "{wishes:?}"
     );
 }
+
+/// The daemon that orders is killed in the first seconds of the traffic, before the need
+/// was known, and a wave of reclaims begins. The next holder has heard the rates of all
+/// daemons for long enough, and orders without waiting for as long again.
+#[test]
+fn a_new_holder_orders_at_once_what_is_asked_for_long() {
+    let start = Instant::now();
+    let taken = start + Duration::from_secs(5);
+    let dear = |mut orders: Orders| total(&run(&mut orders, &board(0, 1), work(), taken, 1), false);
+    assert_eq!(
+        dear(Orders::new(Some(taken))),
+        0,
+        "the rate is not whole yet"
+    );
+    assert!(dear(Orders::new(Some(start))) >= 2);
+}
