--- a/lib/src/relay/engine.rs
+++ b/lib/src/relay/engine.rs
@@ -36,6 +36,11 @@
 /// Factor beyond the prediction at which an observation is cut: single requests wait
 /// for a broken engine or a partition, and would bend the line for all.
 const CUT: f64 = 2.0;
+/// Least slope and least prediction, as shares of the mean observation: noise must not
+/// make longer prompts look quicker, or short ones take no time.
+const LEAST: f64 = 0.05;
+/// Spread of the prompts, beside their mean square, below which no slope can be told.
+const ALIKE: f64 = 1e-6;
 /// Prompt tokens from which on the reading outweighs all else until the first event.
 const LONG: f64 = 1000.0;
 /// Quantiles that the need is reckoned from: of the reading nearly the quickest, as
@@ -46,7 +51,7 @@
 /// Observations that a quantile is taken of, one to three seconds of a daemon's.
 const BATCH: usize = 24;
 /// Part of the way up that a quantile goes for each batch, so that an overload of ten
-/// seconds raises it by a third of what was seen.
+/// seconds raises it by about a quarter of what was seen.
 const RISE: f64 = 0.06;
 /// Weight of a new observation of one engine's factor; one in five makes a lasting
 /// change known within ten answers and a single odd one harmless.
@@ -109,18 +114,17 @@
 
     fn slope(&self) -> f64 {
         let spread = self.xx * self.weight - self.x * self.x;
-        if spread <= self.xx * self.weight * 1e-6 {
+        if spread <= self.xx * self.weight * ALIKE {
             return 1.0 / READ_RATE;
         }
         let slope = (self.xy * self.weight - self.x * self.y) / spread;
-        // Noise must not make longer prompts look quicker.
-        slope.max(self.y / self.x.max(1.0) * 0.05)
+        slope.max(self.y / self.x.max(1.0) * LEAST)
     }
 
     fn at(&self, x: f64) -> f64 {
         let slope = self.slope();
         let base = (self.y - slope * self.x) / self.weight;
-        (base + slope * x).max(self.y / self.weight * 0.05)
+        (base + slope * x).max(self.y / self.weight * LEAST)
     }
 }
 
--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -27,10 +27,13 @@
 //! where it goes on letting requests in. It is taken to use most of an even share,
 //! so that the two sides of a partition stay near the allowance together.
 
+mod steps;
+
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 
+use self::steps::{StepId, Steps};
 use super::ask::Ask;
 use super::catalog::{Team, Unit};
 use crate::{CustomerId, Incarnation};
@@ -61,7 +64,7 @@
 /// all restarted at once, each gave the whole rate out until then, 1.5 times the
 /// rate together in half a second.
 const UNSURE: Duration = Duration::from_secs(1);
-/// How long a team is taken to have gone on at its last rate after a checkpoint was
+/// Seconds that a team is taken to have gone on at its last rate after a checkpoint was
 /// written: its period and the time that digests take to reach the writer.
 const UNSAVED: f64 = 1.0;
 /// Span over which the current rate is told. A flood begins within a tenth of a
@@ -83,46 +86,6 @@
 const SOONEST: f64 = 0.3;
 const LATEST: f64 = 8.0;
 
-/// Number of a step of time; those before the daemon's start are negative.
-type StepId = i64;
-
-/// Units by the step in which they were let in, sorted.
-#[derive(Clone, Debug, Default)]
-struct Steps(Vec<(StepId, f64)>);
-
-impl Steps {
-    fn add(&mut self, step: StepId, units: f64) {
-        match self.0.binary_search_by_key(&step, |row| row.0) {
-            Ok(at) => self.0[at].1 += units,
-            Err(at) => self.0.insert(at, (step, units)),
-        }
-    }
-
-    /// Adds units in even parts to the steps from `first` to `last`.
-    fn spread(&mut self, first: StepId, last: StepId, units: f64) {
-        let first = first.min(last);
-        let part = units / (last - first + 1) as f64;
-        for step in first..=last {
-            self.add(step, part);
-        }
-    }
-
-    /// The steps from `first` on.
-    fn since(&self, first: StepId) -> &[(StepId, f64)] {
-        let from = self.0.partition_point(|row| row.0 < first);
-        &self.0[from..]
-    }
-
-    fn sum_since(&self, first: StepId) -> f64 {
-        self.since(first).iter().map(|row| row.1).sum()
-    }
-
-    fn forget_before(&mut self, first: StepId) {
-        let from = self.0.partition_point(|row| row.0 < first);
-        self.0.drain(..from);
-    }
-}
-
 /// What one team used here lately.
 #[derive(Clone, Debug)]
 struct Used {
@@ -384,7 +347,7 @@
         if let Ok(at) = self.find(&team.name) {
             let used = &mut self.used[at];
             used.total = used.total.wrapping_sub(units as u64);
-            if let Some((_, last)) = used.steps.0.last_mut() {
+            if let Some(last) = used.steps.last_mut() {
                 *last -= units;
             }
         }
--- /dev/null
+++ b/lib/tests/relay_engines.rs
@@ -0,0 +1,23 @@
+//! A board of engines that are all alike.
+
+use poplarvale_lib::relay::board::Board;
+use poplarvale_lib::relay::listing::Listing;
+
+/// Engines `e0` and on of the service `pool`, in one zone.
+pub(crate) fn engines(count: u32, slots: u32) -> Board {
+    let mut board = Board::default();
+    for number in 0..count {
+        board.put(Listing {
+            id: format!("e{number}").into(),
+            service: "pool".into(),
+            address: format!("10.0.0.{number}:1").parse().expect("an address"),
+            zone: "hanko".into(),
+            version: "v1".into(),
+            slots,
+            leaving: false,
+            spot: false,
+            born: None,
+        });
+    }
+    board
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -7,6 +7,7 @@
 #[path = "traces/generate.rs"]
 mod generate;
 
+mod relay_engines;
 mod test_claims;
 mod test_claims_races;
 mod test_code;
--- a/lib/tests/test_relay_admit.rs
+++ b/lib/tests/test_relay_admit.rs
@@ -4,17 +4,18 @@
 
 use poplarvale_lib::relay::admit::Limits;
 use poplarvale_lib::relay::ask::Prompt;
-use poplarvale_lib::relay::board::Board;
 use poplarvale_lib::relay::catalog::{Engine, Service};
-use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::place::{NoPlace, Wanted, book, choose};
 use poplarvale_lib::relay::rollout::Versions;
 
+use crate::relay_engines::engines;
+
 const ENGINES: usize = 4;
 const TARGET: Duration = Duration::from_secs(1);
 const DEADLINE: Duration = Duration::from_secs(8);
 /// Prompt tokens that an engine reads in a second.
 const READ: f64 = 50_000.0;
+const SLOTS: u32 = 200;
 const URGENT: u8 = 3;
 const PATIENT: u8 = 5;
 
@@ -22,7 +23,7 @@
     Service {
         name: "pool".into(),
         engine: Some(Engine {
-            slots: 200,
+            slots: SLOTS,
             tokens: 6_000_000,
             stride: 5,
         }),
@@ -31,24 +32,6 @@
     }
 }
 
-fn board() -> Board {
-    let mut board = Board::default();
-    for number in 0..ENGINES {
-        board.put(Listing {
-            id: format!("e{number}").into(),
-            service: "pool".into(),
-            address: format!("10.0.0.{number}:1").parse().expect("an address"),
-            zone: "hanko".into(),
-            version: "v1".into(),
-            slots: 200,
-            leaving: false,
-            spot: false,
-            born: None,
-        });
-    }
-    board
-}
-
 /// What became of the requests of one rank.
 #[derive(Clone, Copy, Debug, Default)]
 struct Tally {
@@ -61,7 +44,7 @@
 /// Plays ten seconds of prompts, twice as many as the engines can read: one long urgent
 /// prompt for each three short patient ones. Engines read one after the other.
 fn play(limited: bool) -> [Tally; 2] {
-    let (service, mut board) = (service(), board());
+    let (service, mut board) = (service(), engines(ENGINES as u32, SLOTS));
     let start = Instant::now();
     let mut free = [start; ENGINES];
     let mut first: Vec<(Instant, String, u64)> = Vec::new();
--- a/lib/tests/test_relay_place.rs
+++ b/lib/tests/test_relay_place.rs
@@ -6,11 +6,12 @@
 use poplarvale_lib::relay::board::{Board, Flight, Others};
 use poplarvale_lib::relay::catalog::{Engine, Service};
 use poplarvale_lib::relay::evidence::Evidence;
-use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::place::{Choice, NoPlace, Wanted, book, choose};
 use poplarvale_lib::relay::quota::short;
 use poplarvale_lib::relay::rollout::Versions;
 
+use crate::relay_engines::engines;
+
 fn service() -> Service {
     Service {
         name: "pool".into(),
@@ -23,24 +24,6 @@
     }
 }
 
-fn board(count: u32) -> Board {
-    let mut board = Board::default();
-    for number in 0..count {
-        board.put(Listing {
-            id: format!("e{number}").into(),
-            service: "pool".into(),
-            address: format!("10.0.0.{number}:1").parse().expect("an address"),
-            zone: "hanko".into(),
-            version: "v1".into(),
-            slots: 4,
-            leaving: false,
-            spot: false,
-            born: None,
-        });
-    }
-    board
-}
-
 fn prompt(session: u64, shared: u32, own: u32) -> Prompt {
     Prompt {
         input: shared + own,
@@ -60,7 +43,7 @@
 impl Trial {
     fn new(count: u32) -> Self {
         Self {
-            board: board(count),
+            board: engines(count, 4),
             service: service(),
             number: 0,
             now: Instant::now(),
