relay: daemons tell how long the store answers them; logs of endpoints in doubt

After a cut the logs could not tell why an endpoint whose entry is missing stays in use, until when, whether other daemons were in touch with the store all the while, nor which requests went to such an endpoint.

A digest now carries the sender's unbroken contact with the store (two numbers, some ten bytes); the dump shows it for each daemon. An endpoint in doubt is told with its end and the number of daemons in touch, and each request that goes to one has a line. An endpoint that is leaving when it is first seen is no longer told as joined. No decision changes.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -8,7 +8,7 @@
 use poplarvale_lib::EndpointId;
 use poplarvale_lib::http1::{Request, Response};
 use poplarvale_lib::relay::ask::Ask;
-use poplarvale_lib::relay::board::Endpoint;
+use poplarvale_lib::relay::board::{Endpoint, Standing};
 use poplarvale_lib::relay::catalog::{CatalogVersion, Route, Service, Team};
 use poplarvale_lib::relay::place::{self, Choice, Wanted};
 use poplarvale_lib::relay::rollout::Versions;
@@ -105,6 +105,7 @@
     let Some((address, mut wire, kept)) = connect(state, job, choice).await else {
         return Ended::NotSent;
     };
+    tell_doubt(state, job, choice);
     let bytes = head_and_body(job, choice, passed);
     let team = job.team.map(|team| &team.name);
     let sent_at = Std::now();
@@ -208,6 +209,21 @@
     }
 }
 
+/// Tells that a request goes to an endpoint whose entry is missing: if it fails or the
+/// endpoint had left, this line is the reason why it was sent there.
+fn tell_doubt(state: &State, job: &Job<'_>, choice: &Choice) {
+    let board = state.board.borrow();
+    let standing = board.get(&choice.id).map(|row| row.standing);
+    if let Some(Standing::Doubtful(until)) = standing {
+        let left = until.saturating_duration_since(Std::now());
+        log::info!(
+            request = job.ask.id.as_str(), endpoint = choice.id.as_str(),
+            until_ms = left.as_millis() as u64;
+            "send: goes to an endpoint whose entry is missing."
+        );
+    }
+}
+
 fn book(state: &Rc<State>, job: &Job<'_>, choice: &Choice) -> Booked {
     let number = state.number();
     let wanted = Wanted {
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 use poplarvale_lib::protos::relay::{Digest, digest};
 use poplarvale_lib::relay::board::Others;
+use poplarvale_lib::relay::contact::Span;
 use poplarvale_lib::relay::demand::Work;
 use poplarvale_lib::relay::quota::{Told, Use, short};
 use poplarvale_lib::relay::rollout::evidence::{Key, Side, Sides};
@@ -119,9 +120,32 @@
         left: std::mem::take(&mut *state.left.borrow_mut()),
         uptime_ms: state.started.elapsed().as_millis() as u64,
         moves: state.rollouts.borrow().tell().map(tell_move).collect(),
+        contact: state
+            .contact
+            .get()
+            .span()
+            .map(|span| tell_contact(span, now)),
     }
 }
 
+fn tell_contact(span: Span, now: Instant) -> digest::Contact {
+    let age = |at: Instant| now.saturating_duration_since(at).as_millis();
+    let age = |at| u32::try_from(age(at)).unwrap_or(u32::MAX);
+    digest::Contact {
+        since_ms: age(span.since),
+        heard_ms: age(span.heard),
+    }
+}
+
+/// By this daemon's clock; `None` for what was before its host started.
+fn hear_contact(told: digest::Contact, now: Instant) -> Option<Span> {
+    let at = |age: u32| now.checked_sub(Duration::from_millis(age.into()));
+    Some(Span {
+        since: at(told.since_ms)?,
+        heard: at(told.heard_ms)?,
+    })
+}
+
 fn tell_move(word: Word) -> digest::Move {
     let side = |side: Side| digest::Side {
         all: side.all,
@@ -198,6 +222,8 @@
         if !peers.hear(from, &name, digest.incarnation, digest.sequence, now) {
             return;
         }
+        let contact = digest.contact.and_then(|told| hear_contact(told, now));
+        peers.tell_contact(from, contact);
         for peer in digest.peers {
             peers.learn(Ipv4Addr::from(peer), now);
         }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -10,6 +10,7 @@
 use poplarvale_lib::relay::budget::Budget;
 use poplarvale_lib::relay::catalog::Catalog;
 use poplarvale_lib::relay::clock::Clock;
+use poplarvale_lib::relay::contact::Contact;
 use poplarvale_lib::relay::demand::Demand;
 use poplarvale_lib::relay::digest::Peers;
 use poplarvale_lib::relay::quota::Quota;
@@ -45,8 +46,7 @@
     /// Whether the list of endpoints was read at least once.
     pub(crate) listed: Cell<bool>,
     pub(crate) upstreams: Upstreams,
-    /// When the store last answered.
-    pub(crate) heard: Cell<Instant>,
+    pub(crate) contact: Cell<Contact>,
     pub(crate) metrics: Option<Metrics>,
     /// Which requests that went well are told.
     pub(crate) sampler: Sampler,
@@ -95,7 +95,7 @@
             site,
             listed: Cell::new(false),
             upstreams: Upstreams::default(),
-            heard: Cell::new(started),
+            contact: Cell::new(Contact::new(started)),
             metrics: Metrics::new(),
             sampler: Sampler::new(started),
             active: Cell::new(0),
@@ -108,6 +108,20 @@
         })
     }
 
+    /// Notes that the store answered.
+    pub(crate) fn store_answered(&self, now: Instant) {
+        let mut contact = self.contact.get();
+        contact.answered(now);
+        self.contact.set(contact);
+    }
+
+    /// Notes that the store did not answer.
+    pub(crate) fn store_failed(&self, now: Instant) {
+        let mut contact = self.contact.get();
+        contact.failed(now);
+        self.contact.set(contact);
+    }
+
     /// Learns the hosts of other daemons that the settings name.
     pub(crate) fn learn(&self, site: &Site) {
         let now = Instant::now();
--- a/daemon/src/relay/status.rs
+++ b/daemon/src/relay/status.rs
@@ -6,6 +6,7 @@
 use bytes::BytesMut;
 use poplarvale_lib::http1::Request;
 use poplarvale_lib::relay::board::{Endpoint, Standing};
+use poplarvale_lib::relay::contact::Span;
 use poplarvale_lib::{Code, Ran};
 use poplarvale_platform::refusal;
 use serde_json::{Value, json};
@@ -47,7 +48,8 @@
         .map(|row| {
             let name = row.known.as_ref().map(|known| known.0.as_str());
             json!({"address": row.address.to_string(), "name": name,
-                   "heard_ms": now.duration_since(row.heard).as_millis() as u64})
+                   "heard_ms": now.duration_since(row.heard).as_millis() as u64,
+                   "store_steady_ms": steady(row.contact, now)})
         })
         .collect();
     json!({
@@ -57,7 +59,8 @@
         "ending": state.ending.get().is_some(),
         "active": state.active.get(),
         "catalog": state.catalog.borrow().as_ref().map(|held| held.version),
-        "store_heard_ms": now.duration_since(state.heard.get()).as_millis() as u64,
+        "store_heard_ms": state.contact.get().silence(now).as_millis() as u64,
+        "store_steady_ms": steady(state.contact.get().span(), now),
         "holder": state.leader.borrow().as_deref(),
         "log_lines_dropped": super::trail::dropped(),
         "endpoints": endpoints,
@@ -65,6 +68,12 @@
     })
 }
 
+/// For how long the store has been answering without a break.
+fn steady(span: Option<Span>, now: Instant) -> Option<u64> {
+    let since = span?.since;
+    Some(now.saturating_duration_since(since).as_millis() as u64)
+}
+
 fn endpoint(row: &Endpoint, now: Instant) -> Value {
     let standing = match row.standing {
         Standing::Ready => "ready",
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -41,9 +41,6 @@
 /// Pause after a failed call, doubled after each further one up to the most.
 const RETRY: Duration = Duration::from_millis(150);
 const MOST_RETRY: Duration = Duration::from_millis(900);
-/// Outage from which on missing entries may belong to living endpoints: half of
-/// the three intervals after which the registry drops a silent endpoint.
-const OUTAGE: Duration = Duration::from_millis(1500);
 /// Beginning of all keys that are followed.
 const FOLLOWED: &str = "";
 
@@ -59,23 +56,23 @@
 pub(crate) async fn follow(state: Rc<State>) {
     let mut client = Client::new(state.site.store);
     let mut revision = None;
-    let mut heard = Instant::now();
     let mut pause = RETRY;
     let mut failing = false;
     loop {
         let step = match revision {
-            None => read_all(&state, &mut client, heard).await,
+            None => read_all(&state, &mut client).await,
             Some(after) => watch_once(&state, &mut client, after).await,
         };
         match step {
             Ok(next) => {
+                let now = Instant::now();
                 if failing {
-                    log::info!("store: back after {:?}.", heard.elapsed());
+                    let silence = state.contact.get().silence(now);
+                    log::info!("store: back after {silence:?}.");
                     failing = false;
                 }
                 revision = Some(next);
-                heard = Instant::now();
-                state.heard.set(heard);
+                state.store_answered(now);
                 state.measure(|metrics| metrics.called("store", "done"));
                 pause = RETRY;
                 let others = state.peers.borrow().rows().len() as u32;
@@ -94,7 +91,9 @@
                     continue;
                 }
                 // After an outage the whole list is read: a removal may have been missed.
-                if heard.elapsed() > OUTAGE {
+                let now = Instant::now();
+                state.store_failed(now);
+                if state.contact.get().is_long(now) {
                     revision = None;
                 }
                 tokio::time::sleep(pause).await;
@@ -105,7 +104,7 @@
 }
 
 /// Reads the configuration and the whole list; gives the revision to go on from.
-async fn read_all(state: &State, client: &mut Client, heard: Instant) -> Result<u64, WatchError> {
+async fn read_all(state: &State, client: &mut Client) -> Result<u64, WatchError> {
     let (items, revision) = list(client, OPERATORS).await?;
     for item in &items {
         take_order(state, item);
@@ -131,7 +130,7 @@
     let listings = items.iter().filter_map(listing).collect();
     let changes = {
         let mut board = state.board.borrow_mut();
-        if state.listed.get() && now.duration_since(heard) > OUTAGE {
+        if state.listed.get() && state.contact.get().is_long(now) {
             board.registry_back(now);
         }
         board.replace(listings, now)
@@ -252,11 +251,24 @@
             state.left.borrow_mut().push(short(id));
             state.news.notify_one();
         }
-        Changed::Doubted => log::info!("board: endpoint {id} is doubtful."),
+        Changed::Doubted(until) => {
+            let left = until.saturating_duration_since(Instant::now());
+            log::info!(
+                until_ms = left.as_millis() as u64, in_touch = in_touch(state);
+                "board: endpoint {id} is missing after an outage and stays in use."
+            );
+        }
         Changed::Nothing => {}
     }
 }
 
+/// How many of the daemons heard lately say that the store answers them.
+fn in_touch(state: &State) -> usize {
+    let peers = state.peers.borrow();
+    let rows = peers.heard_lately(Instant::now());
+    rows.filter(|row| row.contact.is_some()).count()
+}
+
 /// Brings a newer configuration into force; an older one is never taken.
 fn take_config(state: &State, item: &Item) {
     let catalog = match read_config(&item.value) {
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -40,9 +40,24 @@
     /// Ordered version moves.
     #[prost(message, repeated, tag = "12")]
     pub moves: ::prost::alloc::vec::Vec<digest::Move>,
+    /// Contact of the sender with the store; missing while it has none.
+    #[prost(message, optional, tag = "14")]
+    pub contact: ::core::option::Option<digest::Contact>,
 }
 /// Nested message and enum types in `Digest`.
 pub mod digest {
+    /// Time during which the store answered without a break.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+    pub struct Contact {
+        /// Age of the first answer, in milliseconds.
+        #[prost(uint32, tag = "1")]
+        pub since_ms: u32,
+        /// Age of the last answer, in milliseconds.
+        #[prost(uint32, tag = "2")]
+        pub heard_ms: u32,
+    }
     /// Units that a team used here within the window of allowances.
     #[derive(serde::Serialize, serde::Deserialize)]
     #[serde(default)]
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -13,6 +13,7 @@
 pub mod cache;
 pub mod catalog;
 pub mod clock;
+pub mod contact;
 pub mod demand;
 pub mod digest;
 pub mod duty;
--- a/lib/src/relay/board.rs
+++ b/lib/src/relay/board.rs
@@ -115,12 +115,12 @@
 /// What a change of the registry did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Changed {
-    /// A new endpoint.
+    /// A new endpoint to use.
     Joined,
     /// It gets nothing new from now on.
     Left,
-    /// It is kept for a while though its entry is missing.
-    Doubted,
+    /// It stays in use until this moment though its entry is missing.
+    Doubted(Instant),
     /// Nothing that matters.
     Nothing,
 }
@@ -231,7 +231,7 @@
         match self.find(&listing.id) {
             Err(at) => {
                 self.rows.insert(at, Endpoint::new(listing, standing));
-                Changed::Joined
+                joined(standing)
             }
             Ok(at) => {
                 let row = &mut self.rows[at];
@@ -240,7 +240,7 @@
                 if reborn {
                     // Another life under the same id knows nothing of the first.
                     *row = Endpoint::new(listing, standing);
-                    return Changed::Joined;
+                    return joined(standing);
                 }
                 let left = standing == Standing::Leaving && row.standing != Standing::Leaving;
                 row.standing = standing;
@@ -264,7 +264,7 @@
             (Standing::Leaving | Standing::Doubtful(_), _) => Changed::Nothing,
             (Standing::Ready, Some(until)) => {
                 row.standing = Standing::Doubtful(until);
-                Changed::Doubted
+                Changed::Doubted(until)
             }
             (Standing::Ready, None) => {
                 row.standing = Standing::Leaving;
@@ -351,6 +351,14 @@
     }
 }
 
+/// What a new row is: one that is leaving already is of no use.
+fn joined(standing: Standing) -> Changed {
+    match standing {
+        Standing::Leaving => Changed::Nothing,
+        Standing::Ready | Standing::Doubtful(_) => Changed::Joined,
+    }
+}
+
 fn sum(told: &[Told], endpoint: u32) -> Others {
     let mut all = Others::default();
     for told in told {
--- a/lib/src/relay/digest.rs
+++ b/lib/src/relay/digest.rs
@@ -11,6 +11,7 @@
 
 use compact_str::CompactString;
 
+use super::contact::Span;
 use crate::Incarnation;
 
 /// After how long a daemon that was never heard, or no longer, is forgotten. It is
@@ -37,6 +38,8 @@
     pub known: Option<(CompactString, Incarnation, u64)>,
     /// When it was heard, or heard of.
     pub heard: Instant,
+    /// Its contact with the store, as it told last.
+    pub contact: Option<Span>,
 }
 
 /// The other daemons, sorted by address.
@@ -74,6 +77,7 @@
                 address,
                 known: None,
                 heard: now,
+                contact: None,
             };
             self.rows.insert(at, peer);
         }
@@ -104,11 +108,22 @@
         true
     }
 
+    /// Notes what a daemon tells of its contact with the store.
+    pub fn tell_contact(&mut self, address: Ipv4Addr, contact: Option<Span>) {
+        if let Ok(at) = self.rows.binary_search_by_key(&address, |row| row.address) {
+            self.rows[at].contact = contact;
+        }
+    }
+
     /// Addresses of daemons heard lately, to be told on.
     pub fn lately(&self, now: Instant) -> Vec<Ipv4Addr> {
-        let rows = self.rows.iter().filter(|row| row.known.is_some());
-        let rows = rows.filter(|row| now.duration_since(row.heard) <= LATELY);
-        rows.map(|row| row.address).collect()
+        self.heard_lately(now).map(|row| row.address).collect()
+    }
+
+    /// Daemons heard lately.
+    pub fn heard_lately(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        let known = self.rows.iter().filter(|row| row.known.is_some());
+        known.filter(move |row| now.duration_since(row.heard) <= LATELY)
     }
 
     /// Time until the next digest.
