board: a missing entry is not in doubt if another daemon had the store meanwhile

Callers saw nothing, but daemons that were back from a cut sent requests to endpoints that had left up to 3.6 s before; what such an endpoint has when it ends breaks off.

Cause: while the store is away, entries of living endpoints lapse, so a daemon that was without the store keeps missing entries in use for 1.8 s. It took its own cut for such an outage. The store had been well, and the entries were missing because their endpoints had left.

Now the daemons' digests tell since when the store answers each of them without a break, and a daemon that is back ends its doubt 1.8 s after the first of them was answered: at once if one had the store all the while. Only a daemon that was answered after the break was noticed here counts, as in a real outage the others may not have noticed yet. In an outage of the store for all, doubt ends with that of the first daemon to be back, which is nearer to the truth too.

Ruled out: going on with the watch from the last revision in place of reading the whole list. An entry that lapses and one of an endpoint that leaves without a word are both told as removed.

--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -137,6 +137,21 @@
     }
 }
 
+/// Ends doubt about endpoints, or shortens it, if another daemon had the store while
+/// this one did not.
+fn end_doubt(state: &State, name: &str, span: Span, now: Instant) {
+    let Some(since) = state.contact.get().well_since(span) else {
+        return;
+    };
+    let well = now.saturating_duration_since(since);
+    for id in state.board.borrow_mut().well_since(since, now) {
+        log::info!(
+            well_ms = well.as_millis() as u64;
+            "board: endpoint {id} leaves, the store was well as {name} tells."
+        );
+    }
+}
+
 /// By this daemon's clock; `None` for what was before its host started.
 fn hear_contact(told: digest::Contact, now: Instant) -> Option<Span> {
     let at = |age: u32| now.checked_sub(Duration::from_millis(age.into()));
@@ -217,17 +232,20 @@
 fn hear(state: &State, from: Ipv4Addr, digest: Digest) {
     let now = Instant::now();
     let name = CompactString::from(digest.name);
+    let contact = digest.contact.and_then(|told| hear_contact(told, now));
     {
         let mut peers = state.peers.borrow_mut();
         if !peers.hear(from, &name, digest.incarnation, digest.sequence, now) {
             return;
         }
-        let contact = digest.contact.and_then(|told| hear_contact(told, now));
         peers.tell_contact(from, contact);
         for peer in digest.peers {
             peers.learn(Ipv4Addr::from(peer), now);
         }
     }
+    if let Some(span) = contact {
+        end_doubt(state, &name, span, now);
+    }
     state.clock.borrow_mut().hear(&name, digest.wall_ms, now);
     let uses = digest.endpoints.iter().map(|row| {
         let others = Others {
--- a/daemon/tests/test_relay_cut.rs
+++ b/daemon/tests/test_relay_cut.rs
@@ -96,6 +96,10 @@
 /// to the endpoint. Callers notice nothing as long as it lives; when it ends, what it
 /// has of them breaks off.
 ///
+/// A daemon that gets no answer cannot tell an outage of the store from a cut of its
+/// own. It took each for an outage, in which entries of living endpoints lapse, and
+/// kept missing ones in use for 1.8 s from the moment at which it was back.
+///
 /// Seen in logs of three daemons that were back 1.2 to 1.4 s after a cut: each wrote
 /// "endpoint is doubtful" of endpoints that had left, and "did not come back" only 3.3
 /// to 3.6 s after the store had acknowledged that they leave. The other daemons had
--- a/lib/src/relay/board.rs
+++ b/lib/src/relay/board.rs
@@ -5,7 +5,8 @@
 //! not registered again yet; dropping it at once would empty the table and
 //! refuse every caller. It is kept as doubtful for [`RETURN`] and only then
 //! dropped. An entry that is removed while the registry is well, or marked as
-//! leaving, gets nothing more from that instant.
+//! leaving, gets nothing more from that instant; so does one that is missing after a
+//! cut of this daemon alone, as soon as another one tells that the registry was well.
 
 use std::time::{Duration, Instant};
 
@@ -331,10 +332,22 @@
         self.settling = Some(now + RETURN);
     }
 
-    /// Drops doubtful endpoints whose time is over, and forgets those that left and
-    /// have nothing in progress. Gives the ids of the first. Learned slowness fades a
-    /// little with each call.
-    pub fn expire(&mut self, now: Instant) -> Vec<EndpointId> {
+    /// Takes in that the registry has been well since a moment. Entries of living
+    /// endpoints were back soon after it, whenever this daemon itself came back: a
+    /// daemon that had been cut off would else send requests to endpoints that left
+    /// long ago. Gives the ids of those that are dropped.
+    pub fn well_since(&mut self, since: Instant, now: Instant) -> Vec<EndpointId> {
+        let end = since + RETURN;
+        self.settling = self.settling.map(|until| until.min(end));
+        for row in &mut self.rows {
+            if let Standing::Doubtful(until) = &mut row.standing {
+                *until = end.min(*until);
+            }
+        }
+        self.drop_doubtful(now)
+    }
+
+    fn drop_doubtful(&mut self, now: Instant) -> Vec<EndpointId> {
         let mut dropped = Vec::new();
         for row in &mut self.rows {
             if let Standing::Doubtful(until) = row.standing
@@ -343,6 +356,16 @@
                 row.standing = Standing::Leaving;
                 dropped.push(row.listing.id.clone());
             }
+        }
+        dropped
+    }
+
+    /// Drops doubtful endpoints whose time is over, and forgets those that left and
+    /// have nothing in progress. Gives the ids of the first. Learned slowness fades a
+    /// little with each call.
+    pub fn expire(&mut self, now: Instant) -> Vec<EndpointId> {
+        let dropped = self.drop_doubtful(now);
+        for row in &mut self.rows {
             row.speed.fade();
         }
         self.rows
--- a/lib/src/relay/contact.rs
+++ b/lib/src/relay/contact.rs
@@ -3,7 +3,8 @@
 //! Entries of living endpoints lapse while the store is away, so after an outage
 //! a missing entry says little. What a daemon sees of an outage is only that it
 //! gets no answer; that may as well be its own way to the store. Daemons therefore
-//! tell one another since when the store answers them without a break.
+//! tell one another since when the store answers them without a break, and whoever is
+//! back goes by the one that has had it longest.
 
 use std::time::{Duration, Instant};
 
@@ -28,6 +29,8 @@
     heard: Instant,
     /// Since when it answers without a break; `None` while it does not.
     since: Option<Instant>,
+    /// When the last break was noticed.
+    broke: Option<Instant>,
 }
 
 impl Contact {
@@ -36,6 +39,7 @@
         Self {
             heard: now,
             since: None,
+            broke: None,
         }
     }
 
@@ -47,8 +51,8 @@
 
     /// Notes a call without an answer.
     pub fn failed(&mut self, now: Instant) {
-        if self.is_long(now) {
-            self.since = None;
+        if self.is_long(now) && self.since.take().is_some() {
+            self.broke = Some(now);
         }
     }
 
@@ -62,6 +66,17 @@
         now.saturating_duration_since(self.heard)
     }
 
+    /// Since when the store has been well, as another daemon's contact shows to one
+    /// that is back after a break of its own.
+    ///
+    /// The other one must have had an answer after the break was noticed here: in an
+    /// outage of the store it may not have noticed yet that it gets none either.
+    pub fn well_since(&self, other: Span) -> Option<Instant> {
+        let broke = self.broke?;
+        let is_back = self.since.is_some();
+        (is_back && other.heard >= broke).then_some(other.since)
+    }
+
     /// The time of unbroken contact; `None` while there is none.
     pub fn span(&self) -> Option<Span> {
         let heard = self.heard;
--- a/lib/tests/test_relay_board.rs
+++ b/lib/tests/test_relay_board.rs
@@ -6,7 +6,7 @@
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::quota::short;
 
-fn listing(id: &str) -> Listing {
+pub(crate) fn listing(id: &str) -> Listing {
     Listing {
         id: id.into(),
         service: "pool".into(),
@@ -20,7 +20,7 @@
     }
 }
 
-fn usable(board: &Board, id: &str, now: Instant) -> bool {
+pub(crate) fn usable(board: &Board, id: &str, now: Instant) -> bool {
     board.get(id).is_some_and(|row| row.is_usable(now))
 }
 
