board: doubt about an endpoint ends at its moment

An endpoint whose entry is missing after an outage stayed in use until the table was cleaned next, up to half a second after its time was over: 2.3 s in place of 1.8 s, when an endpoint that leaves serves two seconds for sure. Logs of a zone that was back from a cut show 0.34 and 0.36 s past it.

Whether an endpoint may be used now asks for the moment itself. The test failed before.

--- a/lib/src/relay/board.rs
+++ b/lib/src/relay/board.rs
@@ -60,6 +60,18 @@
     Leaving,
 }
 
+impl Standing {
+    /// Whether an endpoint that stands so may get requests now. The table is cleaned
+    /// now and then only; doubt that is over must not last until then.
+    fn is_in_use(self, now: Instant) -> bool {
+        match self {
+            Self::Ready => true,
+            Self::Doubtful(until) => now < until,
+            Self::Leaving => false,
+        }
+    }
+}
+
 /// Load of an endpoint as others see it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Others {
@@ -409,7 +421,7 @@
 
     /// Whether it may get requests, whatever its load.
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.standing != Standing::Leaving && self.evidence.is_fit(now)
+        self.standing.is_in_use(now) && self.evidence.is_fit(now)
     }
 
     /// Requests in progress, from all daemons.
--- a/lib/tests/test_relay_board.rs
+++ b/lib/tests/test_relay_board.rs
@@ -62,6 +62,20 @@
     assert!(!usable(&board, "b", end));
 }
 
+/// An endpoint's entry is still missing when its time is over. It must get nothing from
+/// that moment on, not only from the next time that the table is cleaned: half a second
+/// later is past the time that a leaving endpoint goes on serving.
+#[test]
+fn doubt_is_over_at_its_moment() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    board.put(listing("a"));
+    board.registry_back(now);
+    board.replace(Vec::new(), now);
+    assert!(usable(&board, "a", now));
+    assert!(!usable(&board, "a", now + RETURN));
+}
+
 /// An entry is removed while the registry is well: the endpoint leaves without
 /// saying so first.
 #[test]
