watch: the silence of a watch that waits for news is no outage

The store tells watches nothing of its changes for a while, and then its history is gone; it does so while it is well. Endpoints that left meanwhile got requests for more than two seconds after their entries were removed: a daemon measured the outage from the last answer, waiting included, and beyond 1.5 s kept missing entries in use as if they had lapsed. It is the same mistake as with a cut, from another side.

Now only calls without an answer count, from the start of the first of them. The answer that the history is gone is an answer.

--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -115,10 +115,10 @@
         self.contact.set(contact);
     }
 
-    /// Notes that the store did not answer.
-    pub(crate) fn store_failed(&self, now: Instant) {
+    /// Notes that the store did not answer a call which began at a moment.
+    pub(crate) fn store_failed(&self, began: Instant) {
         let mut contact = self.contact.get();
-        contact.failed(now);
+        contact.failed(began, Instant::now());
         self.contact.set(contact);
     }
 
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -59,6 +59,7 @@
     let mut pause = RETRY;
     let mut failing = false;
     loop {
+        let began = Instant::now();
         let step = match revision {
             None => read_all(&state, &mut client).await,
             Some(after) => watch_once(&state, &mut client, after).await,
@@ -91,9 +92,8 @@
                     continue;
                 }
                 // After an outage the whole list is read: a removal may have been missed.
-                let now = Instant::now();
-                state.store_failed(now);
-                if state.contact.get().is_long(now) {
+                state.store_failed(began);
+                if !state.contact.get().is_unbroken() {
                     revision = None;
                 }
                 tokio::time::sleep(pause).await;
@@ -130,7 +130,7 @@
     let listings = items.iter().filter_map(listing).collect();
     let changes = {
         let mut board = state.board.borrow_mut();
-        if state.listed.get() && state.contact.get().is_long(now) {
+        if state.listed.get() && !state.contact.get().is_unbroken() {
             board.registry_back(now);
         }
         board.replace(listings, now)
--- a/daemon/tests/relay_site.rs
+++ b/daemon/tests/relay_site.rs
@@ -46,23 +46,28 @@
     /// Starts a daemon with these endpoints of service `app` and waits until it is
     /// ready.
     pub(crate) async fn start(endpoints: &[&Endpoint]) -> Self {
-        let store = Store::start().await;
-        store.put("op/config", config(1, &ROUTES, 0).as_bytes());
-        for endpoint in endpoints {
-            let key = format!("servers/{}", endpoint.id);
-            store.put(&key, endpoint.entry("app", "ready").as_bytes());
-        }
-        Self::with_grace(store, 3).await
+        Self::with_grace(store_with(endpoints).await, 3).await
+    }
+
+    /// The same, and nothing is written to the store but by the test.
+    pub(crate) async fn without_duties(endpoints: &[&Endpoint]) -> Self {
+        let (store, cloud) = (store_with(endpoints).await, Cloud::start().await);
+        let text = settings(store.address, cloud.address);
+        Self::with_settings(store, cloud, &text.replace("[\"usage\"]", "[]")).await
     }
 
     /// Starts a daemon on a store, with this many seconds from SIGTERM to SIGKILL, and
     /// waits until it is ready.
     pub(crate) async fn with_grace(store: Store, grace: u32) -> Self {
         let cloud = Cloud::start().await;
-        let settings = settings(store.address, cloud.address);
+        let text = settings(store.address, cloud.address);
         let grace = format!("\"graceS\":{grace}");
-        let settings = read_settings(&settings.replace("\"graceS\":3", &grace));
-        let relay = Relay::start(settings.expect("they are good")).await;
+        Self::with_settings(store, cloud, &text.replace("\"graceS\":3", &grace)).await
+    }
+
+    async fn with_settings(store: Store, cloud: Cloud, text: &str) -> Self {
+        let settings = read_settings(text).expect("they are good");
+        let relay = Relay::start(settings).await;
         let site = Self {
             store,
             cloud,
@@ -82,6 +87,17 @@
     }
 }
 
+/// A store with a configuration and these endpoints of service `app`.
+pub(crate) async fn store_with(endpoints: &[&Endpoint]) -> Store {
+    let store = Store::start().await;
+    store.put("op/config", config(1, &ROUTES, 0).as_bytes());
+    for endpoint in endpoints {
+        let key = format!("servers/{}", endpoint.id);
+        store.put(&key, endpoint.entry("app", "ready").as_bytes());
+    }
+    store
+}
+
 pub(crate) async fn is_ready(ready: SocketAddr) -> bool {
     let answer = poplarvale_standin::ask(ready, PROBE).await;
     answer.is_ok_and(|answer| answer.status == 200)
--- a/daemon/tests/test_relay_cut.rs
+++ b/daemon/tests/test_relay_cut.rs
@@ -6,12 +6,12 @@
 use futures::future::join_all;
 use poplarvale_platform::read_settings;
 use poplarvale_standin::{
-    Cloud, Endpoint, Fault, Link, Proxy, Store, ask, config, plain, request, settings,
+    Cloud, Endpoint, Fault, Link, Proxy, Store, ask, plain, request, settings,
 };
 use poplarvaled::Relay;
 use serde_json::{Value, json};
 
-use crate::relay_site::{ROUTES, is_ready, until};
+use crate::relay_site::{is_ready, store_with, until};
 
 const SOON: Duration = Duration::from_secs(5);
 /// How long after its end a cut may still show: an endpoint that left must get
@@ -80,16 +80,6 @@
     Endpoint::start(id, |seen| vec![plain(seen, 200, "done")]).await
 }
 
-async fn store_with(endpoints: &[&Endpoint]) -> Store {
-    let store = Store::start().await;
-    store.put("op/config", config(1, &ROUTES, 0).as_bytes());
-    for endpoint in endpoints {
-        let key = format!("servers/{}", endpoint.id);
-        store.put(&key, endpoint.entry("app", "ready").as_bytes());
-    }
-    store
-}
-
 /// A zone is cut off from the store and from the other daemons, and an endpoint
 /// leaves meanwhile: its entry is removed while the store is well. When the cut is
 /// over, the daemons of that zone find the entry missing and go on sending requests
--- a/daemon/tests/test_relay_store.rs
+++ b/daemon/tests/test_relay_store.rs
@@ -3,9 +3,11 @@
 
 use std::time::Duration;
 
+use futures::future::join_all;
 use poplarvale_lib::protos::relay::Checkpoint;
 use poplarvale_standin::{Endpoint, Mode, Store, ask, config, plain, request};
 use prost::Message as _;
+use tokio::time::Instant;
 
 use crate::relay_site::{ROUTES, Site, until};
 
@@ -57,6 +59,38 @@
     assert_eq!(one.seen().len(), before);
 }
 
+/// The store is well but tells watches nothing of its changes for a while; then its
+/// history is gone. An endpoint leaves in that time. A watch that waits for news is
+/// silent by its nature; taken for an outage of the store, the silence keeps the
+/// endpoint in use for more than two seconds after its entry was removed.
+#[actix_web::test]
+async fn a_silent_watch_is_no_outage() {
+    /// From the last news of a watch until the history is gone.
+    const SILENT: [u64; 4] = [1515, 1535, 1555, 1575];
+    let after = join_all(SILENT.map(|silent| async move {
+        let (one, other) = (endpoint("i-1").await, endpoint("i-2").await);
+        let site = Site::without_duties(&[&one, &other]).await;
+        let watched = site.store.calls();
+        until(SOON, async || site.store.calls() > watched).await;
+        site.store.put("servers/foreign", b"{}");
+        let news = Instant::now();
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        site.store.set_quiet(true);
+        site.store.remove("servers/i-1");
+        let left = Instant::now();
+        tokio::time::sleep_until(news + Duration::from_millis(silent)).await;
+        site.store.compact();
+        site.store.set_quiet(false);
+        tokio::time::sleep_until(left + Duration::from_secs(2)).await;
+        let before = one.seen().len();
+        for _ in 0..20 {
+            assert_eq!(status(&site, "/safe/a").await, 200);
+        }
+        one.seen().len() - before
+    }));
+    assert_eq!(after.await, vec![0; SILENT.len()], "requests after each");
+}
+
 /// Another writer leaves rows under the registry's keys. They name no endpoint, and
 /// the others hold.
 #[actix_web::test]
--- a/lib/src/relay/contact.rs
+++ b/lib/src/relay/contact.rs
@@ -8,7 +8,7 @@
 
 use std::time::{Duration, Instant};
 
-/// Silence of the store from which on missing entries may belong to living
+/// Time without an answer to calls from which on missing entries may belong to living
 /// endpoints: half of the three intervals after which the registry drops a silent
 /// endpoint.
 const OUTAGE: Duration = Duration::from_millis(1500);
@@ -29,6 +29,8 @@
     heard: Instant,
     /// Since when it answers without a break; `None` while it does not.
     since: Option<Instant>,
+    /// Start of the first call without an answer, if none was answered since.
+    failing: Option<Instant>,
     /// When the last break was noticed.
     broke: Option<Instant>,
 }
@@ -39,6 +41,7 @@
         Self {
             heard: now,
             since: None,
+            failing: None,
             broke: None,
         }
     }
@@ -46,19 +49,27 @@
     /// Notes an answer.
     pub fn answered(&mut self, now: Instant) {
         self.heard = now;
+        self.failing = None;
         self.since.get_or_insert(now);
     }
 
-    /// Notes a call without an answer.
-    pub fn failed(&mut self, now: Instant) {
-        if self.is_long(now) && self.since.take().is_some() {
+    /// Notes that a call which began at a moment got no answer.
+    ///
+    /// Only the time of such calls counts. A watch that waits for news is silent too,
+    /// and the time before it shows nothing of an outage: endpoints that left then would
+    /// be kept in use as if their entries had lapsed.
+    pub fn failed(&mut self, began: Instant, now: Instant) {
+        let first = *self.failing.get_or_insert(began);
+        let is_long = now.saturating_duration_since(first) > OUTAGE;
+        if is_long && self.since.take().is_some() {
             self.broke = Some(now);
         }
     }
 
-    /// Whether the last answer is so old that entries may have lapsed meanwhile.
-    pub fn is_long(&self, now: Instant) -> bool {
-        self.silence(now) > OUTAGE
+    /// Whether the store answers; `false` after an outage in which entries may have
+    /// lapsed, until the next answer.
+    pub fn is_unbroken(&self) -> bool {
+        self.since.is_some()
     }
 
     /// Time since the last answer.
--- a/lib/tests/test_relay_contact.rs
+++ b/lib/tests/test_relay_contact.rs
@@ -19,7 +19,7 @@
 fn back_after(start: Instant, back: Instant) -> (Contact, Board) {
     let mut contact = Contact::new(start);
     contact.answered(start);
-    contact.failed(start + LONG / 2);
+    contact.failed(start, start + LONG / 2);
     let mut board = Board::default();
     board.put(listing("a"));
     board.put(listing("b"));
@@ -99,9 +99,25 @@
     let mut contact = Contact::new(start);
     contact.answered(start);
     assert_eq!(contact.well_since(other), None);
-    contact.failed(late);
+    contact.failed(start, late);
     assert_eq!(contact.well_since(other), None);
     assert_eq!(contact.span(), None);
     contact.answered(late);
     assert_eq!(contact.well_since(other), Some(start));
 }
+
+/// A watch waits long for news and is then cut, and the next call is answered. The time
+/// of waiting is no outage: entries that are missing then belong to endpoints that left.
+#[test]
+fn a_cut_watch_after_a_long_wait_is_no_outage() {
+    let start = Instant::now();
+    let began = start + LONG;
+    let mut contact = Contact::new(start);
+    contact.answered(start);
+    contact.failed(began, began + CALM);
+    assert!(contact.is_unbroken());
+    contact.failed(began + CALM, began + CALM * 3);
+    assert!(!contact.is_unbroken());
+    contact.answered(began + LONG);
+    assert!(contact.is_unbroken());
+}
