watch: a store that was silent is heard within two seconds of its return

A daemon that was about to read the lists when the store came back was held up by a swallowed call for 2 s and waited 0.9 s more, so a new configuration or an endpoint that leaves reached it up to 2.9 s after the store's return.

A page may take 0.9 s and the pause is 0.7 s at most, 1.6 s together. Answers of a slow store take some 0.3 to 0.4 s.

--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -28,8 +28,11 @@
 const WAIT: Duration = Duration::from_secs(1);
 /// How much longer than that an answer may take: its way and a slow store.
 const SLACK: Duration = Duration::from_millis(600);
-/// How long a list may take to be read.
-const READ: Duration = Duration::from_secs(2);
+/// How long a page of a list may take to be read. A call that a silent store swallowed
+/// holds the next try up for this long, and with [`MOST_RETRY`] it bounds how late a
+/// daemon hears of the store's return: operators and leaving endpoints count on two
+/// seconds. A slow store takes up to half a second.
+const READ: Duration = Duration::from_millis(900);
 /// Pause between watches of few daemons. An endpoint that leaves must get nothing
 /// new two seconds later; entries are renewed every second or so, and each watch is
 /// paid for.
@@ -40,7 +43,7 @@
 const MOST_PAUSE: Duration = Duration::from_millis(1300);
 /// Pause after a failed call, doubled after each further one up to the most.
 const RETRY: Duration = Duration::from_millis(150);
-const MOST_RETRY: Duration = Duration::from_millis(900);
+const MOST_RETRY: Duration = Duration::from_millis(700);
 /// Beginning of all keys that are followed.
 const FOLLOWED: &str = "";
 
--- a/daemon/tests/test_relay_store.rs
+++ b/daemon/tests/test_relay_store.rs
@@ -43,6 +43,28 @@
     assert_eq!(one.seen().len(), before);
 }
 
+/// The store swallows calls for some seconds, at any moment of a daemon's tries to reach
+/// it. When it is back, a configuration that it accepts must be in force two seconds
+/// later; operators see one daemon answer by the old one for longer.
+#[actix_web::test]
+async fn a_store_that_was_silent_for_long_is_heard_two_seconds_after_its_return() {
+    const SILENT: [u64; 12] = [
+        3000, 3300, 3600, 3900, 4200, 4500, 4800, 5100, 5400, 5700, 6000, 6300,
+    ];
+    let late = join_all(SILENT.map(|silent| async move {
+        let one = endpoint("i-1").await;
+        let site = Site::without_duties(&[&one]).await;
+        site.store.set(Mode::Silent);
+        tokio::time::sleep(Duration::from_millis(silent)).await;
+        site.store.set(Mode::Well);
+        let fewer = &ROUTES[1..];
+        site.store.put("op/config", config(2, fewer, 0).as_bytes());
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        status(&site, "/safe/a").await != 404
+    }));
+    assert_eq!(late.await, vec![false; SILENT.len()], "old after each");
+}
+
 /// The store forgets its history while an endpoint leaves. The daemon reads
 /// everything anew and does not miss it.
 #[actix_web::test]
