board: an older entry that comes late does not bring an endpoint back

A write to the store that gets no answer can be carried out seconds later. An endpoint whose entry "ready" was held up like that, and that has said meanwhile that it leaves, read as ready again, as did one whose former life under the same id wrote late: callers' requests went to it until it ended. This was looked for while tracing requests to an endpoint that had left; no log shows it there.

Entries are compared by the start of their endpoint's life and by its count of entries; an older one changes nothing. Entries without a life are taken as before. Both tests failed before.

--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -17,6 +17,7 @@
 pub mod demand;
 pub mod digest;
 pub mod duty;
+pub(crate) mod ended;
 pub mod engine;
 pub mod evidence;
 pub mod fleet;
--- a/lib/src/relay/board.rs
+++ b/lib/src/relay/board.rs
@@ -13,6 +13,7 @@
 use compact_str::CompactString;
 
 use super::cache::Cache;
+use super::ended::Ended;
 use super::engine::{Pace, Speed};
 use super::evidence::Evidence;
 use super::listing::Listing;
@@ -123,6 +124,8 @@
     told: Vec<Told>,
     /// Until when missing entries are doubtful, after an outage.
     settling: Option<Instant>,
+    /// Those that left and have no row any more.
+    ended: Ended,
 }
 
 /// What a change of the registry did.
@@ -234,7 +237,7 @@
         rows.fold((0, 0), |sum, row| (sum.0 + 1, sum.1 + row.busy()))
     }
 
-    /// Takes an entry in.
+    /// Takes an entry in; one that is older than what is known changes nothing.
     pub fn put(&mut self, listing: Listing) -> Changed {
         let standing = if listing.leaving {
             Standing::Leaving
@@ -242,12 +245,16 @@
             Standing::Ready
         };
         match self.find(&listing.id) {
+            Err(_) if self.ended.is_newer_than(&listing) => Changed::Nothing,
             Err(at) => {
                 self.rows.insert(at, Endpoint::new(listing, standing));
                 joined(standing)
             }
             Ok(at) => {
                 let row = &mut self.rows[at];
+                if listing.is_older_than(&row.listing) {
+                    return Changed::Nothing;
+                }
                 let reborn =
                     row.listing.born != listing.born || row.listing.address != listing.address;
                 if reborn {
@@ -380,8 +387,12 @@
         for row in &mut self.rows {
             row.speed.fade();
         }
-        self.rows
-            .retain(|row| row.standing != Standing::Leaving || !row.flights.is_empty());
+        let is_over = |row: &Endpoint| row.standing == Standing::Leaving && row.flights.is_empty();
+        for row in self.rows.iter().filter(|row| is_over(row)) {
+            self.ended.note(row.listing.clone(), now);
+        }
+        self.rows.retain(|row| !is_over(row));
+        self.ended.expire(now);
         dropped
     }
 }
--- a/lib/src/relay/listing.rs
+++ b/lib/src/relay/listing.rs
@@ -25,4 +25,18 @@
     pub spot: bool,
     /// Unix time of its start, in milliseconds; tells two lives under one id apart.
     pub born: Option<u64>,
+    /// Entries that it has written since its start, this one included.
+    pub count: u64,
+}
+
+impl Listing {
+    /// Whether it was written before another entry of the same id: in a former life, or
+    /// earlier in the same one. Entries that do not tell their life cannot be compared,
+    /// as each life counts anew.
+    pub fn is_older_than(&self, other: &Self) -> bool {
+        match (self.born, other.born) {
+            (Some(mine), Some(others)) => (mine, self.count) < (others, other.count),
+            _ => false,
+        }
+    }
 }
--- a/lib/tests/relay_engines.rs
+++ b/lib/tests/relay_engines.rs
@@ -17,6 +17,7 @@
             leaving: false,
             spot: false,
             born: None,
+            count: 1,
         });
     }
     board
--- a/lib/tests/test_relay_board.rs
+++ b/lib/tests/test_relay_board.rs
@@ -17,6 +17,7 @@
         leaving: false,
         spot: false,
         born: Some(1),
+        count: 1,
     }
 }
 
@@ -123,3 +124,45 @@
         Some(Standing::Ready)
     );
 }
+
+/// An endpoint's write gets no answer, so it writes on, and says that it leaves. The
+/// store carries the first write out seconds later, and the entry reads as ready again.
+/// Taken at its word, the endpoint gets requests until it ends, which then break off.
+#[test]
+fn an_older_entry_that_comes_late_makes_no_endpoint_ready_again() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    let entry = |count, leaving| Listing {
+        leaving,
+        count,
+        ..listing("a")
+    };
+    board.put(entry(5, false));
+    board.put(entry(7, true));
+    assert_eq!(board.put(entry(6, false)), Changed::Nothing);
+    assert!(!usable(&board, "a", now));
+    board.expire(now);
+    assert_eq!(board.put(entry(6, false)), Changed::Nothing);
+    assert!(!usable(&board, "a", now));
+    board.put(entry(8, false));
+    assert!(usable(&board, "a", now));
+}
+
+/// An endpoint is restarted under its id and leaves, and a late entry of the life before
+/// says that it is ready.
+#[test]
+fn a_late_entry_of_a_former_life_is_not_taken() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    let entry = |born, count, leaving| Listing {
+        born: Some(born),
+        count,
+        leaving,
+        ..listing("a")
+    };
+    board.put(entry(1, 40, false));
+    board.put(entry(2, 1, false));
+    board.put(entry(2, 2, true));
+    assert_eq!(board.put(entry(1, 41, false)), Changed::Nothing);
+    assert!(!usable(&board, "a", now));
+}
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -51,6 +51,7 @@
                 leaving: false,
                 spot: number >= dear,
                 born: None,
+                count: 1,
             });
         }
     }
