--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -154,7 +154,7 @@
 }
 
 /// A port that is free on loopback now.
-fn free_port() -> u16 {
+pub(crate) fn free_port() -> u16 {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     listener.local_addr().expect("it listens").port()
 }
