soak: daemons end all at once, twice, by force and overlapping

A daemon was told to end one at a time only. Now all are told at once, one is told a second time while it ends, one is killed if it still runs when its grace is over, and in the calm end two overlap, in which no caller may be cut off.

--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -281,6 +281,7 @@
     until_well(&soak).await;
     soak.calm.set(true);
     stop_in_turn(&soak).await;
+    stop_overlapping(&soak).await;
     soak.over.set(true);
     for task in tasks {
         task.await.expect("a caller ends in order");
@@ -305,7 +306,7 @@
         let lasts = Duration::from_millis(random.u64(200..1500));
         let daemon = random.usize(..DAEMONS);
         let endpoint = random.usize(..ENDPOINTS);
-        match random.u32(..12) {
+        match random.u32(..15) {
             0 => soak.daemons[daemon].borrow_mut().process.kill(),
             1 => pause(soak, daemon, lasts),
             2 => soak.daemons[daemon].borrow().process.signal("TERM"),
@@ -321,7 +322,10 @@
                 soak.store
                     .put("op/config", config(version, &ROUTES, 0).as_bytes());
             }
-            _ => leave(soak, endpoint, lasts),
+            11 => leave(soak, endpoint, lasts),
+            12 => end_all(soak),
+            13 => end_twice(soak, daemon, lasts),
+            _ => end_by_force(soak, daemon),
         }
         let pause = Duration::from_millis(random.u64(50..400));
         tokio::time::sleep(pause).await;
@@ -355,6 +359,37 @@
     });
 }
 
+/// All daemons are told to end at once.
+fn end_all(soak: &Soak) {
+    for daemon in 0..DAEMONS {
+        signal_if_alive(soak, daemon, "TERM");
+    }
+}
+
+/// A daemon is told to end a second time while it ends.
+fn end_twice(soak: &Rc<Soak>, daemon: usize, lasts: Duration) {
+    signal_if_alive(soak, daemon, "TERM");
+    let soak = Rc::clone(soak);
+    actix_web::rt::spawn(async move {
+        tokio::time::sleep(lasts).await;
+        signal_if_alive(&soak, daemon, "TERM");
+    });
+}
+
+/// A daemon is told to end, and killed if it still runs when its grace is over.
+fn end_by_force(soak: &Rc<Soak>, daemon: usize) {
+    let told = soak.daemons[daemon].borrow().process.id();
+    signal_if_alive(soak, daemon, "TERM");
+    let soak = Rc::clone(soak);
+    actix_web::rt::spawn(async move {
+        tokio::time::sleep(Duration::from_secs(GRACE)).await;
+        let mut daemon = soak.daemons[daemon].borrow_mut();
+        if daemon.process.id() == told && !daemon.process.has_ended() {
+            daemon.process.kill();
+        }
+    });
+}
+
 fn spoil(proxy: &Proxy, fault: Fault, lasts: Duration) {
     proxy.set(fault);
     let proxy = proxy.clone();
@@ -450,6 +485,20 @@
     }
 }
 
+/// Stops two daemons, the second while the first still ends; callers find the others.
+async fn stop_overlapping(soak: &Rc<Soak>) {
+    for daemon in 0..2 {
+        soak.daemons[daemon].borrow().process.signal("TERM");
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    until(Duration::from_secs(GRACE), async || {
+        (0..2).all(|daemon| soak.daemons[daemon].borrow_mut().process.has_ended())
+    })
+    .await;
+    start_ended(soak);
+    soak.until_ready().await;
+}
+
 /// A caller: requests on a kept connection until it ends, then on another one.
 async fn call(soak: Rc<Soak>, mut random: Rng) {
     let mut kept: Option<(usize, Caller)> = None;
