relay: an ending daemon tells its last counts

A whole digest goes out when all answers are out. A daemon that is killed still loses up to a second.

--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -40,23 +40,18 @@
 
 /// Sends digests until the process ends.
 pub(crate) async fn send(state: Rc<State>, socket: Rc<UdpSocket>) {
-    let mut sequence = 0;
     loop {
-        sequence += 1;
         let now = Instant::now();
-        let bytes = digest(&state, sequence, now).encode_to_vec();
-        let (peers, period) = {
-            let mut peers = state.peers.borrow_mut();
-            peers.expire(now);
-            let to: Vec<Ipv4Addr> = peers.rows().iter().map(|row| row.address).collect();
-            (to, peers.period())
-        };
-        for peer in peers {
-            let to = SocketAddr::new(IpAddr::V4(peer), state.site.peers.port());
-            if let Err(error) = socket.try_send_to(&bytes, to) {
-                log::debug!("peers: nothing sent to {peer}, {error}.");
-            }
-        }
+        state.peers.borrow_mut().expire(now);
+        let sequence = state.next_digest();
+        tell(
+            &state,
+            &socket,
+            sequence,
+            sequence.is_multiple_of(WHOLE),
+            now,
+        );
+        let period = state.peers.borrow().period();
         tokio::select! {
             () = tokio::time::sleep(period) => {}
             () = state.news.notified() => {}
@@ -64,7 +59,23 @@
     }
 }
 
-fn digest(state: &State, sequence: u64, now: Instant) -> Digest {
+/// Sends the last digest of a daemon that ends. What it counted since the last whole one
+/// would be lost with it, and teams charged for less than they used.
+pub(crate) fn tell_last(state: &State, socket: &UdpSocket) {
+    tell(state, socket, state.next_digest(), true, Instant::now());
+}
+
+fn tell(state: &State, socket: &UdpSocket, sequence: u64, whole: bool, now: Instant) {
+    let bytes = digest(state, sequence, whole, now).encode_to_vec();
+    for peer in state.peers.borrow().rows() {
+        let to = SocketAddr::new(IpAddr::V4(peer.address), state.site.peers.port());
+        if let Err(error) = socket.try_send_to(&bytes, to) {
+            log::debug!("peers: nothing sent to {}, {error}.", peer.address);
+        }
+    }
+}
+
+fn digest(state: &State, sequence: u64, whole: bool, now: Instant) -> Digest {
     let quota = state.quota.borrow();
     let teams = quota.tell(now).into_iter().map(|row| digest::TeamUse {
         team: row.team,
@@ -82,7 +93,6 @@
     });
     let usage = state.usage.borrow();
     let current = state.window_at(now);
-    let whole = sequence.is_multiple_of(WHOLE);
     let windows = usage.mine();
     let windows = windows.filter(|(number, _)| whole || number + 1 == current);
     let windows = windows.map(|(number, counts)| digest::Window {
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -14,7 +14,7 @@
 
 use super::caller::serve_caller;
 use super::duties::serve_duties;
-use super::peers::{receive, send};
+use super::peers::{receive, send, tell_last};
 use super::probe::serve_probe;
 use super::state::State;
 use super::status::serve_status;
@@ -53,6 +53,8 @@
 #[derive(Debug)]
 pub struct Relay {
     state: Rc<State>,
+    /// Where digests go out.
+    peers: Rc<UdpSocket>,
     callers: SocketAddr,
     ready: SocketAddr,
     status: Option<SocketAddr>,
@@ -74,6 +76,7 @@
             ready: ready.local_addr().change_context(RelayError::Listen)?,
             status: status.as_ref().and_then(|status| status.local_addr().ok()),
             state: State::new(site),
+            peers: socket,
         };
         let state = || Rc::clone(&relay.state);
         actix_web::rt::spawn(follow(state()));
@@ -82,8 +85,8 @@
         if let Some(status) = status {
             actix_web::rt::spawn(accept(state(), status, serve_status));
         }
-        actix_web::rt::spawn(receive(state(), Rc::clone(&socket)));
-        actix_web::rt::spawn(send(state(), socket));
+        actix_web::rt::spawn(receive(state(), Rc::clone(&relay.peers)));
+        actix_web::rt::spawn(send(state(), Rc::clone(&relay.peers)));
         actix_web::rt::spawn(serve_duties(state()));
         actix_web::rt::spawn(clean(state()));
         Ok(relay)
@@ -127,6 +130,7 @@
         let active = state.active.get();
         log::info!("daemon: begins nothing more, with {active} requests in progress.");
         until_closed(state, closing).await;
+        tell_last(state, &self.peers);
         let active = state.active.get();
         log::info!("daemon: ends with {active} requests in progress.");
     }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -65,6 +65,7 @@
     /// Whether the settings were seen to differ from those of the start.
     pub(crate) differs: Cell<bool>,
     numbers: Cell<u64>,
+    digests: Cell<u64>,
 }
 
 impl State {
@@ -108,6 +109,7 @@
             turned: Notify::new(),
             differs: Cell::new(false),
             numbers: Cell::new(0),
+            digests: Cell::new(0),
         })
     }
 
@@ -195,6 +197,12 @@
         }
     }
 
+    /// Number of the next digest.
+    pub(crate) fn next_digest(&self) -> u64 {
+        self.digests.set(self.digests.get() + 1);
+        self.digests.get()
+    }
+
     /// A number for a request that no other of this process has.
     pub(crate) fn number(&self) -> u64 {
         self.numbers.set(self.numbers.get() + 1);
--- a/daemon/tests/relay_site.rs
+++ b/daemon/tests/relay_site.rs
@@ -65,7 +65,8 @@
         Self::with_settings(store, cloud, &text.replace("\"graceS\":3", &grace)).await
     }
 
-    async fn with_settings(store: Store, cloud: Cloud, text: &str) -> Self {
+    /// Starts a daemon by these settings and waits until it is ready.
+    pub(crate) async fn with_settings(store: Store, cloud: Cloud, text: &str) -> Self {
         let settings = read_settings(text).expect("they are good");
         let relay = Relay::start(settings).await;
         let site = Self {
--- a/daemon/tests/test_relay_end.rs
+++ b/daemon/tests/test_relay_end.rs
@@ -1,10 +1,18 @@
 //! A daemon that is told to end.
 
+use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use poplarvale_standin::{Endpoint, Step, Store, ask, config, event, plain, request, stream};
+use poplarvale_lib::protos::relay::Digest;
+use poplarvale_standin::{
+    Cloud, Endpoint, Step, Store, ask, config, event, plain, request, settings, stream,
+};
+use prost::Message as _;
+use tokio::net::UdpSocket;
+use tokio::time::timeout;
 
-use crate::relay_site::{ROUTES, Site, is_ready};
+use crate::relay_site::{ROUTES, Site, is_ready, store_with};
 
 /// A daemon is told to end in the middle of a stream. The caller gets all of it,
 /// the balancer hears that it is not ready, and who still comes is served.
@@ -88,3 +96,54 @@
     assert!(first.expect("an answer").whole);
     assert_eq!(long.seen().len(), 1);
 }
+
+/// A daemon serves until its end, and what it counted last was told to nobody: it tells
+/// the others four times a second, and all its usage windows once a second only. The team
+/// was charged for less than it used.
+#[actix_web::test]
+async fn an_ending_daemon_tells_all_that_it_counted() {
+    let other = UdpSocket::bind("127.0.3.2:0").await.expect("a free port");
+    let port = other.local_addr().expect("it is bound").port();
+    let one = Endpoint::start("i-1", |seen| vec![plain(seen, 200, "done")]).await;
+    let (store, cloud) = (store_with(&[&one]).await, Cloud::start().await);
+    let text = settings(store.address, cloud.address)
+        .replace("\"ip\":\"127.0.0.1\"", "\"ip\":\"127.0.3.1\"")
+        .replace("\"windowS\":1", "\"windowS\":600")
+        .replace("[0,0]", &format!("[{port},{port}]"))
+        .replace("\"seeds\":[]", "\"seeds\":[\"127.0.3.2:1\"]");
+    let site = Site::with_settings(store, cloud, &text).await;
+    let ended = Cell::new(false);
+    let stop = async {
+        site.relay.stop().await;
+        ended.set(true);
+    };
+    let served = async {
+        let mut served = 0;
+        while !ended.get() {
+            let text = request("GET", "/safe/a", "r1", "").replace(": 3000", ": 100");
+            let answer = ask(site.address(), &text).await;
+            served += u32::from(answer.is_ok_and(|answer| answer.status == 200));
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        served
+    };
+    let ((), served) = tokio::join!(stop, served);
+    assert!(served > 0);
+    assert_eq!(counted(&other).await, served);
+}
+
+/// Runs in all usage windows, as another daemon knows them from the digests that came.
+async fn counted(socket: &UdpSocket) -> u32 {
+    const SILENT: Duration = Duration::from_millis(100);
+    let mut bytes = vec![0; 64 * 1024];
+    let mut known = BTreeMap::new();
+    while let Ok(came) = timeout(SILENT, socket.recv(&mut bytes)).await {
+        let len = came.expect("the socket is well");
+        let digest = Digest::decode(&bytes[..len]).expect("it is a digest");
+        for window in digest.windows {
+            let runs = window.counts.iter().map(|count| count.runs);
+            known.insert(window.number, runs.sum::<u32>());
+        }
+    }
+    known.values().sum()
+}
