daemon: rows and pieces that do not decode leave a log line

A row of a version move that could not be decoded was read as an empty one without a word, a piece of a model's answer as empty text, and a lease that could not be given back went unnoticed. Each has a log line now; such a row is skipped whole, where before news that did not decode counted as stale.

--- a/daemon/src/callers/whole.rs
+++ b/daemon/src/callers/whole.rs
@@ -96,7 +96,14 @@
 fn joined(pieces: &[Bytes]) -> Text {
     let mut text = Text::default();
     for piece in pieces {
-        let chunk: Chunk = serde_json::from_slice(piece).unwrap_or_default();
+        let chunk: Chunk = match serde_json::from_slice(piece) {
+            Ok(chunk) => chunk,
+            Err(error) => {
+                // The caller still gets the rest; a stream passes such pieces on as they are.
+                log::warn!("serve: a piece of an answer cannot be read, {error}.");
+                continue;
+            }
+        };
         let Some(choice) = chunk.choices.into_iter().next() else {
             continue;
         };
--- a/daemon/src/moves.rs
+++ b/daemon/src/moves.rs
@@ -303,30 +303,38 @@
         });
     }
 
-    /// Takes a row of another daemon.
+    /// Takes a row of another daemon; one that does not decode is skipped, the next word
+    /// of its writer makes it good.
     fn row(&mut self, key: &Key, value: &[u8]) {
+        if let Err(error) = self.take_row(key, value) {
+            log::warn!("moves: a row of {} is skipped, {error}.", key.name);
+        }
+    }
+
+    fn take_row(&mut self, key: &Key, value: &[u8]) -> Result<(), prost::DecodeError> {
         if key.kind == kinds::MOVE.number {
-            let row = RecordRow::decode(value).unwrap_or_default();
+            let row = RecordRow::decode(value)?;
             let record = row.record.and_then(|r| Record::from_stored(&r).ok());
             if let Some(record) = record {
                 let revision = row.revision;
                 self.adopt(&Stored { revision, record });
             }
         } else if key.kind == kinds::NEWS.number {
-            let fresh = NewsRow::decode(value).is_ok_and(|row| row.fresh);
+            let fresh = NewsRow::decode(value)?.fresh;
             self.tell(&key.name, Event::Heard(Source::Peer { fresh }));
         } else if key.kind == Kind::VERDICT.number {
-            let row = BadVersion::decode(value).unwrap_or_default();
+            let row = BadVersion::decode(value)?;
             if let (Some(id), Some(service)) = (from_hex(&row.r#move), service(&key.name)) {
                 let reason = row.reason.into();
                 self.tell(&service, Event::Bad(Bad { id, reason }));
             }
         } else if key.kind == Kind::EVIDENCE.number {
-            let row = EvidenceRow::decode(value).unwrap_or_default();
+            let row = EvidenceRow::decode(value)?;
             if let (Some(row), Some(service)) = (Row::from_wire(&row), service(&key.name)) {
                 self.tell(&service, Event::Row(Box::new(row)));
             }
         }
+        Ok(())
     }
 }
 
--- a/daemon/src/moves/holder.rs
+++ b/daemon/src/moves/holder.rs
@@ -126,7 +126,9 @@
         Ok(Written::Done(fence)) => Called::Held(Grant { lease, fence }),
         Ok(Written::Differs(_)) => {
             // Another daemon holds it. If this call fails the unused lease lapses.
-            let _ = store.revoke(lease.id).await;
+            if let Err(failure) = store.revoke(lease.id).await {
+                log::debug!("moves: an unused lease stays until it lapses, {failure:?}.");
+            }
             Called::Lost
         }
         Err(_failure) => Called::Silent,
