--- /dev/null
+++ b/lib/benches/moves/play.rs
@@ -0,0 +1,191 @@
+//! One move: requests, endpoints whose latencies grow with their load, and answers.
+
+use std::time::{Duration, Instant};
+
+use poplarvale_lib::moves::evidence::{Sample, Which};
+use poplarvale_lib::moves::{ONE, Pick, Time};
+
+use crate::cases::{Case, Harm, Trouble, When};
+use crate::policy::{End, Policy, Score};
+use crate::{DAEMONS, ENDPOINTS, STEP, TERM_MS, WALL};
+
+/// An answer on its way.
+pub(crate) struct Answer {
+    pub(crate) daemon: usize,
+    pub(crate) sample: Sample,
+}
+
+/// Ten seconds of answers; later ones come at their end.
+pub(crate) const RING: usize = 200;
+
+pub(crate) struct Play<'a, P> {
+    pub(crate) case: &'a Case,
+    pub(crate) policy: P,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) ring: Vec<Vec<Answer>>,
+    pub(crate) step: u64,
+    /// Requests a second at each endpoint of the old and the new version, of
+    /// late, and how many came in this step.
+    pub(crate) rates: [[f64; ENDPOINTS as usize]; 2],
+    pub(crate) came: [[f64; ENDPOINTS as usize]; 2],
+    pub(crate) score: Score,
+}
+
+impl<P: Policy> Play<'_, P> {
+    pub(crate) fn run(mut self, start: Instant) -> Score {
+        let steps = 2 * TERM_MS / STEP.as_millis() as u64;
+        self.score.planned = self.case.rate * TERM_MS as f64 / 1000.0;
+        while self.step < steps && self.score.end == End::Open {
+            self.step += 1;
+            let ms = self.step * STEP.as_millis() as u64;
+            let time = Time {
+                now: start + Duration::from_millis(ms),
+                wall: WALL + ms,
+            };
+            self.advance(time, ms);
+        }
+        self.score
+    }
+
+    pub(crate) fn advance(&mut self, time: Time, ms: u64) {
+        let slot = (self.step as usize) % RING;
+        for answer in std::mem::take(&mut self.ring[slot]) {
+            self.policy.record(answer.daemon, &answer.sample);
+        }
+        let part = ms as f64 / TERM_MS as f64;
+        let rise = if self.case.trouble == Trouble::Rise && part > self.case.from {
+            1.4
+        } else {
+            1.0
+        };
+        let rate = self.case.rate * rise;
+        for daemon in 0..DAEMONS {
+            for _ in 0..self.poisson(rate * STEP.as_secs_f64() / DAEMONS as f64) {
+                self.request(time, part, daemon);
+            }
+        }
+        self.count_rates();
+        self.score.at = ms;
+        self.score.end = self.policy.tick(time, &mut self.score);
+    }
+
+    /// Rates over the last five seconds or so.
+    pub(crate) fn count_rates(&mut self) {
+        let fade = STEP.as_secs_f64() / 5.0;
+        let rates = self.rates.as_flattened_mut();
+        for (rate, came) in rates.iter_mut().zip(self.came.as_flattened_mut()) {
+            *rate += fade * (std::mem::take(came) / STEP.as_secs_f64() - *rate);
+        }
+    }
+
+    pub(crate) fn request(&mut self, time: Time, part: f64, daemon: usize) {
+        let at = self.route();
+        let route = &self.case.routes()[at];
+        let draw = self.rng.u32(..ONE);
+        let is_new = self.policy.pick(daemon, time.now, route.repeatable, draw) == Pick::New;
+        let side = usize::from(is_new);
+        let many = self.policy.spread(daemon, time.now)[side];
+        let endpoint = self.rng.u32(..many) as usize;
+        self.came[side][endpoint] += 1.0;
+        let per_endpoint = self.rates[side][endpoint];
+        // Load of an endpoint against the one that each had before the move.
+        let relative = per_endpoint * f64::from(ENDPOINTS) / self.case.rate;
+        let harm = if is_new {
+            self.harm(part, at, relative)
+        } else {
+            Harm::None
+        };
+        let busy = (self.case.load * relative).min(0.95);
+        let mut ms = route.median * (0.5 * self.normal()).exp() / (1.0 - busy);
+        let incident = self.case.trouble == Trouble::Incident && {
+            let from = self.case.from;
+            (from..from + 10_000.0 / TERM_MS as f64).contains(&part)
+        };
+        let mut failed = self.rng.f64() < if incident { 0.2 } else { 0.002 };
+        let hurt = match harm {
+            Harm::None => false,
+            Harm::Fail(share) => self.rng.f64() < share,
+            Harm::Slow(times) => {
+                ms *= times;
+                true
+            }
+        };
+        failed |= hurt && matches!(harm, Harm::Fail(_));
+        self.count(hurt);
+        let sample = Sample {
+            route: route.name.into(),
+            repeatable: route.repeatable,
+            which: if is_new { Which::New } else { Which::Old },
+            time: (!failed).then(|| Duration::from_secs_f64(ms / 1000.0)),
+            compared: endpoint < self.policy.compared(daemon)[side] as usize,
+        };
+        let steps = (ms / STEP.as_millis() as f64).ceil() as usize;
+        let slot = (self.step as usize + steps.clamp(1, RING - 1)) % RING;
+        self.ring[slot].push(Answer { daemon, sample });
+    }
+
+    pub(crate) fn count(&mut self, hurt: bool) {
+        let score = &mut self.score;
+        score.until += 1;
+        score.spoilt += u64::from(hurt);
+        if hurt {
+            score.first.get_or_insert(score.at);
+        }
+        score.after += u64::from(score.first.is_some());
+    }
+
+    pub(crate) fn harm(&mut self, part: f64, route: usize, relative: f64) -> Harm {
+        let on = match self.case.when {
+            When::Once => true,
+            When::Late => part >= self.case.from,
+            When::Loaded(least) => relative >= least,
+            When::Route(one) => route == one,
+        };
+        if on { self.case.harm } else { Harm::None }
+    }
+
+    pub(crate) fn route(&mut self) -> usize {
+        let mut left = self.rng.f64();
+        let routes = self.case.routes();
+        for (at, route) in routes.iter().enumerate() {
+            left -= route.part;
+            if left < 0.0 {
+                return at;
+            }
+        }
+        routes.len() - 1
+    }
+
+    pub(crate) fn poisson(&mut self, mean: f64) -> u32 {
+        let floor = (-mean).exp();
+        let mut product = self.rng.f64();
+        let mut count = 0;
+        while product > floor {
+            product *= self.rng.f64();
+            count += 1;
+        }
+        count
+    }
+
+    pub(crate) fn normal(&mut self) -> f64 {
+        let radius = (-2.0 * (1.0 - self.rng.f64()).ln()).sqrt();
+        radius * (std::f64::consts::TAU * self.rng.f64()).cos()
+    }
+}
+
+pub(crate) fn play<P: Policy>(case: &Case, policy: P, start: Instant) -> Score {
+    let play = Play {
+        case,
+        policy,
+        rng: fastrand::Rng::with_seed(case.seed),
+        ring: (0..RING).map(|_| Vec::new()).collect(),
+        step: 0,
+        rates: [
+            [case.rate / f64::from(ENDPOINTS); ENDPOINTS as usize],
+            [0.0; ENDPOINTS as usize],
+        ],
+        came: [[0.0; ENDPOINTS as usize]; 2],
+        score: Score::default(),
+    };
+    play.run(start)
+}
