--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -41,16 +41,9 @@
 /// Sends digests until the process ends.
 pub(crate) async fn send(state: Rc<State>, socket: Rc<UdpSocket>) {
     loop {
-        let now = Instant::now();
-        state.peers.borrow_mut().expire(now);
+        state.peers.borrow_mut().expire(Instant::now());
         let sequence = state.next_digest();
-        tell(
-            &state,
-            &socket,
-            sequence,
-            sequence.is_multiple_of(WHOLE),
-            now,
-        );
+        tell(&state, &socket, sequence, sequence.is_multiple_of(WHOLE));
         let period = state.peers.borrow().period();
         tokio::select! {
             () = tokio::time::sleep(period) => {}
@@ -62,11 +55,11 @@
 /// Sends the last digest of a daemon that ends. What it counted since the last whole one
 /// would be lost with it, and teams charged for less than they used.
 pub(crate) fn tell_last(state: &State, socket: &UdpSocket) {
-    tell(state, socket, state.next_digest(), true, Instant::now());
+    tell(state, socket, state.next_digest(), true);
 }
 
-fn tell(state: &State, socket: &UdpSocket, sequence: u64, whole: bool, now: Instant) {
-    let bytes = digest(state, sequence, whole, now).encode_to_vec();
+fn tell(state: &State, socket: &UdpSocket, sequence: u64, whole: bool) {
+    let bytes = digest(state, sequence, whole, Instant::now()).encode_to_vec();
     for peer in state.peers.borrow().rows() {
         let to = SocketAddr::new(IpAddr::V4(peer.address), state.site.peers.port());
         if let Err(error) = socket.try_send_to(&bytes, to) {
