--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -23,8 +23,7 @@
 
 /// How long the store may hold a watch open. A connection to a store that went
 /// silent stays silent after its return, so this bounds how long a daemon does not
-/// know that endpoints left; with 10 s, requests went to endpoints that had been
-/// leaving for 2.6 s.
+/// know that endpoints left.
 const WAIT: Duration = Duration::from_secs(1);
 /// How much longer than that an answer may take: its way and a slow store.
 const SLACK: Duration = Duration::from_millis(600);
--- a/lib/src/relay/admit.rs
+++ b/lib/src/relay/admit.rs
@@ -17,9 +17,8 @@
 /// Longest queue of the most urgent rank, in shortest targets, and what each further
 /// rank has less. The reading of the request itself has to fit beside the queue, and the
 /// least urgent step back early, so that the queue is short again before urgent ones are
-/// refused. At twice the load that engines can read, bounds of 1.5 and 0.125 let in 97
-/// late ones beside 60 in time, in a replay of ten seconds; with 0.8 and 0.07, refusals
-/// cost more than they saved where the load was within reach.
+/// refused. Longer queues let in requests that are late once engines are overloaded;
+/// shorter ones refuse requests that would have been in time.
 const MOST: f64 = 1.0;
 const RANK: f64 = 0.1;
 /// Shortest and longest time after which a refused request is told to come back. Below,
--- a/lib/src/relay/engine.rs
+++ b/lib/src/relay/engine.rs
@@ -13,8 +13,8 @@
 //!
 //! How many engines the work needs is reckoned from quantiles of what requests saw
 //! that waited for nobody. The line would not do: it rises while engines are
-//! overloaded, more would be ordered for it, and in trials the need rose by half
-//! within two seconds of a wave of reclaims and stayed there.
+//! overloaded, as after a wave of reclaims, and far more would be ordered for it than
+//! the work needs.
 
 use std::time::Duration;
 
