--- a/daemon/tests/test_relay_cut.rs
+++ b/daemon/tests/test_relay_cut.rs
@@ -94,8 +94,8 @@
 ///
 /// Seen in logs of three daemons that were back 1.2 to 1.4 s after a cut: each wrote
 /// "endpoint is doubtful" of endpoints that had left, and "did not come back" only 3.3
-/// to 3.6 s after the store had acknowledged that they leave. The other daemons had
-/// left them alone all the while.
+/// to 3.6 s after the store had acknowledged that one of them leaves. The store had
+/// answered the six other daemons all the while.
 #[actix_web::test]
 async fn an_endpoint_that_left_during_a_cut_gets_nothing_after_it() {
     const CUTS: [u64; 6] = [2000, 2300, 2600, 2900, 3200, 3500];
