digest, quota: daemons hear their zone often and other zones as a whole

Cause: callers within their allowance were refused, in every zone and kind, from the second second of traffic on. Among 195 daemons each tells the others every 1.56 s, and what a team may use unheard was reckoned as that long at its whole rate. Its bucket holds 1.4 s of its rate, so the allowance counted as nearly used up all the time, and each daemon let in by its share: a 195th of the rate, a quarter of a second deep, against prompts of 12,000 tokens. Besides, a quarter of every allowance was held back.

Now: - digests go out within a zone each quarter of a second, and to other zones as before; - two daemons of each zone, on its largest hosts, tell the other zones what theirs does as a whole: rates of teams, requests and tokens in progress at endpoints, silent daemons; - shares are drawn only while more is asked than the allowance brings, and a share that is thinner than a prompt lets in one request of so many; - what others have in progress is added up as it comes. Each digest made a daemon sum up what 194 others told of 123 endpoints. Sites of up to 31 daemons tell one another as before.

--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -5,11 +5,13 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use poplarvale_lib::ZoneHash;
 use poplarvale_lib::protos::relay::{Digest, digest};
-use poplarvale_lib::relay::board::Others;
+use poplarvale_lib::relay::board::{Others, Teller};
 use poplarvale_lib::relay::contact::Span;
 use poplarvale_lib::relay::demand::Work;
-use poplarvale_lib::relay::quota::{Told, Use, short};
+use poplarvale_lib::relay::digest::{Peer, Place};
+use poplarvale_lib::relay::quota::{Told, Use, ZoneUse, ZoneWord};
 use poplarvale_lib::relay::rollout::evidence::{Key, Side, Sides};
 use poplarvale_lib::relay::rollout::{Order, Outcome, Word};
 use prost::Message as _;
@@ -40,14 +42,32 @@
 
 /// Sends digests until the process ends.
 pub(crate) async fn send(state: Rc<State>, socket: Rc<UdpSocket>) {
+    let mut urgent = false;
+    let mut round = 0;
     loop {
-        state.peers.borrow_mut().expire(Instant::now());
+        let now = Instant::now();
+        state.peers.borrow_mut().expire(now);
+        let rounds = state.peers.borrow().rounds();
+        round += 1;
+        let all = urgent || round >= rounds || !state.left.borrow().is_empty();
+        if all {
+            round = 0;
+        }
         let sequence = state.next_digest();
-        tell(&state, &socket, sequence, sequence.is_multiple_of(WHOLE));
-        let period = state.peers.borrow().period();
+        tell(
+            &state,
+            &socket,
+            sequence,
+            sequence.is_multiple_of(WHOLE),
+            all,
+        );
+        if rounds > 1 && state.peers.borrow().is_watcher(now) {
+            tell_zone(&state, &socket, now);
+        }
+        let period = state.peers.borrow().near_period();
         tokio::select! {
-            () = tokio::time::sleep(period) => {}
-            () = state.news.notified() => {}
+            () = tokio::time::sleep(period) => urgent = false,
+            () = state.news.notified() => urgent = true,
         }
     }
 }
@@ -55,19 +75,77 @@
 /// Sends the last digest of a daemon that ends. What it counted since the last whole one
 /// would be lost with it, and teams charged for less than they used.
 pub(crate) fn tell_last(state: &State, socket: &UdpSocket) {
-    tell(state, socket, state.next_digest(), true);
+    tell(state, socket, state.next_digest(), true, true);
 }
 
-fn tell(state: &State, socket: &UdpSocket, sequence: u64, whole: bool) {
-    let bytes = digest(state, sequence, whole, Instant::now()).encode_to_vec();
-    for peer in state.peers.borrow().rows() {
-        let to = SocketAddr::new(IpAddr::V4(peer.address), state.site.peers.port());
-        if let Err(error) = socket.try_send_to(&bytes, to) {
-            log::debug!("peers: nothing sent to {}, {error}.", peer.address);
-        }
+/// Sends a digest to the daemons of this zone, or to all. Those that were never heard
+/// may be of any zone.
+fn tell(state: &State, socket: &UdpSocket, sequence: u64, whole: bool, all: bool) {
+    let now = Instant::now();
+    let bytes = digest(state, sequence, whole, now).encode_to_vec();
+    let peers = state.peers.borrow();
+    if all {
+        let far = peers.rows().iter().filter(|peer| !peers.is_near(peer));
+        far.for_each(|peer| send_to(state, socket, peer, &bytes));
+    }
+    let near = peers.rows().iter().filter(|peer| peers.is_near(peer));
+    near.for_each(|peer| send_to(state, socket, peer, &bytes));
+}
+
+/// Tells the other zones what this one does as a whole.
+fn tell_zone(state: &State, socket: &UdpSocket, now: Instant) {
+    let peers = state.peers.borrow();
+    let place = peers.place();
+    let word = state.quota.borrow().tell_zone(place.zone, now);
+    let teams = word.uses.into_iter().map(|row| digest::TeamUse {
+        team: row.team,
+        rate: row.rate as u32,
+        asked: row.asked as u32,
+        ..digest::TeamUse::default()
+    });
+    let endpoints = state.board.borrow().tell_zone(place.zone);
+    let zone_use = digest::ZoneUse {
+        silent: word.silent,
+        teams: teams.collect(),
+        endpoints: endpoints.into_iter().map(tell_use).collect(),
+    };
+    let digest = Digest {
+        name: state.site.name.to_string(),
+        incarnation: state.incarnation,
+        sequence: state.next_digest(),
+        zone: place.zone,
+        memory: place.memory,
+        zone_use: Some(zone_use),
+        ..Digest::default()
+    };
+    let bytes = digest.encode_to_vec();
+    let far = peers.heard_lately(now).filter(|peer| !peers.is_near(peer));
+    far.for_each(|peer| send_to(state, socket, peer, &bytes));
+}
+
+fn send_to(state: &State, socket: &UdpSocket, peer: &Peer, bytes: &[u8]) {
+    let to = SocketAddr::new(IpAddr::V4(peer.address), state.site.peers.port());
+    if let Err(error) = socket.try_send_to(bytes, to) {
+        log::debug!("peers: nothing sent to {}, {error}.", peer.address);
     }
 }
 
+fn tell_use((endpoint, load): (u32, Others)) -> digest::EndpointUse {
+    digest::EndpointUse {
+        endpoint,
+        requests: load.requests,
+        tokens: load.tokens as u32,
+    }
+}
+
+fn hear_use(told: &digest::EndpointUse) -> (u32, Others) {
+    let load = Others {
+        requests: told.requests,
+        tokens: f64::from(told.tokens),
+    };
+    (told.endpoint, load)
+}
+
 fn digest(state: &State, sequence: u64, whole: bool, now: Instant) -> Digest {
     let quota = state.quota.borrow();
     let teams = quota.tell(now).into_iter().map(|row| digest::TeamUse {
@@ -79,11 +157,7 @@
     });
     let board = state.board.borrow();
     let busy = board.rows().iter().filter(|row| !row.flights.is_empty());
-    let endpoints = busy.map(|row| digest::EndpointUse {
-        endpoint: short(&row.listing.id),
-        requests: row.flights.len() as u32,
-        tokens: (row.backlog() - row.others.tokens).max(0.0) as u32,
-    });
+    let endpoints = busy.map(|row| tell_use((row.hash, row.own())));
     let usage = state.usage.borrow();
     let current = state.window_at(now);
     let windows = usage.mine();
@@ -105,10 +179,14 @@
     } else {
         Vec::new()
     };
+    let place = state.peers.borrow().place();
     Digest {
         name: state.site.name.to_string(),
         incarnation: state.incarnation,
         sequence,
+        zone: place.zone,
+        memory: place.memory,
+        zone_use: None,
         wall_ms: State::wall(),
         catalog: state
             .catalog
@@ -225,6 +303,31 @@
     }
 }
 
+/// Takes in what a watcher of another zone tells of it as a whole.
+fn hear_zone(
+    state: &State,
+    zone: ZoneHash,
+    told: &digest::ZoneUse,
+    silent: Duration,
+    now: Instant,
+) {
+    let row = |row: &digest::TeamUse| ZoneUse {
+        team: row.team,
+        rate: f64::from(row.rate),
+        asked: f64::from(row.asked),
+    };
+    let mut uses: Vec<ZoneUse> = told.teams.iter().map(row).collect();
+    uses.sort_by_key(|row| row.team);
+    let word = ZoneWord {
+        silent: told.silent,
+        uses,
+    };
+    state.quota.borrow_mut().hear_zone(zone, word, silent, now);
+    let uses = told.endpoints.iter().map(hear_use).collect();
+    let mut board = state.board.borrow_mut();
+    board.hear(Teller::Zone(zone), uses, now);
+}
+
 fn count((team, runs): &(CompactString, u32)) -> digest::Count {
     digest::Count {
         team: team.to_string(),
@@ -241,7 +344,16 @@
         if !peers.hear(from, &name, digest.incarnation, digest.sequence, now) {
             return;
         }
-        peers.tell_contact(from, contact);
+        if let Some(told) = digest.zone_use {
+            let silent = peers.near_silent();
+            drop(peers);
+            return hear_zone(state, digest.zone, &told, silent, now);
+        }
+        let place = Place {
+            zone: digest.zone,
+            memory: digest.memory,
+        };
+        peers.tell(from, place, contact);
         for peer in digest.peers {
             peers.learn(Ipv4Addr::from(peer), now);
         }
@@ -250,14 +362,9 @@
         end_doubt(state, &name, span, now);
     }
     state.clock.borrow_mut().hear(&name, digest.wall_ms, now);
-    let uses = digest.endpoints.iter().map(|row| {
-        let others = Others {
-            requests: row.requests,
-            tokens: f64::from(row.tokens),
-        };
-        (row.endpoint, others)
-    });
-    state.board.borrow_mut().hear(&name, uses.collect(), now);
+    let uses = digest.endpoints.iter().map(hear_use).collect();
+    let teller = Teller::Daemon(digest.zone, name.clone());
+    state.board.borrow_mut().hear(teller, uses, now);
     for id in state.board.borrow_mut().heard_left(&digest.left) {
         log::info!("board: endpoint {id} leaves, {name} tells.");
     }
@@ -298,6 +405,7 @@
     uses.sort_by_key(|row| row.team);
     let told = Told {
         name,
+        zone: digest.zone,
         incarnation: digest.incarnation,
         heard: now,
         started: now
@@ -305,6 +413,6 @@
             .unwrap_or(now),
         uses,
     };
-    let silent = state.peers.borrow().silent();
+    let silent = state.peers.borrow().silent(told.zone);
     state.quota.borrow_mut().hear(&told, silent);
 }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -12,9 +12,9 @@
 use poplarvale_lib::relay::clock::Clock;
 use poplarvale_lib::relay::contact::Contact;
 use poplarvale_lib::relay::demand::Demand;
-use poplarvale_lib::relay::digest::Peers;
+use poplarvale_lib::relay::digest::{Peers, Place};
 use poplarvale_lib::relay::life::Life;
-use poplarvale_lib::relay::quota::Quota;
+use poplarvale_lib::relay::quota::{Quota, short};
 use poplarvale_lib::relay::rollout::Rollouts;
 use poplarvale_lib::relay::site::Site;
 use poplarvale_lib::relay::usage::{Usage, WindowId};
@@ -25,6 +25,8 @@
 use super::trail::Sampler;
 use super::upstream::Upstreams;
 
+const MEGABYTE: u64 = 1024 * 1024;
+
 /// Shared state; all tasks run on one thread and none holds a borrow across a wait.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -74,14 +76,19 @@
         let incarnation = fastrand::u64(..);
         let me = v4(&site.peers.ip()).unwrap_or(Ipv4Addr::LOCALHOST);
         let seeds: Vec<Ipv4Addr> = site.seeds.iter().filter_map(v4).collect();
+        let place = Place {
+            zone: short(&site.zone),
+            memory: u32::try_from(site.memory / MEGABYTE).unwrap_or(u32::MAX),
+        };
+        let quota = Quota::new(
+            site.bounds.quota_window,
+            site.bounds.quota_tolerance,
+            started,
+        );
         Rc::new(Self {
             catalog: RefCell::new(None),
             board: RefCell::default(),
-            quota: RefCell::new(Quota::new(
-                site.bounds.quota_window,
-                site.bounds.quota_tolerance,
-                started,
-            )),
+            quota: RefCell::new(quota.with_phase(fastrand::f64())),
             budget: RefCell::new(Budget::new(
                 site.bounds.repeat,
                 site.bounds.repeat_slack,
@@ -91,7 +98,7 @@
             rollouts: RefCell::new(Rollouts::new(site.bounds.exposure)),
             usage: RefCell::new(Usage::new(site.name.clone(), incarnation)),
             clock: RefCell::new(Clock::new(started)),
-            peers: RefCell::new(Peers::new(me, &seeds, started)),
+            peers: RefCell::new(Peers::new(me, place, &seeds, started)),
             leader: RefCell::new(None),
             incarnation,
             started,
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -18,6 +18,8 @@
 pub type EndpointId = CompactString;
 /// Availability zone.
 pub type ZoneId = CompactString;
+/// Hash of a zone's name, as daemons tell it to one another.
+pub type ZoneHash = u32;
 /// Region of availability zones.
 pub type RegionId = CompactString;
 /// Version that an endpoint runs.
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -43,6 +43,16 @@
     /// Contact of the sender with the store; missing while it has none.
     #[prost(message, optional, tag = "14")]
     pub contact: ::core::option::Option<digest::Contact>,
+    /// Hash of the sender's zone.
+    #[prost(fixed32, tag = "15")]
+    pub zone: u32,
+    /// Memory of the sender's host, in megabytes.
+    #[prost(uint32, tag = "16")]
+    pub memory: u32,
+    /// What the sender's zone does as a whole. It is told to other zones in a digest that
+    /// has nothing else than this and who tells it.
+    #[prost(message, optional, tag = "18")]
+    pub zone_use: ::core::option::Option<digest::ZoneUse>,
 }
 /// Nested message and enum types in `Digest`.
 pub mod digest {
@@ -58,6 +68,19 @@
         #[prost(uint32, tag = "2")]
         pub heard_ms: u32,
     }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, ::prost::Message)]
+    pub struct ZoneUse {
+        /// Daemons of the zone that the sender does not hear any more.
+        #[prost(uint32, tag = "1")]
+        pub silent: u32,
+        /// Rates of the teams; the units within the window are not told.
+        #[prost(message, repeated, tag = "2")]
+        pub teams: ::prost::alloc::vec::Vec<TeamUse>,
+        #[prost(message, repeated, tag = "3")]
+        pub endpoints: ::prost::alloc::vec::Vec<EndpointUse>,
+    }
     /// Units that a team used here within the window of allowances.
     #[derive(serde::Serialize, serde::Deserialize)]
     #[serde(default)]
--- a/lib/src/relay/board.rs
+++ b/lib/src/relay/board.rs
@@ -18,7 +18,7 @@
 use super::evidence::Evidence;
 use super::listing::Listing;
 use super::quota::short;
-use crate::{EndpointId, ServiceId};
+use crate::{EndpointId, ServiceId, ZoneHash};
 
 /// How long an endpoint stays in use whose entry is missing after an outage of the
 /// registry. Entries of living endpoints are back within about two seconds, and
@@ -73,7 +73,7 @@
     }
 }
 
-/// Load of an endpoint as others see it.
+/// Load of an endpoint that one or several daemons bring.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Others {
     /// Requests in progress from other daemons.
@@ -87,6 +87,8 @@
 pub struct Endpoint {
     /// Entry of the registry.
     pub listing: Listing,
+    /// Hash of its id, as daemons tell it to one another.
+    pub hash: u32,
     /// Whether it may get requests.
     pub standing: Standing,
     /// Requests in progress from this daemon, sorted by number.
@@ -103,10 +105,19 @@
     pub full: Option<Instant>,
 }
 
-/// What one other daemon has in progress.
+/// Who tells what is in progress: another daemon, or a watcher for its whole zone.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Teller {
+    /// A daemon, and its zone.
+    Daemon(ZoneHash, CompactString),
+    /// A zone.
+    Zone(ZoneHash),
+}
+
+/// What one other daemon or zone has in progress.
 #[derive(Clone, Debug, PartialEq)]
 struct Told {
-    name: CompactString,
+    teller: Teller,
     heard: Instant,
     /// By hash of the endpoint's id, sorted.
     uses: Vec<(u32, Others)>,
@@ -120,7 +131,7 @@
     paces: Vec<(ServiceId, Pace)>,
     /// Of services that nothing was learned of.
     usual: Pace,
-    /// What the other daemons told, sorted by name.
+    /// What the others told, sorted by teller.
     told: Vec<Told>,
     /// Until when missing entries are doubtful, after an outage.
     settling: Option<Instant>,
@@ -247,7 +258,8 @@
         match self.find(&listing.id) {
             Err(_) if self.ended.is_newer_than(&listing) => Changed::Nothing,
             Err(at) => {
-                self.rows.insert(at, Endpoint::new(listing, standing));
+                let row = Endpoint::new(listing, standing, &self.told);
+                self.rows.insert(at, row);
                 joined(standing)
             }
             Ok(at) => {
@@ -259,7 +271,7 @@
                     row.listing.born != listing.born || row.listing.address != listing.address;
                 if reborn {
                     // Another life under the same id knows nothing of the first.
-                    *row = Endpoint::new(listing, standing);
+                    *row = Endpoint::new(listing, standing, &self.told);
                     return joined(standing);
                 }
                 let left = standing == Standing::Leaving && row.standing != Standing::Leaving;
@@ -313,23 +325,61 @@
         changes
     }
 
-    /// Takes in what another daemon has in progress, by hash of the endpoints' ids.
-    pub fn hear(&mut self, name: &CompactString, mut uses: Vec<(u32, Others)>, now: Instant) {
+    /// Takes in what others have in progress, by hash of the endpoints' ids. A zone as a
+    /// whole stands for its daemons as long as it is told.
+    pub fn hear(&mut self, teller: Teller, mut uses: Vec<(u32, Others)>, now: Instant) {
         uses.sort_by_key(|(endpoint, _)| *endpoint);
+        self.forget_told(now);
+        match &teller {
+            Teller::Zone(zone) => self.drop_told(|told| told.is_daemon_of(*zone)),
+            Teller::Daemon(zone, _) if self.find_told(&Teller::Zone(*zone)).is_ok() => return,
+            Teller::Daemon(..) => {}
+        }
+        self.drop_told(|told| told.teller == teller);
+        add(&mut self.rows, &uses, 1);
         let told = Told {
-            name: name.clone(),
+            teller,
             heard: now,
             uses,
         };
-        match self.told.binary_search_by(|row| row.name.cmp(name)) {
-            Ok(at) => self.told[at] = told,
-            Err(at) => self.told.insert(at, told),
-        }
-        self.told
-            .retain(|told| now.duration_since(told.heard) <= CURRENT);
-        for row in &mut self.rows {
-            row.others = sum(&self.told, short(&row.listing.id));
+        let at = self.find_told(&told.teller).unwrap_or_else(|at| at);
+        self.told.insert(at, told);
+    }
+
+    /// What this daemon and those of its zone have in progress together, by hash of the
+    /// endpoints' ids, sorted.
+    pub fn tell_zone(&self, zone: ZoneHash) -> Vec<(u32, Others)> {
+        let mine = self.rows.iter().map(|row| (row.hash, row.own()));
+        let mates = self.told.iter().filter(|told| told.is_daemon_of(zone));
+        let mates = mates.flat_map(|told| told.uses.iter().copied());
+        let mut all: Vec<(u32, Others)> = mine.chain(mates).collect();
+        all.sort_by_key(|row| row.0);
+        all.dedup_by(|row, kept| {
+            let same = row.0 == kept.0;
+            if same {
+                kept.1.requests += row.1.requests;
+                kept.1.tokens += row.1.tokens;
+            }
+            same
+        });
+        all.retain(|row| row.1.requests > 0);
+        all
+    }
+
+    fn find_told(&self, teller: &Teller) -> Result<usize, usize> {
+        self.told.binary_search_by(|told| told.teller.cmp(teller))
+    }
+
+    /// Forgets what was told too long ago.
+    fn forget_told(&mut self, now: Instant) {
+        self.drop_told(|told| now.duration_since(told.heard) > CURRENT);
+    }
+
+    fn drop_told(&mut self, is_over: impl Fn(&Told) -> bool) {
+        for told in self.told.iter().filter(|told| is_over(told)) {
+            add(&mut self.rows, &told.uses, -1);
         }
+        self.told.retain(|told| !is_over(told));
     }
 
     /// Takes in from another daemon which endpoints leave, by hash of their ids. An
@@ -337,7 +387,7 @@
     pub fn heard_left(&mut self, left: &[u32]) -> Vec<EndpointId> {
         let mut found = Vec::new();
         for row in &mut self.rows {
-            let told = left.contains(&short(&row.listing.id));
+            let told = left.contains(&row.hash);
             if told && row.standing != Standing::Leaving {
                 row.standing = Standing::Leaving;
                 found.push(row.listing.id.clone());
@@ -405,6 +455,21 @@
     }
 }
 
+/// Adds what was told to the rows, or takes it off with a `sign` of -1.
+///
+/// Summing up anew what all daemons told would take longer with each daemon, for each
+/// digest of each of them.
+fn add(rows: &mut [Endpoint], uses: &[(u32, Others)], sign: i32) {
+    for row in rows {
+        if let Ok(at) = uses.binary_search_by_key(&row.hash, |told| told.0) {
+            let (others, told) = (&mut row.others, uses[at].1);
+            let requests = told.requests.cast_signed() * sign;
+            others.requests = others.requests.saturating_add_signed(requests);
+            others.tokens += told.tokens * f64::from(sign);
+        }
+    }
+}
+
 fn sum(told: &[Told], endpoint: u32) -> Others {
     let mut all = Others::default();
     for told in told {
@@ -416,13 +481,21 @@
     all
 }
 
+impl Told {
+    fn is_daemon_of(&self, zone: ZoneHash) -> bool {
+        matches!(&self.teller, Teller::Daemon(at, _) if *at == zone)
+    }
+}
+
 impl Endpoint {
-    fn new(listing: Listing, standing: Standing) -> Self {
+    fn new(listing: Listing, standing: Standing, told: &[Told]) -> Self {
+        let hash = short(&listing.id);
         Self {
             listing,
+            hash,
             standing,
             flights: Vec::new(),
-            others: Others::default(),
+            others: sum(told, hash),
             speed: Speed::default(),
             evidence: Evidence::default(),
             cache: Cache::default(),
@@ -440,10 +513,18 @@
         self.flights.len() as u32 + self.others.requests
     }
 
+    /// What this daemon has in progress.
+    pub fn own(&self) -> Others {
+        let waiting = self.flights.iter().filter(|flight| flight.began.is_none());
+        Others {
+            requests: self.flights.len() as u32,
+            tokens: waiting.map(|flight| flight.own).sum(),
+        }
+    }
+
     /// Prompt tokens that wait to be read, from all daemons.
     pub fn backlog(&self) -> f64 {
-        let waiting = self.flights.iter().filter(|flight| flight.began.is_none());
-        waiting.map(|flight| flight.own).sum::<f64>() + self.others.tokens
+        self.own().tokens + self.others.tokens
     }
 
     /// Tokens of memory that this daemon's requests will hold.
--- a/lib/src/relay/digest.rs
+++ b/lib/src/relay/digest.rs
@@ -5,14 +5,21 @@
 //! nothing hangs when a partition swallows connections. Daemons are learned from
 //! the settings' few seeds and from one another, so no call to the store is made
 //! for it.
+//!
+//! Load: hundreds of daemons on hosts with a tenth of a core. What one of them has to
+//! read must not grow with their number, so among many the digests to other zones go
+//! out less often than those within the zone. A few daemons of each zone, its watchers,
+//! tell the other zones more often what their zone does as a whole. Watchers are those
+//! on the largest hosts; every daemon ranks the ones that it hears, without talk.
 
+use std::cmp::Reverse;
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 
 use super::contact::Span;
-use crate::Incarnation;
+use crate::{Incarnation, ZoneHash};
 
 /// After how long a daemon that was never heard, or no longer, is forgotten. It is
 /// longer than partitions usually last, so the two sides find each other again.
@@ -20,15 +27,25 @@
 /// Time between digests among few daemons. What is not told yet may be let in
 /// twice; a quarter of a second of a flood is well within the allowance's slack.
 const PERIOD: Duration = Duration::from_millis(250);
-/// Time between digests for each other daemon, so that what one daemon has to read
-/// stays near 125 datagrams a second however many there are. Its cost by itself was
-/// not measured.
+/// Time between digests for each daemon that they go to. What one daemon has to read
+/// stays near 125 datagrams a second from its zone and as many from all others.
 const EACH: Duration = Duration::from_millis(8);
+/// Watchers of a zone. With two, the loss of one is bridged until it shows.
+pub const WATCHERS: usize = 2;
 /// Periods after which a daemon that was not heard counts as silent.
 const MISSED: u32 = 4;
 /// Daemons up to this long ago are told on.
 const LATELY: Duration = Duration::from_secs(5);
 
+/// Where a daemon runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Place {
+    /// Its zone.
+    pub zone: ZoneHash,
+    /// Memory of its host, in megabytes.
+    pub memory: u32,
+}
+
 /// Another daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Peer {
@@ -40,20 +57,24 @@
     pub heard: Instant,
     /// Its contact with the store, as it told last.
     pub contact: Option<Span>,
+    /// Where it runs, as it told last.
+    pub place: Option<Place>,
 }
 
 /// The other daemons, sorted by address.
 #[derive(Clone, Debug)]
 pub struct Peers {
     me: Ipv4Addr,
+    place: Place,
     rows: Vec<Peer>,
 }
 
 impl Peers {
     /// Begins with the seeds of the settings.
-    pub fn new(me: Ipv4Addr, seeds: &[Ipv4Addr], now: Instant) -> Self {
+    pub fn new(me: Ipv4Addr, place: Place, seeds: &[Ipv4Addr], now: Instant) -> Self {
         let mut peers = Self {
             me,
+            place,
             rows: Vec::new(),
         };
         for seed in seeds {
@@ -78,6 +99,7 @@
                 known: None,
                 heard: now,
                 contact: None,
+                place: None,
             };
             self.rows.insert(at, peer);
         }
@@ -108,13 +130,45 @@
         true
     }
 
-    /// Notes what a daemon tells of its contact with the store.
-    pub fn tell_contact(&mut self, address: Ipv4Addr, contact: Option<Span>) {
+    /// Notes what a daemon tells of itself.
+    pub fn tell(&mut self, address: Ipv4Addr, place: Place, contact: Option<Span>) {
         if let Ok(at) = self.rows.binary_search_by_key(&address, |row| row.address) {
             self.rows[at].contact = contact;
+            self.rows[at].place = Some(place);
         }
     }
 
+    /// Where this daemon runs.
+    pub fn place(&self) -> Place {
+        self.place
+    }
+
+    /// Whether a daemon runs in this daemon's zone.
+    pub fn is_near(&self, peer: &Peer) -> bool {
+        peer.place
+            .is_some_and(|place| place.zone == self.place.zone)
+    }
+
+    /// Whether this daemon is one of its zone's watchers: few of those that it hears
+    /// come before it.
+    pub fn is_watcher(&self, now: Instant) -> bool {
+        let rank = |place: Place, address: Ipv4Addr| (Reverse(place.memory), address);
+        let mine = rank(self.place, self.me);
+        let silent = self.near_period() * MISSED;
+        let heard =
+            |row: &&Peer| row.known.is_some() && now.saturating_duration_since(row.heard) <= silent;
+        let mates = self
+            .rows
+            .iter()
+            .filter(|row| self.is_near(row))
+            .filter(heard);
+        let before = mates.filter(|row| {
+            row.place
+                .is_some_and(|place| rank(place, row.address) < mine)
+        });
+        before.count() < WATCHERS
+    }
+
     /// Addresses of daemons heard lately, to be told on.
     pub fn lately(&self, now: Instant) -> Vec<Ipv4Addr> {
         self.heard_lately(now).map(|row| row.address).collect()
@@ -126,14 +180,36 @@
         known.filter(move |row| now.duration_since(row.heard) <= LATELY)
     }
 
-    /// Time until the next digest.
+    /// Time until the next digest within the zone.
+    pub fn near_period(&self) -> Duration {
+        let near = self.rows.iter().filter(|row| self.is_near(row)).count();
+        PERIOD.max(EACH * near as u32)
+    }
+
+    /// Every how many digests the daemons of other zones are told too.
+    pub fn rounds(&self) -> u32 {
+        let all = PERIOD.max(EACH * self.rows.len() as u32);
+        (all.as_secs_f64() / self.near_period().as_secs_f64()).round() as u32
+    }
+
+    /// Time between two digests to a daemon of another zone.
     pub fn period(&self) -> Duration {
-        PERIOD.max(EACH * self.rows.len() as u32)
+        self.near_period() * self.rounds()
     }
 
     /// After how long without a word a daemon counts as silent.
-    pub fn silent(&self) -> Duration {
-        self.period() * MISSED
+    pub fn silent(&self, zone: ZoneHash) -> Duration {
+        if zone == self.place.zone {
+            self.near_silent()
+        } else {
+            self.period() * MISSED
+        }
+    }
+
+    /// After how long without a word a daemon of this zone, or another zone as a whole,
+    /// counts as silent.
+    pub fn near_silent(&self) -> Duration {
+        self.near_period() * MISSED
     }
 
     /// Forgets daemons that are silent for long.
--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -10,8 +10,14 @@
 //! The others' figures are as old as their last word. When a flood has emptied the
 //! bucket and a little comes in, all daemons would see it at once and each let its
 //! whole queue of callers in: bursts of three times the allowance, and then seconds
-//! of nothing. So when little is left each daemon draws at most its share of the
-//! rate, by what is asked of it and of the others.
+//! of nothing. So when little is left and more is asked than the allowance brings, each
+//! daemon draws at most its share of the rate, by what is asked of it and of the others.
+//! Among hundreds of daemons a share is less than one long prompt; requests are then let
+//! in one of so many, as many as the rate is of what is asked.
+//!
+//! Daemons of other zones are heard seldom when there are many. Watchers of each zone
+//! tell the rates of theirs together, more often; these replace the rates that the single
+//! daemons told last, and their silence shows that a whole zone is cut off.
 //!
 //! A daemon that has just started does not know what was let in before; its bucket
 //! begins empty. The fleet may restart as a whole in the middle of a flood, and
@@ -27,16 +33,23 @@
 //! where it goes on letting requests in. It is taken to use most of an even share,
 //! so that the two sides of a partition stay near the allowance together.
 
+mod others;
+mod saved;
 mod steps;
+mod zones;
 
 use std::time::{Duration, Instant};
 
-use compact_str::CompactString;
-
+use self::others::Other;
+pub use self::others::{Told, Use};
+use self::saved::Before;
+pub use self::saved::Spent;
 use self::steps::{StepId, Steps};
+use self::zones::Zone;
+pub use self::zones::{ZoneUse, ZoneWord};
 use super::ask::Ask;
 use super::catalog::{Team, Unit};
-use crate::{CustomerId, Incarnation};
+use crate::{CustomerId, ZoneHash};
 
 /// Steps in which the window moves on. A step counts until all of it is out of the
 /// window; forgetting it when its beginning is out let a flood use 6 in 100 more.
@@ -56,6 +69,9 @@
 /// Depth of a daemon's own share, in seconds of its rate. What has gathered in all
 /// shares while the fleet's bucket was empty comes out at once, so it is little.
 const SHARE_BURST: f64 = 0.25;
+/// Time in which a share has to bring a request for requests to be let in by the share's
+/// own bucket; thinner shares let in one of so many.
+const THIN: f64 = 1.0;
 /// Steps over which shares are taken; a daemon has a few requests of a team a
 /// second, and shares of shorter spans would be mostly chance.
 const SHARE_STEPS: StepId = 10;
@@ -64,9 +80,6 @@
 /// all restarted at once, each gave the whole rate out until then, 1.5 times the
 /// rate together in half a second.
 const UNSURE: Duration = Duration::from_secs(1);
-/// Seconds that a team is taken to have gone on at its last rate after a checkpoint was
-/// written: its period and the time that digests take to reach the writer.
-const UNSAVED: f64 = 1.0;
 /// Span over which the current rate is told. A flood begins within a tenth of a
 /// second; over a longer span its rate is told too low while it grows.
 const RECENT: Duration = Duration::from_millis(600);
@@ -95,77 +108,8 @@
     steps: Steps,
     /// Units that were asked for, let in or not.
     asked: Steps,
-}
-
-/// What a daemon tells of one team.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Use {
-    /// Hash of the team's name.
-    pub team: u32,
-    /// Units within the window.
-    pub units: f64,
-    /// Units since the daemon's start, modulo 2^32.
-    pub total: u32,
-    /// Units a second, lately.
-    pub rate: f64,
-    /// Units a second that callers asked for, let in or not.
-    pub asked: f64,
-}
-
-/// What another daemon told.
-#[derive(Clone, Debug)]
-pub struct Told {
-    /// Its name.
-    pub name: CompactString,
-    /// Its incarnation; another one counts from zero.
-    pub incarnation: Incarnation,
-    /// When it told.
-    pub heard: Instant,
-    /// When it started.
-    pub started: Instant,
-    /// Its uses, sorted by team.
-    pub uses: Vec<Use>,
-}
-
-/// What is known of one team at another daemon.
-#[derive(Clone, Debug)]
-struct Known {
-    team: u32,
-    total: u32,
-    rate: f64,
-    asked: f64,
-    steps: Steps,
-}
-
-/// What all daemons let a team use lately, as a checkpoint holds it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Spent {
-    /// Hash of the team's name.
-    pub team: u32,
-    /// Units by step of the window, the newest step last.
-    pub steps: Vec<u32>,
-    /// Units a second, lately.
-    pub rate: f64,
-}
-
-/// What was let in before this daemon started, by a checkpoint.
-#[derive(Clone, Debug)]
-struct Before {
-    /// Daemons that there were.
-    daemons: u32,
-    /// Sorted by team.
-    teams: Vec<(u32, Steps)>,
-}
-
-/// What is known of another daemon.
-#[derive(Clone, Debug)]
-struct Other {
-    name: CompactString,
-    incarnation: Incarnation,
-    heard: Instant,
-    started: Instant,
-    /// Sorted by team.
-    teams: Vec<Known>,
+    /// Part of a request that is let in by a thin share, gathered so far.
+    gathered: f64,
 }
 
 /// What this daemon may give out of an allowance.
@@ -195,12 +139,14 @@
     tolerance: Tolerance,
     started: Instant,
     window: Duration,
-    /// After how long without a word a daemon counts as silent.
-    silent: Duration,
+    /// Where this daemon begins to gather thin shares, from 0 to 1.
+    phase: f64,
     /// Sorted by team.
     used: Vec<Used>,
     /// Sorted by name.
     others: Vec<Other>,
+    /// Other zones that were told of as a whole, sorted.
+    zones: Vec<Zone>,
     /// `None` if no checkpoint was found at the start.
     before: Option<Before>,
 }
@@ -226,61 +172,18 @@
             tolerance,
             started: now,
             window,
-            silent: window,
+            phase: 0.0,
             used: Vec::new(),
             others: Vec::new(),
+            zones: Vec::new(),
             before: None,
         }
     }
 
-    /// What all daemons let in within the window, for a checkpoint; sorted by team.
-    pub fn checkpoint(&self, now: Instant) -> Vec<Spent> {
-        let first = self.first_step(now);
-        let told = self.others.iter().flat_map(|other| &other.teams);
-        let mut teams: Vec<u32> = told.map(|known| known.team).collect();
-        teams.extend(self.used.iter().map(|used| short(&used.team)));
-        teams.sort_unstable();
-        teams.dedup();
-        let mine = self.tell(now);
-        let row = |team: u32| {
-            let mut steps = vec![0.0; STEPS as usize + 1];
-            for (step, units) in self.spent(team, first, now) {
-                steps[(step - first) as usize] += units;
-            }
-            for (step, units) in self.before(team, now).since(first) {
-                steps[(step - first) as usize] += units;
-            }
-            let mine = mine.iter().filter(|row| row.team == team);
-            let rates = self.others.iter().flat_map(|other| &other.teams);
-            let rates = rates.filter(|known| known.team == team);
-            let rates = rates.map(|known| known.rate);
-            Spent {
-                team,
-                steps: steps.into_iter().map(|units| units as u32).collect(),
-                rate: mine.map(|row| row.rate).chain(rates).sum(),
-            }
-        };
-        let rows = teams.into_iter().map(row);
-        rows.filter(|row| row.steps.iter().any(|units| *units > 0))
-            .collect()
-    }
-
-    /// Begins with what `daemons` let in until the checkpoint. It counts as let in up
-    /// to this moment: how long ago it was written is not known for certain, and later
-    /// is the side on which a team gets less.
-    pub fn restore(&mut self, spent: Vec<Spent>, daemons: u32, now: Instant) {
-        let last = self.step(now);
-        let team = |row: Spent| {
-            let mut steps = Steps::default();
-            for (back, units) in (0..).zip(row.steps.into_iter().rev()) {
-                steps.add(last - back, f64::from(units));
-            }
-            steps.add(last, row.rate * UNSAVED);
-            (row.team, steps)
-        };
-        let mut teams: Vec<(u32, Steps)> = spent.into_iter().map(team).collect();
-        teams.sort_by_key(|row| row.0);
-        self.before = Some(Before { daemons, teams });
+    /// Begins to gather thin shares at `phase`, from 0 to 1. Daemons that all began at
+    /// the same one would let their first requests in together.
+    pub fn with_phase(self, phase: f64) -> Self {
+        Self { phase, ..self }
     }
 
     /// Lets a request of `units` in and counts it.
@@ -317,19 +220,52 @@
         if room < wanted {
             return Err(wait(wanted - room, part.rate));
         }
-        if part.alone || room < self.unheard(part.rate) {
-            let share = self.share(&team.name, now) * part.rate;
-            let level = self.share_level(&team.name, share, now);
-            // A request may overdraw the share, so that long ones pass as often as
-            // short ones; the next ones wait the longer.
-            if level < 0.0 {
-                return Err(wait(-level, share));
-            }
+        let asked = self.asked_of_all(&team.name, now);
+        let flooded = asked > part.rate && room < self.unheard(part.rate, now);
+        if part.alone || flooded {
+            self.draw(&team.name, units, &part, asked, now)?;
         }
         self.add(&team.name, units, now);
         Ok(())
     }
 
+    /// Takes a request out of this daemon's share of a rate of which `asked` is asked.
+    fn draw(
+        &mut self,
+        team: &CustomerId,
+        units: f64,
+        part: &Part,
+        asked: f64,
+        now: Instant,
+    ) -> Result<(), Duration> {
+        let share = self.share(team, asked, now) * part.rate;
+        if !part.alone && share * THIN < units {
+            return match self.gather(team, part.rate / asked) {
+                true => Ok(()),
+                false => Err(wait(units, share)),
+            };
+        }
+        let level = self.share_level(team, share, now);
+        // A request may overdraw the share, so that long ones pass as often as short
+        // ones; the next ones wait the longer.
+        if level < 0.0 {
+            return Err(wait(-level, share));
+        }
+        Ok(())
+    }
+
+    /// Lets one of so many requests in; `true` if this is the one.
+    fn gather(&mut self, team: &str, part: f64) -> bool {
+        let Ok(at) = self.find(team) else {
+            return false;
+        };
+        let gathered = &mut self.used[at].gathered;
+        *gathered += part;
+        let full = *gathered >= 1.0;
+        *gathered = gathered.fract();
+        full
+    }
+
     /// Whether a daemon that heard no other yet may let a request in: by a checkpoint
     /// it knows what there is and for how many daemons.
     fn is_within_even_part(&self, team: &str, units: f64, part: &Part, now: Instant) -> bool {
@@ -356,7 +292,6 @@
     /// Takes in what another daemon tells; one that tells nothing for `silent` counts
     /// as silent.
     pub fn hear(&mut self, told: &Told, silent: Duration) {
-        self.silent = silent;
         let (last, far) = (self.step(told.heard), self.first_step(told.heard));
         let at = self
             .others
@@ -364,9 +299,11 @@
             .unwrap_or_else(|at| {
                 let other = Other {
                     name: told.name.clone(),
+                    zone: told.zone,
                     incarnation: told.incarnation,
                     // Nothing was heard of it yet: its whole window is news.
                     heard: told.started,
+                    silent,
                     started: told.started,
                     teams: Vec::new(),
                 };
@@ -375,6 +312,53 @@
             });
         let first = self.step(self.others[at].heard).max(far);
         self.others[at].hear(told, first, last);
+        self.others[at].silent = silent;
+    }
+
+    /// Takes in what a watcher of another zone tells of it as a whole; without a further
+    /// word for `silent` the zone counts as silent.
+    pub fn hear_zone(&mut self, zone: ZoneHash, word: ZoneWord, silent: Duration, now: Instant) {
+        let row = Zone {
+            zone,
+            heard: now,
+            silent,
+            word,
+        };
+        match self.zones.binary_search_by_key(&zone, |row| row.zone) {
+            Ok(at) => self.zones[at] = row,
+            Err(at) => self.zones.insert(at, row),
+        }
+    }
+
+    /// What this daemon and those of its zone do together, sorted by team.
+    pub fn tell_zone(&self, zone: ZoneHash, now: Instant) -> ZoneWord {
+        let mut word = ZoneWord::default();
+        let mut add = |team: u32, rate: f64, asked: f64| {
+            let at = word.uses.binary_search_by_key(&team, |row| row.team);
+            let at = at.unwrap_or_else(|at| {
+                let (rate, asked) = (0.0, 0.0);
+                word.uses.insert(at, ZoneUse { team, rate, asked });
+                at
+            });
+            word.uses[at].rate += rate;
+            word.uses[at].asked += asked;
+        };
+        for row in self.tell(now) {
+            add(row.team, row.rate, row.asked);
+        }
+        let mates = self.others.iter().filter(|other| other.zone == zone);
+        let mut silent = 0;
+        for other in mates {
+            if other.is_silent(now) {
+                silent += 1;
+                continue;
+            }
+            for known in &other.teams {
+                add(known.team, known.rate, known.asked);
+            }
+        }
+        word.silent = silent;
+        word
     }
 
     /// What this daemon tells, sorted by team.
@@ -403,6 +387,8 @@
         }
         self.others
             .retain(|other| now.duration_since(other.heard) <= window * 2);
+        self.zones
+            .retain(|zone| now.duration_since(zone.heard) <= window * 2);
         for known in self.others.iter_mut().flat_map(|other| &mut other.teams) {
             known.steps.forget_before(first);
         }
@@ -436,12 +422,11 @@
 
     /// What of an allowance is left to this daemon and those that it hears.
     fn part(&self, rate: f64, burst: f64, now: Instant) -> Part {
-        let is_silent = |other: &&Other| now.duration_since(other.heard) > self.silent;
-        let silent = self.others.iter().filter(is_silent).count();
+        let silent = self.silent(now);
         let alone = silent * 2 > self.others.len();
         let each = if alone { 1.0 } else { SILENT_SHARE };
         let daemons = (self.others.len() + 1) as f64;
-        let left = self.given_out() * (1.0 - silent as f64 * each / daemons);
+        let left = self.given_out(now) * (1.0 - silent as f64 * each / daemons);
         let whole = rate * self.window.as_secs_f64() + burst;
         let tolerated = whole * self.tolerance.share + self.tolerance.units;
         let tolerated = tolerated * TOLERATED;
@@ -454,11 +439,47 @@
     }
 
     /// Units that may be let in elsewhere before this daemon hears of it.
-    fn unheard(&self, rate: f64) -> f64 {
-        if self.others.is_empty() {
-            return 0.0;
-        }
-        rate * self.silent.as_secs_f64() / PERIODS
+    fn unheard(&self, rate: f64, now: Instant) -> f64 {
+        rate * self.horizon(now).as_secs_f64() / PERIODS
+    }
+
+    /// A zone as a whole, if its watchers told of it.
+    fn zone(&self, zone: ZoneHash) -> Option<&Zone> {
+        let at = self.zones.binary_search_by_key(&zone, |row| row.zone);
+        at.ok().map(|at| &self.zones[at])
+    }
+
+    /// The same, if that was lately.
+    fn fresh_zone(&self, zone: ZoneHash, now: Instant) -> Option<&Zone> {
+        self.zone(zone).filter(|zone| !zone.is_silent(now))
+    }
+
+    fn is_silent(&self, other: &Other, now: Instant) -> bool {
+        other.is_silent(now) || self.zone(other.zone).is_some_and(|row| row.is_silent(now))
+    }
+
+    /// Daemons that are silent. Of zones that are told of as a whole, watchers know
+    /// sooner than this daemon.
+    fn silent(&self, now: Instant) -> usize {
+        let rows = self.others.iter();
+        let silent = rows.filter(|other| self.is_silent(other, now)).count();
+        let fresh = self.zones.iter().filter(|zone| !zone.is_silent(now));
+        let more = fresh.map(|row| {
+            let mates = self.others.iter().filter(|other| other.zone == row.zone);
+            let known = mates.filter(|other| other.is_silent(now)).count();
+            (row.word.silent as usize).saturating_sub(known)
+        });
+        (silent + more.sum::<usize>()).min(self.others.len())
+    }
+
+    /// Longest time without a word after which some daemon counts as silent, those left
+    /// aside that are.
+    fn horizon(&self, now: Instant) -> Duration {
+        let told = |other: &Other| match self.fresh_zone(other.zone, now) {
+            Some(zone) => zone.silent.min(other.silent),
+            None => other.silent,
+        };
+        self.others.iter().map(told).max().unwrap_or_default()
     }
 
     /// Whether nobody knows what was let in before this daemon started: it runs for
@@ -470,11 +491,8 @@
     }
 
     /// Share of the allowance that is given out.
-    fn given_out(&self) -> f64 {
-        if self.others.is_empty() {
-            return 1.0;
-        }
-        1.0 - (self.silent.as_secs_f64() * HELD_BACK).min(MOST_HELD)
+    fn given_out(&self, now: Instant) -> f64 {
+        1.0 - (self.horizon(now).as_secs_f64() * HELD_BACK).min(MOST_HELD)
     }
 
     /// Units in the fleet's bucket, after all that was let in within the window.
@@ -521,45 +539,66 @@
             .iter()
             .filter(move |used| short(&used.team) == team);
         let mine = mine.flat_map(move |used| used.steps.since(first));
-        let (silent, last) = (self.silent, self.step(now));
-        let others = self.others.iter().filter_map(move |other| {
-            let age = now.saturating_duration_since(other.heard);
+        let last = self.step(now);
+        let heard = move |other: &&Other| !self.is_silent(other, now);
+        let others = self.others.iter().filter(heard);
+        let theirs = others.flat_map(move |other| {
             let at = other.teams.binary_search_by_key(&team, |known| known.team);
-            let known = &other.teams[at.ok()?];
-            (age <= silent).then_some((known, age))
+            let known = at.ok().map(|at| &other.teams[at]);
+            let steps = known.map_or(&[][..], |known| known.steps.since(first));
+            let whole = self.fresh_zone(other.zone, now).is_some();
+            let rate = known.filter(|_| !whole).map_or(0.0, |known| known.rate);
+            let age = now.saturating_duration_since(other.heard);
+            steps
+                .iter()
+                .copied()
+                .chain([(last, rate * age.as_secs_f64())])
         });
-        let theirs = others.flat_map(move |(known, age)| {
-            let since = (last, known.rate * age.as_secs_f64());
-            known.steps.since(first).iter().copied().chain([since])
+        let zones = self.zones.iter().filter(move |row| !row.is_silent(now));
+        let zones = zones.map(move |row| {
+            let rate = row.word.of(team).map_or(0.0, |told| told.rate);
+            (last, rate * self.mean_age(row.zone, now))
         });
-        mine.copied().chain(theirs)
+        mine.copied().chain(theirs).chain(zones)
     }
 
-    /// What was let in before this daemon started, by a checkpoint; nothing if the
-    /// others run since long before and tell it themselves.
-    fn before(&self, team: u32, now: Instant) -> Steps {
-        let Some(before) = &self.before else {
-            return Steps::default();
-        };
-        if !self.others.is_empty() && !self.is_fresh(now) {
-            return Steps::default();
-        }
-        let at = before.teams.binary_search_by_key(&team, |row| row.0);
-        at.map_or_else(|_| Steps::default(), |at| before.teams[at].1.clone())
+    /// Mean time since the last words of a zone's daemons, in seconds.
+    fn mean_age(&self, zone: ZoneHash, now: Instant) -> f64 {
+        let heard = |other: &&Other| other.zone == zone && !self.is_silent(other, now);
+        let ages = self.others.iter().filter(heard);
+        let ages = ages.map(|other| now.saturating_duration_since(other.heard).as_secs_f64());
+        let (sum, count) = ages.fold((0.0, 0.0), |all, age| (all.0 + age, all.1 + 1.0));
+        if count > 0.0 { sum / count } else { 0.0 }
     }
 
-    /// This daemon's share of what is asked of all for a team.
-    fn share(&self, team: &str, now: Instant) -> f64 {
-        let mine = self.find(team);
-        let mine = mine.map_or(0.0, |at| self.asked(&self.used[at].asked, now));
+    /// Units a second that are asked of all for a team.
+    fn asked_of_all(&self, team: &str, now: Instant) -> f64 {
+        let mine = self.asked_here(team, now);
         let team = short(team);
-        let heard = |other: &&Other| now.duration_since(other.heard) <= self.silent;
-        let theirs = self.others.iter().filter(heard).filter_map(|other| {
+        let told = |other: &&Other| {
+            !self.is_silent(other, now) && self.fresh_zone(other.zone, now).is_none()
+        };
+        let theirs = self.others.iter().filter(told).filter_map(|other| {
             let at = other.teams.binary_search_by_key(&team, |known| known.team);
             Some(other.teams[at.ok()?].asked)
         });
-        let all = mine + theirs.sum::<f64>();
-        if all > 0.0 { mine / all } else { 1.0 }
+        let zones = self.zones.iter().filter(|row| !row.is_silent(now));
+        let zones = zones.filter_map(|row| Some(row.word.of(team)?.asked));
+        mine + theirs.sum::<f64>() + zones.sum::<f64>()
+    }
+
+    fn asked_here(&self, team: &str, now: Instant) -> f64 {
+        let at = self.find(team);
+        at.map_or(0.0, |at| self.asked(&self.used[at].asked, now))
+    }
+
+    /// This daemon's share of what is asked of all for a team.
+    fn share(&self, team: &str, all: f64, now: Instant) -> f64 {
+        if all > 0.0 {
+            self.asked_here(team, now) / all
+        } else {
+            1.0
+        }
     }
 
     /// Units a second over the last steps.
@@ -596,6 +635,7 @@
                 total: 0,
                 steps: Steps::default(),
                 asked: Steps::default(),
+                gathered: self.phase,
             };
             self.used.insert(at, used);
             at
@@ -623,46 +663,3 @@
 fn wait(missing: f64, rate: f64) -> Duration {
     Duration::from_secs_f64((missing / rate).clamp(SOONEST, LATEST))
 }
-
-impl Other {
-    /// Takes a word in; what is new was let in between the steps `first` and `last`.
-    fn hear(&mut self, told: &Told, first: StepId, last: StepId) {
-        if self.incarnation != told.incarnation {
-            // Another incarnation counts from zero; what the last one told stands.
-            self.incarnation = told.incarnation;
-            for known in &mut self.teams {
-                known.total = 0;
-            }
-        }
-        for known in &mut self.teams {
-            known.rate = 0.0;
-            known.asked = 0.0;
-        }
-        for row in &told.uses {
-            let found = self
-                .teams
-                .binary_search_by_key(&row.team, |known| known.team);
-            let at = found.unwrap_or_else(|at| {
-                let known = Known {
-                    team: row.team,
-                    // Of a team that was not told before, the whole window is new.
-                    total: row.total.wrapping_sub(row.units as u32),
-                    rate: 0.0,
-                    asked: 0.0,
-                    steps: Steps::default(),
-                };
-                self.teams.insert(at, known);
-                at
-            });
-            let known = &mut self.teams[at];
-            // Refunds make the total fall by a little.
-            let new = row.total.wrapping_sub(known.total).cast_signed();
-            known.steps.spread(first, last, f64::from(new));
-            known.total = row.total;
-            known.rate = row.rate;
-            known.asked = row.asked;
-        }
-        self.heard = told.heard;
-        self.started = told.started;
-    }
-}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -30,6 +30,7 @@
 mod test_relay_fleet;
 mod test_relay_life;
 mod test_relay_place;
+mod test_relay_quota;
 mod test_relay_rollout;
 mod test_relay_shared;
 mod test_relay_stream;
--- a/lib/tests/test_relay_board.rs
+++ b/lib/tests/test_relay_board.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use poplarvale_lib::relay::board::{Board, Changed, RETURN, Standing};
+use poplarvale_lib::relay::board::{Board, Changed, Others, RETURN, Standing, Teller};
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::quota::short;
 
@@ -166,3 +166,48 @@
     assert_eq!(board.put(entry(1, 41, false)), Changed::Nothing);
     assert!(!usable(&board, "a", now));
 }
+
+fn load(id: &str, requests: u32) -> (u32, Others) {
+    let tokens = f64::from(requests) * 10.0;
+    (short(id), Others { requests, tokens })
+}
+
+/// Watchers tell what their zone has in progress as a whole, and its daemons tell theirs
+/// more seldom. Counted twice, an endpoint would seem full that has room.
+#[test]
+fn what_a_zone_has_in_progress_counts_once() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    board.put(listing("a"));
+    let daemon = |name: &str| Teller::Daemon(7, name.into());
+    let busy = |board: &Board| board.get("a").map(|row| row.others.requests);
+    board.hear(daemon("d1"), vec![load("a", 2)], now);
+    board.hear(daemon("d2"), vec![load("a", 3)], now);
+    assert_eq!(busy(&board), Some(5));
+    assert_eq!(board.tell_zone(7), [load("a", 5)]);
+    board.hear(Teller::Zone(7), vec![load("a", 6)], now);
+    assert_eq!(busy(&board), Some(6));
+    board.hear(daemon("d1"), vec![load("a", 2)], now);
+    assert_eq!(busy(&board), Some(6));
+    board.hear(Teller::Zone(7), vec![load("a", 4)], now);
+    assert_eq!(busy(&board), Some(4));
+    // The watchers of that zone are lost; its daemons stand for themselves again.
+    let later = now + Duration::from_secs(3);
+    board.hear(daemon("d2"), vec![load("a", 1)], later);
+    assert_eq!(busy(&board), Some(1));
+}
+
+/// An endpoint joins after others have begun to send to it. Its load must not be missing,
+/// nor be taken off later without having been added.
+#[test]
+fn what_was_told_before_an_endpoint_joined_counts() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    let teller = Teller::Daemon(7, "d1".into());
+    board.hear(teller.clone(), vec![load("a", 3)], now);
+    board.put(listing("a"));
+    let others = |board: &Board| board.get("a").map(|row| row.others);
+    assert_eq!(others(&board), Some(load("a", 3).1));
+    board.hear(teller, vec![], now);
+    assert_eq!(others(&board), Some(Others::default()));
+}
--- a/lib/tests/test_relay_place.rs
+++ b/lib/tests/test_relay_place.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use poplarvale_lib::relay::ask::Prompt;
-use poplarvale_lib::relay::board::{Board, Flight, Others};
+use poplarvale_lib::relay::board::{Board, Flight, Others, Teller};
 use poplarvale_lib::relay::catalog::{Engine, Service};
 use poplarvale_lib::relay::evidence::Evidence;
 use poplarvale_lib::relay::place::{Choice, NoPlace, Wanted, book, choose};
@@ -146,9 +146,11 @@
         requests: 4,
         tokens: 9000.0,
     };
-    trial
-        .board
-        .hear(&"b".into(), vec![(short("e0"), full)], trial.now);
+    trial.board.hear(
+        Teller::Daemon(1, "b".into()),
+        vec![(short("e0"), full)],
+        trial.now,
+    );
     for session in 20..24 {
         assert_eq!(trial.send(&prompt(session, 100, 100)).id, "e1");
     }
--- a/lib/tests/test_relay_shared.rs
+++ b/lib/tests/test_relay_shared.rs
@@ -31,6 +31,7 @@
 fn told(name: &str, heard: Instant, uses: Vec<Use>) -> Told {
     Told {
         name: name.into(),
+        zone: 0,
         incarnation: 1,
         heard,
         started: heard.checked_sub(WINDOW * 3).unwrap_or(heard),
