watch: a few watchers of each zone follow the store for all

Each of 195 daemons followed the whole store, each beat of 123 endpoints included, at least each 1.3 s.

Ruled out: duties (one holder, about three calls a second), configurations (one read a daemon and change).

Now the two daemons of a zone on its largest hosts follow the store, and tell the others which entries changed, by the store's revisions. Those look for themselves if they hear no watcher for four digests, if its answer of the store is older than 1.9 s, after a gap and after a change by operators. Weighed: passing the configuration on (it does not fit a datagram), reads that may be old (each daemon would still read all beats).

Tests: test_relay_follow and test_relay_watchers (six daemons of one zone: no calls by those that are told; one without the store goes by what it is told; both watchers lose the store; a new configuration).

--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -18,6 +18,9 @@
 use tokio::net::UdpSocket;
 
 use super::state::State;
+use super::watch::take_news;
+
+mod news;
 
 /// Every how many digests the other daemons and all usage windows are told; the
 /// window that ended last is told each time, as its report is due next.
@@ -82,12 +85,19 @@
 /// may be of any zone.
 fn tell(state: &State, socket: &UdpSocket, sequence: u64, whole: bool, all: bool) {
     let now = Instant::now();
-    let bytes = digest(state, sequence, whole, now).encode_to_vec();
+    let mut digest = digest(state, sequence, whole, now);
     let peers = state.peers.borrow();
     if all {
+        let bytes = digest.encode_to_vec();
         let far = peers.rows().iter().filter(|peer| !peers.is_near(peer));
         far.for_each(|peer| send_to(state, socket, peer, &bytes));
     }
+    if peers.is_watcher(now) {
+        let check = state.board.borrow().check_sum();
+        let news = state.follow.borrow().tell(check, now);
+        digest.news = news.map(news::tell);
+    }
+    let bytes = digest.encode_to_vec();
     let near = peers.rows().iter().filter(|peer| peers.is_near(peer));
     near.for_each(|peer| send_to(state, socket, peer, &bytes));
 }
@@ -186,6 +196,7 @@
         sequence,
         zone: place.zone,
         memory: place.memory,
+        news: None,
         zone_use: None,
         wall_ms: State::wall(),
         catalog: state
@@ -362,6 +373,11 @@
         end_doubt(state, &name, span, now);
     }
     state.clock.borrow_mut().hear(&name, digest.wall_ms, now);
+    match digest.news.map(news::hear) {
+        Some(Some(news)) => take_news(state, news, now),
+        Some(None) => log::warn!("peers: news of {name} is not read."),
+        None => {}
+    }
     let uses = digest.endpoints.iter().map(hear_use).collect();
     let teller = Teller::Daemon(digest.zone, name.clone());
     state.board.borrow_mut().hear(teller, uses, now);
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -13,6 +13,7 @@
 use poplarvale_lib::relay::contact::Contact;
 use poplarvale_lib::relay::demand::Demand;
 use poplarvale_lib::relay::digest::{Peers, Place};
+use poplarvale_lib::relay::follow::Follow;
 use poplarvale_lib::relay::life::Life;
 use poplarvale_lib::relay::quota::{Quota, short};
 use poplarvale_lib::relay::rollout::Rollouts;
@@ -41,6 +42,10 @@
     pub(crate) usage: RefCell<Usage>,
     pub(crate) clock: RefCell<Clock>,
     pub(crate) peers: RefCell<Peers>,
+    /// How the store is followed.
+    pub(crate) follow: RefCell<Follow>,
+    /// Told when this daemon has to look into the store itself.
+    pub(crate) look: Notify,
     /// Who holds the duties, as far as the store told.
     pub(crate) leader: RefCell<Option<CompactString>>,
     /// Drawn at the start.
@@ -99,6 +104,8 @@
             usage: RefCell::new(Usage::new(site.name.clone(), incarnation)),
             clock: RefCell::new(Clock::new(started)),
             peers: RefCell::new(Peers::new(me, place, &seeds, started)),
+            follow: RefCell::default(),
+            look: Notify::new(),
             leader: RefCell::new(None),
             incarnation,
             started,
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -1,13 +1,17 @@
 //! Follows the configuration and the list of endpoints in the store.
 //!
-//! Every daemon follows both itself. The store answers at once when something
-//! changes, and calls cost, so after an answer the next watch waits a little and
-//! then gets all that came meanwhile in one.
+//! Watchers follow both themselves; the other daemons do so only while no watcher tells
+//! them enough. The store answers at once when something changes, and calls cost, so
+//! after an answer the next watch waits a little and then gets all that came meanwhile
+//! in one.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use poplarvale_lib::EndpointId;
 use poplarvale_lib::relay::board::Changed;
+use poplarvale_lib::relay::digest::WATCHERS;
+use poplarvale_lib::relay::follow::{Entry, Heard, News};
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::quota::short;
 use poplarvale_lib::relay::rollout::Order;
@@ -57,30 +61,28 @@
 /// Follows the store until the process ends.
 pub(crate) async fn follow(state: Rc<State>) {
     let mut client = Client::new(state.site.store);
-    let mut revision = None;
-    let mut pause = RETRY;
+    let mut retry = RETRY;
     let mut failing = false;
     loop {
         let began = Instant::now();
+        let revision = state.follow.borrow_mut().begin();
         let step = match revision {
             None => read_all(&state, &mut client).await,
             Some(after) => watch_once(&state, &mut client, after).await,
         };
+        state.follow.borrow_mut().end();
         match step {
-            Ok(next) => {
+            Ok(()) => {
                 let now = Instant::now();
                 if failing {
                     let silence = state.contact.get().silence(now);
                     log::info!("store: back after {silence:?}.");
                     failing = false;
                 }
-                revision = Some(next);
                 state.store_answered(now);
                 state.measure(|metrics| metrics.called("store", "done"));
-                pause = RETRY;
-                let others = state.peers.borrow().rows().len() as u32;
-                let pause = (PAUSE + PAUSE_EACH * others).min(MOST_PAUSE);
-                tokio::time::sleep(pause).await;
+                retry = RETRY;
+                until_due(&state, now + pause(&state)).await;
             }
             Err(error) => {
                 state.measure(|metrics| metrics.called("store", "failed"));
@@ -90,23 +92,51 @@
                 }
                 if matches!(error, WatchError::Store(StoreError::Compacted)) {
                     log::info!("store: its history is gone, everything is read anew.");
-                    revision = None;
+                    state.follow.borrow_mut().lost();
                     continue;
                 }
                 // After an outage the whole list is read: a removal may have been missed.
                 state.store_failed(began);
                 if !state.contact.get().is_unbroken() {
-                    revision = None;
+                    state.follow.borrow_mut().lost();
                 }
-                tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(MOST_RETRY);
+                tokio::time::sleep(retry).await;
+                retry = (retry * 2).min(MOST_RETRY);
             }
         }
     }
 }
 
-/// Reads the configuration and the whole list; gives the revision to go on from.
-async fn read_all(state: &State, client: &mut Client) -> Result<u64, WatchError> {
+/// Time until a daemon that follows the store looks again.
+fn pause(state: &State) -> Duration {
+    let peers = state.peers.borrow();
+    let mut others = peers.rows().len();
+    if peers.is_watcher(Instant::now()) {
+        others = others.min(WATCHERS * state.site.zones.len());
+    }
+    (PAUSE + PAUSE_EACH * others as u32).min(MOST_PAUSE)
+}
+
+/// Waits until this daemon has to look for itself: at the moment `due`, or later if it
+/// is told enough meanwhile.
+async fn until_due(state: &State, due: Instant) {
+    loop {
+        let now = Instant::now();
+        let told = state.follow.borrow().told(now);
+        let told = told.filter(|_| !state.peers.borrow().is_watcher(now));
+        let until = told.map_or(due, |told| told.max(due));
+        if now >= until {
+            return;
+        }
+        tokio::select! {
+            () = tokio::time::sleep_until(until.into()) => {}
+            () = state.look.notified() => return,
+        }
+    }
+}
+
+/// Reads the configuration and the whole list.
+async fn read_all(state: &State, client: &mut Client) -> Result<(), WatchError> {
     let (items, revision) = list(client, OPERATORS).await?;
     for item in &items {
         take_order(state, item);
@@ -141,7 +171,8 @@
         tell(state, &id, change);
     }
     state.listed.set(true);
-    Ok(revision)
+    state.follow.borrow_mut().read(revision, now);
+    Ok(())
 }
 
 /// Reads all pages of a list, with the revision of the first.
@@ -161,40 +192,104 @@
     }
 }
 
-async fn watch_once(state: &State, client: &mut Client, after: u64) -> Result<u64, WatchError> {
+async fn watch_once(state: &State, client: &mut Client, after: u64) -> Result<(), WatchError> {
     let call = watch(FOLLOWED, after, WAIT);
     let reply: Reply = client.call(&call, WAIT + SLACK).await?;
     let watched = read_watched(&reply)?;
     for change in &watched.changes {
         take_change(state, change);
     }
-    Ok(watched.revision)
+    let mut follow = state.follow.borrow_mut();
+    follow.watched(watched.revision, Instant::now());
+    Ok(())
 }
 
 fn take_change(state: &State, change: &Change) {
-    let now = Instant::now();
     match change {
-        Change::Put(item) if item.key.starts_with(OPERATORS) => take_order(state, item),
-        Change::Put(item) if item.key.starts_with(STATUS) => take_status(state, item),
+        Change::Put(item) if item.key.starts_with(OPERATORS) => {
+            state.follow.borrow_mut().saw_order(item.revision);
+            take_order(state, item);
+        }
+        Change::Put(item) if item.key.starts_with(STATUS) => {
+            state.follow.borrow_mut().saw_order(item.revision);
+            take_status(state, item);
+        }
         Change::Put(item) if item.key.starts_with(REGISTRY) => {
             if let Some(listing) = listing(item) {
-                let id = listing.id.clone();
-                let change = state.board.borrow_mut().put(listing);
-                tell(state, &id, change);
+                let entry = Entry::Put(listing);
+                take_entry(state, item.revision, entry);
             }
         }
-        Change::Put(item) if item.key == LEADER => take_leader(state, Some(item)),
-        Change::Gone(key) if key == LEADER => take_leader(state, None),
-        Change::Gone(key) => {
+        Change::Put(item) if item.key == LEADER => {
+            state.follow.borrow_mut().saw_order(item.revision);
+            take_leader(state, Some(item));
+        }
+        Change::Gone(key, revision) if key == LEADER => {
+            state.follow.borrow_mut().saw_order(*revision);
+            take_leader(state, None);
+        }
+        Change::Gone(key, revision) => {
             if let Some(id) = key.strip_prefix(REGISTRY) {
-                let change = state.board.borrow_mut().gone(id, now);
-                tell(state, id, change);
+                take_entry(state, *revision, Entry::Gone(id.into()));
             }
         }
         Change::Put(_) => {}
     }
 }
 
+/// Takes a change of the registry in that this daemon saw itself, to be told on.
+fn take_entry(state: &State, revision: u64, entry: Entry) {
+    let now = Instant::now();
+    let is_news = match &entry {
+        Entry::Put(listing) => state.board.borrow().is_news(listing),
+        Entry::Gone(_) => true,
+    };
+    if is_news {
+        let mut follow = state.follow.borrow_mut();
+        follow.saw(revision, entry.clone(), now);
+    }
+    let (id, change) = apply(state, entry, now);
+    tell(state, &id, change);
+}
+
+fn apply(state: &State, entry: Entry, now: Instant) -> (EndpointId, Changed) {
+    let mut board = state.board.borrow_mut();
+    match entry {
+        Entry::Put(listing) => (listing.id.clone(), board.put(listing)),
+        Entry::Gone(id) => {
+            let change = board.gone(&id, now);
+            (id, change)
+        }
+    }
+}
+
+/// Takes in what a watcher of this zone tells.
+pub(crate) fn take_news(state: &State, news: News, now: Instant) {
+    if state.peers.borrow().is_watcher(now) {
+        return;
+    }
+    let (answered, check) = (now.checked_sub(news.age), news.check);
+    let silent = state.peers.borrow().near_silent();
+    let heard = state.follow.borrow_mut().hear(news, silent, now);
+    let entries = match heard {
+        Heard::Take(entries) => entries,
+        Heard::Look => return state.look.notify_one(),
+        Heard::Nothing => return,
+    };
+    if let Some(answered) = answered {
+        state.store_answered(answered);
+    }
+    for entry in entries {
+        let (id, change) = apply(state, entry, now);
+        log_change(state, &id, change);
+    }
+    let mine = state.board.borrow().check_sum();
+    if !state.follow.borrow_mut().compare(check, mine) {
+        log::warn!("store: what is told differs, everything is read anew.");
+        state.look.notify_one();
+    }
+}
+
 /// Takes in what operators wrote: the configuration or a version move.
 fn take_order(state: &State, item: &Item) {
     if item.key == CONFIG_KEY {
@@ -245,14 +340,19 @@
     *state.leader.borrow_mut() = name;
 }
 
+/// Tells the other daemons of an endpoint that leaves.
 fn tell(state: &State, id: &str, change: Changed) {
+    log_change(state, id, change);
+    if change == Changed::Left {
+        state.left.borrow_mut().push(short(id));
+        state.news.notify_one();
+    }
+}
+
+fn log_change(state: &State, id: &str, change: Changed) {
     match change {
         Changed::Joined => log::info!("board: endpoint {id} joined."),
-        Changed::Left => {
-            log::info!("board: endpoint {id} leaves.");
-            state.left.borrow_mut().push(short(id));
-            state.news.notify_one();
-        }
+        Changed::Left => log::info!("board: endpoint {id} leaves."),
         Changed::Doubted(until) => {
             let left = until.saturating_duration_since(Instant::now());
             log::info!(
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -24,6 +24,7 @@
 mod test_relay_log;
 mod test_relay_rollout;
 mod test_relay_store;
+mod test_relay_watchers;
 mod test_shares;
 mod test_shutdown;
 mod test_soak;
--- /dev/null
+++ b/daemon/tests/test_relay_watchers.rs
@@ -0,0 +1,166 @@
+//! Several daemons of one zone, of which a few follow the store for all.
+
+use std::net::UdpSocket;
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use poplarvale_platform::read_settings;
+use poplarvale_standin::{
+    Cloud, Endpoint, Fault, Proxy, Store, ask, config, plain, request, settings,
+};
+use poplarvaled::Relay;
+use serde_json::{Value, json};
+
+use crate::relay_site::{ROUTES, is_ready, store_with, until};
+
+const DAEMONS: u8 = 6;
+const WATCHERS: usize = 2;
+const SOON: Duration = Duration::from_secs(5);
+/// How long after the store's word an endpoint that left may still get requests.
+const LEAVING: Duration = Duration::from_secs(2);
+/// Time between two requests.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Daemons of one zone, each behind a proxy of its own to the store.
+struct Zone {
+    store: Store,
+    daemons: Vec<(Proxy, Relay)>,
+}
+
+impl Zone {
+    /// Starts them without duties and waits until all know one another. Those on the
+    /// lowest addresses are the watchers.
+    async fn start(number: usize, store: Store) -> Self {
+        let zone = Self::start_with(number, store, &[]).await;
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        zone
+    }
+
+    /// Starts them on addresses that no other zone of the same number has.
+    async fn start_with(number: usize, store: Store, duties: &[&str]) -> Self {
+        let ip = |host: u8| format!("127.0.{number}.{host}");
+        let free = UdpSocket::bind((ip(1).as_str(), 0)).expect("a free port");
+        let port = free.local_addr().expect("it is bound").port();
+        drop(free);
+        let seeds: Vec<String> = (1..=3).map(|host| format!("{}:1", ip(host))).collect();
+        let daemons = (1..=DAEMONS).map(|host| {
+            let (ip, seeds, to) = (ip(host), seeds.clone(), store.address);
+            async move {
+                let proxy = Proxy::start(to).await;
+                let text = settings(proxy.address, Cloud::start().await.address);
+                let mut file: Value = serde_json::from_str(&text).expect("it is JSON");
+                file["cloud"]["duties"] = json!(duties);
+                file["node"] = json!(format!("front-{ip}"));
+                file["ip"] = json!(ip);
+                file["internalPorts"] = json!([port, port]);
+                file["seeds"] = json!(seeds);
+                let site = read_settings(&file.to_string()).expect("they are good");
+                let relay = Relay::start(site).await.expect("it listens");
+                until(SOON, async || is_ready(relay.ready()).await).await;
+                (proxy, relay)
+            }
+        });
+        let daemons = join_all(daemons).await;
+        Self { store, daemons }
+    }
+
+    fn last(&self) -> &(Proxy, Relay) {
+        &self.daemons[self.daemons.len() - 1]
+    }
+
+    /// Asks the last daemon for a while; gives the statuses other than 200.
+    async fn ask_last(&self, span: Duration) -> Vec<u16> {
+        let end = Instant::now() + span;
+        let mut bad = Vec::new();
+        while Instant::now() < end {
+            let text = request("GET", "/safe/a", "r1", "");
+            let answer = ask(self.last().1.callers(), &text).await;
+            let status = answer.map_or(0, |answer| answer.status);
+            if status != 200 {
+                bad.push(status);
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        bad
+    }
+
+    /// Puts one endpoint in place of another.
+    fn replace(&self, old: &str, new: &Endpoint) {
+        let entry = new.entry("app", "ready");
+        self.store.put("servers/i-2", entry.as_bytes());
+        self.store.remove(&format!("servers/{old}"));
+    }
+}
+
+async fn endpoint(id: &str) -> Endpoint {
+    Endpoint::start(id, |seen| vec![plain(seen, 200, "done")]).await
+}
+
+/// Hundreds of daemons that each follow the store make most of all calls to it, which are
+/// paid for, and each reads every beat of every endpoint. Those that are told make none.
+#[actix_web::test]
+async fn daemons_that_are_told_make_no_calls() {
+    const SPAN: u32 = 4;
+    /// Calls a second of a daemon that follows a store without news: a watch is held for
+    /// a second and followed by a pause.
+    const EACH: f64 = 1.0;
+    let one = endpoint("i-1").await;
+    let zone = Zone::start(11, store_with(&[&one]).await).await;
+    let before = zone.store.calls();
+    tokio::time::sleep(Duration::from_secs(SPAN.into())).await;
+    let calls = f64::from(zone.store.calls() - before) / f64::from(SPAN);
+    assert!(calls <= WATCHERS as f64 * EACH, "{calls} calls a second");
+    assert!(calls > 0.0, "nobody follows the store");
+}
+
+/// A daemon has lost its way to the store, and an endpoint is replaced. It must not fail
+/// callers for want of what its neighbours know, nor send to what has left.
+#[actix_web::test]
+async fn a_daemon_without_the_store_goes_by_what_it_is_told() {
+    let (one, other) = (endpoint("i-1").await, endpoint("i-2").await);
+    let zone = Zone::start(12, store_with(&[&one]).await).await;
+    zone.last().0.set(Fault::Silent);
+    zone.replace("i-1", &other);
+    tokio::time::sleep(LEAVING).await;
+    let before = one.seen().len();
+    assert_eq!(
+        zone.ask_last(Duration::from_secs(1)).await,
+        Vec::<u16>::new()
+    );
+    assert_eq!(one.seen().len(), before, "requests to what has left");
+}
+
+/// Both watchers of a zone lose their way to the store at once, and endpoints are replaced
+/// right then. The others notice that they are told nothing new and look for themselves.
+#[actix_web::test]
+async fn the_loss_of_all_watchers_is_noticed_in_time() {
+    let (one, other) = (endpoint("i-1").await, endpoint("i-2").await);
+    let zone = Zone::start(13, store_with(&[&one]).await).await;
+    for (proxy, _) in &zone.daemons[..WATCHERS] {
+        proxy.set(Fault::Silent);
+    }
+    zone.replace("i-1", &other);
+    tokio::time::sleep(LEAVING).await;
+    let before = one.seen().len();
+    assert_eq!(
+        zone.ask_last(Duration::from_secs(1)).await,
+        Vec::<u16>::new()
+    );
+    assert_eq!(one.seen().len(), before, "requests to what has left");
+}
+
+/// The operators change the configuration, which is not told but read by everybody. It
+/// must be in force within the two seconds that operators count on.
+#[actix_web::test]
+async fn a_new_configuration_reaches_those_that_are_told() {
+    let one = endpoint("i-1").await;
+    let zone = Zone::start(14, store_with(&[&one]).await).await;
+    zone.store
+        .put("op/config", config(9, &ROUTES[1..], 0).as_bytes());
+    tokio::time::sleep(LEAVING).await;
+    let bad = zone.ask_last(Duration::from_millis(200)).await;
+    assert!(
+        !bad.is_empty() && bad.iter().all(|status| *status == 404),
+        "{bad:?}"
+    );
+}
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -49,6 +49,9 @@
     /// Memory of the sender's host, in megabytes.
     #[prost(uint32, tag = "16")]
     pub memory: u32,
+    /// What a watcher saw in the store; told within its zone only.
+    #[prost(message, optional, tag = "17")]
+    pub news: ::core::option::Option<digest::News>,
     /// What the sender's zone does as a whole. It is told to other zones in a digest that
     /// has nothing else than this and who tells it.
     #[prost(message, optional, tag = "18")]
@@ -68,6 +71,68 @@
         #[prost(uint32, tag = "2")]
         pub heard_ms: u32,
     }
+    /// Changes of the store between two of its revisions.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, ::prost::Message)]
+    pub struct News {
+        /// The changes after this revision are told.
+        #[prost(uint64, tag = "1")]
+        pub after: u64,
+        /// All that happened up to this revision is known.
+        #[prost(uint64, tag = "2")]
+        pub revision: u64,
+        /// Age of the answer that told it, in milliseconds.
+        #[prost(uint32, tag = "3")]
+        pub age_ms: u32,
+        /// Revision of the newest change that everyone has to read in the store.
+        #[prost(uint64, tag = "4")]
+        pub orders: u64,
+        /// Changes of the registry, in the order of their revisions.
+        #[prost(message, repeated, tag = "5")]
+        pub entries: ::prost::alloc::vec::Vec<Entry>,
+        /// Check sum of the endpoints that are in use after them.
+        #[prost(fixed32, tag = "6")]
+        pub check: u32,
+    }
+    /// An entry of the registry as it was written or removed.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+    pub struct Entry {
+        #[prost(uint64, tag = "1")]
+        pub revision: u64,
+        #[prost(string, tag = "2")]
+        pub id: ::prost::alloc::string::String,
+        /// Missing if it was removed.
+        #[prost(message, optional, tag = "3")]
+        pub listing: ::core::option::Option<Listing>,
+    }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+    pub struct Listing {
+        #[prost(string, tag = "1")]
+        pub service: ::prost::alloc::string::String,
+        #[prost(fixed32, tag = "2")]
+        pub ip: u32,
+        #[prost(uint32, tag = "3")]
+        pub port: u32,
+        #[prost(string, tag = "4")]
+        pub zone: ::prost::alloc::string::String,
+        #[prost(string, tag = "5")]
+        pub version: ::prost::alloc::string::String,
+        #[prost(uint32, tag = "6")]
+        pub slots: u32,
+        #[prost(bool, tag = "7")]
+        pub leaving: bool,
+        #[prost(bool, tag = "8")]
+        pub spot: bool,
+        #[prost(uint64, optional, tag = "9")]
+        pub born: ::core::option::Option<u64>,
+        #[prost(uint64, tag = "10")]
+        pub count: u64,
+    }
     #[derive(serde::Serialize, serde::Deserialize)]
     #[serde(default)]
     #[derive(Clone, PartialEq, ::prost::Message)]
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -21,6 +21,7 @@
 pub mod engine;
 pub mod evidence;
 pub mod fleet;
+pub mod follow;
 pub mod life;
 pub mod listing;
 pub mod place;
--- a/lib/src/relay/board.rs
+++ b/lib/src/relay/board.rs
@@ -305,6 +305,27 @@
         }
     }
 
+    /// Check sum of the endpoints that are in use, whatever their order.
+    pub fn check_sum(&self) -> u32 {
+        let ready = self
+            .rows
+            .iter()
+            .filter(|row| row.standing == Standing::Ready);
+        ready.fold(0, |sum, row| sum ^ row.hash)
+    }
+
+    /// Whether an entry says something new of its endpoint, beside being written again.
+    pub fn is_news(&self, listing: &Listing) -> bool {
+        let Some(row) = self.get(&listing.id) else {
+            return true;
+        };
+        let again = Listing {
+            count: listing.count,
+            ..row.listing.clone()
+        };
+        again != *listing || (row.standing == Standing::Ready) == listing.leaving
+    }
+
     /// Takes a whole list in; entries that are not in it are gone.
     pub fn replace(&mut self, listings: Vec<Listing>, now: Instant) -> Vec<(EndpointId, Changed)> {
         let mut changes = Vec::new();
--- a/lib/src/relay/contact.rs
+++ b/lib/src/relay/contact.rs
@@ -46,9 +46,9 @@
         }
     }
 
-    /// Notes an answer.
+    /// Notes an answer that came at a moment.
     pub fn answered(&mut self, now: Instant) {
-        self.heard = now;
+        self.heard = self.heard.max(now);
         self.failing = None;
         self.since.get_or_insert(now);
     }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -28,6 +28,7 @@
 mod test_relay_contact;
 mod test_relay_engine;
 mod test_relay_fleet;
+mod test_relay_follow;
 mod test_relay_life;
 mod test_relay_place;
 mod test_relay_quota;
