duties: daemons that start together do not all claim the duties

Cause: at the start of 195 daemons 767 tries to take the duties up were made in the first second, two to three calls each. Right after the start a daemon has heard of nobody, so each took itself for the first by address, and tried on each 0.1 s until its own watch told who holds them.

Now a daemon that is not the first of those it ever learned of waits 1.5 s after its start, and so does one that another was ahead of. A holder that is lost later is followed as before.

Test that failed first: six daemons that start together, 77 calls in the first second where 42 are allowed.

--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -32,6 +32,10 @@
 /// and how much longer each next one by address waits, so that they do not all try.
 const VACANT: Duration = Duration::from_millis(100);
 const TURN: Duration = Duration::from_millis(150);
+/// How long a daemon waits after its start, if it is not the first by address, and after
+/// a try that another one was ahead of. Who holds the duties is known everywhere by then;
+/// trying on until it is known, hundreds of daemons would make thousands of calls.
+const BEHIND: Duration = Duration::from_millis(1500);
 /// Longest time for one call; well below what must be left of the lease.
 const CALL: Duration = Duration::from_millis(900);
 /// How long after a window's end its usage is reported: first events that were on
@@ -67,7 +71,7 @@
                 hold(&state, &mut store, cloud.as_mut(), held).await;
                 log::info!("duty: no longer held.");
             }
-            Ok(None) => {}
+            Ok(None) => tokio::time::sleep(BEHIND).await,
             Err(error) => log::info!("duty: not acquired, {error}."),
         }
     }
@@ -82,12 +86,19 @@
     state.listed.get() && state.life().is_serving() && state.leader.borrow().is_none()
 }
 
-/// Waits longer the further back this daemon stands among the others.
+/// Waits longer the further back this daemon stands among the others. Right after the
+/// start those count that were only heard of.
 fn wait(state: &State) -> Duration {
-    let me = state.site.peers.ip();
-    let before = state.peers.borrow().lately(Instant::now());
-    let place = before.iter().filter(|peer| **peer < me).count();
-    VACANT + TURN * place as u32
+    let peers = state.peers.borrow();
+    let turn = |place: usize| VACANT + TURN * place as u32;
+    let left = BEHIND.saturating_sub(state.started.elapsed());
+    if left.is_zero() {
+        return turn(peers.heard_before(Instant::now()));
+    }
+    match peers.learned_before() {
+        0 => VACANT,
+        place => left + turn(place),
+    }
 }
 
 /// Makes the leader's key; `None` if another daemon did.
--- a/daemon/tests/test_relay_watchers.rs
+++ b/daemon/tests/test_relay_watchers.rs
@@ -113,6 +113,26 @@
     assert!(calls > 0.0, "nobody follows the store");
 }
 
+/// All daemons start at once, as after a loss of power, and nobody holds the duties. If
+/// each of them tried to take them up until it knew who has them, the store would get
+/// several times the calls that the start needs.
+#[actix_web::test]
+async fn daemons_that_start_together_do_not_all_claim_the_duties() {
+    /// Calls of a daemon that reads everything and begins to follow.
+    const START: u32 = 5;
+    /// Calls of the one that takes the duties up, within a second.
+    const HOLDER: u32 = 12;
+    let one = endpoint("i-1").await;
+    let zone = Zone::start_with(15, store_with(&[&one]).await, &["usage"]).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let calls = zone.store.calls();
+    assert!(
+        calls <= u32::from(DAEMONS) * START + HOLDER,
+        "{calls} calls"
+    );
+    assert!(zone.store.get("poplarvale/leader").is_some());
+}
+
 /// A daemon has lost its way to the store, and an endpoint is replaced. It must not fail
 /// callers for want of what its neighbours know, nor send to what has left.
 #[actix_web::test]
--- a/lib/src/relay/digest.rs
+++ b/lib/src/relay/digest.rs
@@ -180,6 +180,17 @@
         known.filter(move |row| now.duration_since(row.heard) <= LATELY)
     }
 
+    /// Daemons heard lately that come before this one by address.
+    pub fn heard_before(&self, now: Instant) -> usize {
+        let heard = self.heard_lately(now);
+        heard.filter(|row| row.address < self.me).count()
+    }
+
+    /// Daemons that come before this one by address, of all that it ever learned of.
+    pub fn learned_before(&self) -> usize {
+        self.rows.partition_point(|row| row.address < self.me)
+    }
+
     /// Time until the next digest within the zone.
     pub fn near_period(&self) -> Duration {
         let near = self.rows.iter().filter(|row| self.is_near(row)).count();
