peers: whole digests reach other zones whatever the turns

Daemons that do not hear each other each give out more, and look into the store by themselves.

Now the two are counted apart (Turns), all digests are whole in a daemon's first two seconds, and daemons that were only heard of are told at each turn, as they may be of the same zone. Beside it: the checkpoint of allowances is written each half second again (it was 2 s old at the restart), its rates are those of the words on zones, and the fixed number of repeats is shared among all that a daemon has heard of.

Tests: other_zones_get_whole_digests_whatever_the_rounds and the_first_digests_are_whole, new with Turns (the old count was in the sending task); a flood across a restart of 195 daemons, which passes on the code before as well, as its daemons find one another at once.

--- a/daemon/src/relay/checkpoint.rs
+++ b/daemon/src/relay/checkpoint.rs
@@ -19,7 +19,7 @@
 
 /// Key of the checkpoint.
 pub(crate) const CHECKPOINT: &str = "poplarvale/checkpoint";
-/// Digests of each daemon between two checkpoints; half a second among few daemons.
+/// Digests of a daemon to its zone between two checkpoints: half a second.
 /// What is let in meanwhile is reckoned by the last rate.
 pub(crate) const DIGESTS: u32 = 2;
 /// Age up to which a daemon that starts takes what teams used from a checkpoint. It
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -203,7 +203,9 @@
 /// Whether the request may be sent once more.
 fn may_repeat(state: &State, job: &Job<'_>) -> bool {
     let now = Std::now();
-    let daemons = state.peers.borrow().lately(now).len() + 1;
+    // Those that were only heard of count too: after a start of all, each would else take
+    // most of what they share for itself.
+    let daemons = state.peers.borrow().rows().len() + 1;
     let mut budget = state.budget.borrow_mut();
     budget.repeat(&job.service.name, daemons, now)
 }
--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -284,7 +284,7 @@
 /// good by the next.
 async fn save(state: &State, store: &mut Client, holder: &mut Holder) {
     let now = Instant::now();
-    holder.save = now + state.peers.borrow().period() * DIGESTS;
+    holder.save = now + state.peers.borrow().near_period() * DIGESTS;
     if state.catalog.borrow().is_none() || !holder.held.may_act(now) {
         return;
     }
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -10,7 +10,7 @@
 use poplarvale_lib::relay::board::{Others, Teller};
 use poplarvale_lib::relay::contact::Span;
 use poplarvale_lib::relay::demand::Work;
-use poplarvale_lib::relay::digest::{Peer, Place};
+use poplarvale_lib::relay::digest::{Peer, Place, Turn, Turns};
 use poplarvale_lib::relay::quota::{Told, Use, ZoneUse, ZoneWord};
 use poplarvale_lib::relay::rollout::evidence::{Key, Side, Sides};
 use poplarvale_lib::relay::rollout::{Order, Outcome, Word};
@@ -22,9 +22,6 @@
 
 mod news;
 
-/// Every how many digests the other daemons and all usage windows are told; the
-/// window that ended last is told each time, as its report is due next.
-const WHOLE: u64 = 4;
 /// Largest datagram that is read, in bytes.
 const MOST: usize = 16 * 1024;
 
@@ -45,25 +42,14 @@
 
 /// Sends digests until the process ends.
 pub(crate) async fn send(state: Rc<State>, socket: Rc<UdpSocket>) {
+    let mut turns = Turns::new(state.started);
     let mut urgent = false;
-    let mut round = 0;
     loop {
         let now = Instant::now();
         state.peers.borrow_mut().expire(now);
         let rounds = state.peers.borrow().rounds();
-        round += 1;
-        let all = urgent || round >= rounds || !state.left.borrow().is_empty();
-        if all {
-            round = 0;
-        }
-        let sequence = state.next_digest();
-        tell(
-            &state,
-            &socket,
-            sequence,
-            sequence.is_multiple_of(WHOLE),
-            all,
-        );
+        urgent |= !state.left.borrow().is_empty();
+        tell(&state, &socket, turns.next(rounds, urgent, now));
         if rounds > 1 && state.peers.borrow().is_watcher(now) {
             tell_zone(&state, &socket, now);
         }
@@ -78,27 +64,33 @@
 /// Sends the last digest of a daemon that ends. What it counted since the last whole one
 /// would be lost with it, and teams charged for less than they used.
 pub(crate) fn tell_last(state: &State, socket: &UdpSocket) {
-    tell(state, socket, state.next_digest(), true, true);
+    let turn = Turn {
+        near: true,
+        far: Some(true),
+    };
+    tell(state, socket, turn);
 }
 
-/// Sends a digest to the daemons of this zone, or to all. Those that were never heard
-/// may be of any zone.
-fn tell(state: &State, socket: &UdpSocket, sequence: u64, whole: bool, all: bool) {
+/// Sends a digest to the daemons of this zone, to those that were never heard, and at some
+/// turns to those of other zones.
+fn tell(state: &State, socket: &UdpSocket, turn: Turn) {
     let now = Instant::now();
-    let mut digest = digest(state, sequence, whole, now);
+    let sequence = state.next_digest();
+    let left = std::mem::take(&mut *state.left.borrow_mut());
     let peers = state.peers.borrow();
-    if all {
-        let bytes = digest.encode_to_vec();
-        let far = peers.rows().iter().filter(|peer| !peers.is_near(peer));
+    if let Some(whole) = turn.far {
+        let bytes = digest(state, sequence, whole, &left, now).encode_to_vec();
+        let far = peers.rows().iter().filter(|peer| peers.is_far(peer));
         far.for_each(|peer| send_to(state, socket, peer, &bytes));
     }
+    let mut digest = digest(state, sequence, turn.near, &left, now);
     if peers.is_watcher(now) {
         let check = state.board.borrow().check_sum();
         let news = state.follow.borrow().tell(check, now);
         digest.news = news.map(news::tell);
     }
     let bytes = digest.encode_to_vec();
-    let near = peers.rows().iter().filter(|peer| peers.is_near(peer));
+    let near = peers.rows().iter().filter(|peer| !peers.is_far(peer));
     near.for_each(|peer| send_to(state, socket, peer, &bytes));
 }
 
@@ -129,7 +121,7 @@
         ..Digest::default()
     };
     let bytes = digest.encode_to_vec();
-    let far = peers.heard_lately(now).filter(|peer| !peers.is_near(peer));
+    let far = peers.heard_lately(now).filter(|peer| peers.is_far(peer));
     far.for_each(|peer| send_to(state, socket, peer, &bytes));
 }
 
@@ -156,7 +148,7 @@
     (told.endpoint, load)
 }
 
-fn digest(state: &State, sequence: u64, whole: bool, now: Instant) -> Digest {
+fn digest(state: &State, sequence: u64, whole: bool, left: &[u32], now: Instant) -> Digest {
     let quota = state.quota.borrow();
     let teams = quota.tell(now).into_iter().map(|row| digest::TeamUse {
         team: row.team,
@@ -209,7 +201,7 @@
         endpoints: endpoints.collect(),
         windows: windows.collect(),
         services: services.collect(),
-        left: std::mem::take(&mut *state.left.borrow_mut()),
+        left: left.to_vec(),
         uptime_ms: state.started.elapsed().as_millis() as u64,
         moves: state.rollouts.borrow().tell().map(tell_move).collect(),
         contact: state
--- a/lib/src/relay/digest.rs
+++ b/lib/src/relay/digest.rs
@@ -30,6 +30,14 @@
 /// Time between digests for each daemon that they go to. What one daemon has to read
 /// stays near 125 datagrams a second from its zone and as many from all others.
 const EACH: Duration = Duration::from_millis(8);
+/// Every how many digests to a daemon it is told the other daemons and all usage windows;
+/// the window that ended last is told each time, as its report is due next.
+const WHOLE: u32 = 4;
+/// The same for daemons of other zones among many, which get digests seldom.
+const WHOLE_FAR: u32 = 2;
+/// Time after the start in which each digest is whole. Daemons that all start at once know
+/// only the few seeds of their settings, and find one another through what these tell.
+const NEW: Duration = Duration::from_secs(2);
 /// Watchers of a zone. With two, the loss of one is bridged until it shows.
 pub const WATCHERS: usize = 2;
 /// Periods after which a daemon that was not heard counts as silent.
@@ -46,6 +54,58 @@
     pub memory: u32,
 }
 
+/// What is sent at one turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Turn {
+    /// Whether the digest within the zone is whole.
+    pub near: bool,
+    /// Whether the other zones get a digest too, and whether that is whole.
+    pub far: Option<bool>,
+}
+
+/// Turns at which digests go out.
+#[derive(Clone, Debug)]
+pub struct Turns {
+    started: Instant,
+    near: u32,
+    far: u32,
+    /// Turns since the other zones were told last.
+    since: u32,
+}
+
+impl Turns {
+    /// Begins when the daemon starts.
+    pub fn new(started: Instant) -> Self {
+        Self {
+            started,
+            near: 0,
+            far: 0,
+            since: 0,
+        }
+    }
+
+    /// The next turn, where the other zones are told every `rounds` turns and when it is
+    /// urgent.
+    ///
+    /// Whole digests are counted for each kind by itself. Counted together, the turns of
+    /// the other zones may never meet a whole one, and zones do not find one another.
+    pub fn next(&mut self, rounds: u32, urgent: bool, now: Instant) -> Turn {
+        let is_new = now.saturating_duration_since(self.started) < NEW;
+        self.near += 1;
+        self.since += 1;
+        let is_far = urgent || self.since >= rounds;
+        if is_far {
+            self.since = 0;
+            self.far += 1;
+        }
+        let every = if rounds > 1 { WHOLE_FAR } else { WHOLE };
+        Turn {
+            near: is_new || self.near.is_multiple_of(WHOLE),
+            far: is_far.then(|| is_new || self.far.is_multiple_of(every)),
+        }
+    }
+}
+
 /// Another daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Peer {
@@ -149,6 +209,12 @@
             .is_some_and(|place| place.zone == self.place.zone)
     }
 
+    /// Whether a daemon runs in another zone, as far as this one knows.
+    pub fn is_far(&self, peer: &Peer) -> bool {
+        peer.place
+            .is_some_and(|place| place.zone != self.place.zone)
+    }
+
     /// Whether this daemon is one of its zone's watchers: few of those that it hears
     /// come before it.
     pub fn is_watcher(&self, now: Instant) -> bool {
--- a/lib/src/relay/follow.rs
+++ b/lib/src/relay/follow.rs
@@ -139,7 +139,7 @@
         self.answered = Some(now);
         let over = |seen: &Seen| now.saturating_duration_since(seen.at) > KEPT;
         let old = self.seen.iter().take_while(|seen| over(seen)).count();
-        if let Some(last) = self.seen.drain(..old).last() {
+        if let Some(last) = self.seen.drain(..old).next_back() {
             self.after = self.after.max(last.revision);
         }
     }
--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -40,7 +40,7 @@
 
 use std::time::{Duration, Instant};
 
-use self::others::Other;
+use self::others::{Known, Other};
 pub use self::others::{Told, Use};
 use self::saved::Before;
 pub use self::saved::Spent;
@@ -182,6 +182,7 @@
 
     /// Begins to gather thin shares at `phase`, from 0 to 1. Daemons that all began at
     /// the same one would let their first requests in together.
+    #[must_use]
     pub fn with_phase(self, phase: f64) -> Self {
         Self { phase, ..self }
     }
@@ -240,9 +241,10 @@
     ) -> Result<(), Duration> {
         let share = self.share(team, asked, now) * part.rate;
         if !part.alone && share * THIN < units {
-            return match self.gather(team, part.rate / asked) {
-                true => Ok(()),
-                false => Err(wait(units, share)),
+            return if self.gather(team, part.rate / asked) {
+                Ok(())
+            } else {
+                Err(wait(units, share))
             };
         }
         let level = self.share_level(team, share, now);
@@ -319,12 +321,12 @@
     /// word for `silent` the zone counts as silent.
     pub fn hear_zone(&mut self, zone: ZoneHash, word: ZoneWord, silent: Duration, now: Instant) {
         let row = Zone {
-            zone,
+            id: zone,
             heard: now,
             silent,
             word,
         };
-        match self.zones.binary_search_by_key(&zone, |row| row.zone) {
+        match self.zones.binary_search_by_key(&zone, |row| row.id) {
             Ok(at) => self.zones[at] = row,
             Err(at) => self.zones.insert(at, row),
         }
@@ -445,7 +447,7 @@
 
     /// A zone as a whole, if its watchers told of it.
     fn zone(&self, zone: ZoneHash) -> Option<&Zone> {
-        let at = self.zones.binary_search_by_key(&zone, |row| row.zone);
+        let at = self.zones.binary_search_by_key(&zone, |row| row.id);
         at.ok().map(|at| &self.zones[at])
     }
 
@@ -465,7 +467,7 @@
         let silent = rows.filter(|other| self.is_silent(other, now)).count();
         let fresh = self.zones.iter().filter(|zone| !zone.is_silent(now));
         let more = fresh.map(|row| {
-            let mates = self.others.iter().filter(|other| other.zone == row.zone);
+            let mates = self.others.iter().filter(|other| other.zone == row.id);
             let known = mates.filter(|other| other.is_silent(now)).count();
             (row.word.silent as usize).saturating_sub(known)
         });
@@ -543,8 +545,7 @@
         let heard = move |other: &&Other| !self.is_silent(other, now);
         let others = self.others.iter().filter(heard);
         let theirs = others.flat_map(move |other| {
-            let at = other.teams.binary_search_by_key(&team, |known| known.team);
-            let known = at.ok().map(|at| &other.teams[at]);
+            let known = other.team(team);
             let steps = known.map_or(&[][..], |known| known.steps.since(first));
             let whole = self.fresh_zone(other.zone, now).is_some();
             let rate = known.filter(|_| !whole).map_or(0.0, |known| known.rate);
@@ -557,7 +558,7 @@
         let zones = self.zones.iter().filter(move |row| !row.is_silent(now));
         let zones = zones.map(move |row| {
             let rate = row.word.of(team).map_or(0.0, |told| told.rate);
-            (last, rate * self.mean_age(row.zone, now))
+            (last, rate * self.mean_age(row.id, now))
         });
         mine.copied().chain(theirs).chain(zones)
     }
@@ -574,17 +575,33 @@
     /// Units a second that are asked of all for a team.
     fn asked_of_all(&self, team: &str, now: Instant) -> f64 {
         let mine = self.asked_here(team, now);
-        let team = short(team);
-        let told = |other: &&Other| {
+        mine + self.of_others(short(team), |known| known.asked, |told| told.asked, now)
+    }
+
+    /// Units a second that all let a team use lately.
+    fn rate_of_all(&self, team: u32, now: Instant) -> f64 {
+        let mine = self.tell(now).into_iter().filter(|row| row.team == team);
+        let mine: f64 = mine.map(|row| row.rate).sum();
+        mine + self.of_others(team, |known| known.rate, |told| told.rate, now)
+    }
+
+    /// A rate of a team at all other daemons: by the word on their zone where there is a
+    /// fresh one, by their own words else.
+    fn of_others(
+        &self,
+        team: u32,
+        known: impl Fn(&Known) -> f64,
+        told: impl Fn(&ZoneUse) -> f64,
+        now: Instant,
+    ) -> f64 {
+        let single = |other: &&Other| {
             !self.is_silent(other, now) && self.fresh_zone(other.zone, now).is_none()
         };
-        let theirs = self.others.iter().filter(told).filter_map(|other| {
-            let at = other.teams.binary_search_by_key(&team, |known| known.team);
-            Some(other.teams[at.ok()?].asked)
-        });
+        let others = self.others.iter().filter(single);
+        let others = others.filter_map(|other| other.team(team)).map(known);
         let zones = self.zones.iter().filter(|row| !row.is_silent(now));
-        let zones = zones.filter_map(|row| Some(row.word.of(team)?.asked));
-        mine + theirs.sum::<f64>() + zones.sum::<f64>()
+        let zones = zones.filter_map(|row| row.word.of(team)).map(told);
+        others.sum::<f64>() + zones.sum::<f64>()
     }
 
     fn asked_here(&self, team: &str, now: Instant) -> f64 {
--- a/lib/src/relay/quota/others.rs
+++ b/lib/src/relay/quota/others.rs
@@ -64,6 +64,12 @@
 }
 
 impl Other {
+    /// What is known of a team there.
+    pub(super) fn team(&self, team: u32) -> Option<&Known> {
+        let at = self.teams.binary_search_by_key(&team, |known| known.team);
+        at.ok().map(|at| &self.teams[at])
+    }
+
     pub(super) fn is_silent(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.heard) > self.silent
     }
--- a/lib/src/relay/quota/saved.rs
+++ b/lib/src/relay/quota/saved.rs
@@ -38,7 +38,6 @@
         teams.extend(self.used.iter().map(|used| short(&used.team)));
         teams.sort_unstable();
         teams.dedup();
-        let mine = self.tell(now);
         let row = |team: u32| {
             let mut steps = vec![0.0; STEPS as usize + 1];
             for (step, units) in self.spent(team, first, now) {
@@ -47,14 +46,10 @@
             for (step, units) in self.before(team, now).since(first) {
                 steps[(step - first) as usize] += units;
             }
-            let mine = mine.iter().filter(|row| row.team == team);
-            let rates = self.others.iter().flat_map(|other| &other.teams);
-            let rates = rates.filter(|known| known.team == team);
-            let rates = rates.map(|known| known.rate);
             Spent {
                 team,
                 steps: steps.into_iter().map(|units| units as u32).collect(),
-                rate: mine.map(|row| row.rate).chain(rates).sum(),
+                rate: self.rate_of_all(team, now),
             }
         };
         let rows = teams.into_iter().map(row);
--- a/lib/src/relay/quota/zones.rs
+++ b/lib/src/relay/quota/zones.rs
@@ -27,7 +27,7 @@
 /// What is known of another zone as a whole.
 #[derive(Clone, Debug)]
 pub(super) struct Zone {
-    pub(super) zone: ZoneHash,
+    pub(super) id: ZoneHash,
     pub(super) heard: Instant,
     /// After how long without a word the zone counts as silent.
     pub(super) silent: Duration,
--- a/lib/tests/test_relay_follow.rs
+++ b/lib/tests/test_relay_follow.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use poplarvale_lib::relay::digest::{Peers, Place, WATCHERS};
+use poplarvale_lib::relay::digest::{Peers, Place, Turns, WATCHERS};
 use poplarvale_lib::relay::follow::{Entry, Follow, Heard, News};
 
 use crate::test_relay_board::listing;
@@ -151,3 +151,37 @@
     assert_eq!(all.len(), 2 * WATCHERS);
     assert!(watch(0, now + SILENT * 2));
 }
+
+/// Daemons start at moments of their own, and urgent words come in between. However that
+/// falls out, each zone must get the whole digests by which daemons find one another and
+/// usage is counted: in a run where it did not, zones stayed apart for a whole day.
+#[test]
+fn other_zones_get_whole_digests_whatever_the_rounds() {
+    let start = Instant::now();
+    for rounds in 1..=12 {
+        for urgent in 0..=12 {
+            let mut turns = Turns::new(start);
+            let later = start + Duration::from_secs(10);
+            let turns: Vec<_> = (0..100)
+                .map(|turn| turns.next(rounds, turn == urgent, later))
+                .collect();
+            let near = turns.iter().filter(|turn| turn.near).count();
+            let far = turns.iter().filter(|turn| turn.far == Some(true)).count();
+            assert!(near >= 24, "{near} with {rounds} rounds");
+            assert!(
+                far >= 100 / (rounds as usize * 4),
+                "{far} with {rounds} rounds"
+            );
+        }
+    }
+}
+
+/// All daemons start at once and know the same few seeds only. They find one another with
+/// the first words of these, not seconds later.
+#[test]
+fn the_first_digests_are_whole() {
+    let start = Instant::now();
+    let turn = Turns::new(start).next(1, false, start);
+    assert!(turn.near);
+    assert_eq!(turn.far, Some(true));
+}
--- a/lib/tests/test_relay_quota.rs
+++ b/lib/tests/test_relay_quota.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use poplarvale_lib::relay::catalog::{Team, Unit};
-use poplarvale_lib::relay::quota::{Quota, Told, Tolerance, Use};
+use poplarvale_lib::relay::quota::{Quota, Spent, Told, Tolerance, Use};
 
 const WINDOW: Duration = Duration::from_secs(8);
 const DAEMONS: usize = 195;
@@ -46,6 +46,8 @@
 /// zone, seldom ones beyond it, and words of two daemons on their zone as a whole.
 struct Fleet {
     start: Instant,
+    /// When the daemons started last.
+    life: Instant,
     quotas: Vec<Quota>,
     random: fastrand::Rng,
     rounds: u32,
@@ -62,6 +64,7 @@
         let mut quota = |_| Quota::new(WINDOW, TOLERANCE, start).with_phase(random.f64());
         Self {
             start,
+            life: start,
             quotas: (0..DAEMONS).map(&mut quota).collect(),
             random,
             rounds: 0,
@@ -77,18 +80,21 @@
         let first = if cut { CUT } else { 0 };
         for from in first..DAEMONS {
             let turn = self.rounds + from as u32 * 7;
-            if turn % near != 0 {
+            if !turn.is_multiple_of(near) {
                 continue;
             }
             let zone = from % ZONES;
-            let all = turn / near % far == 0;
+            let all = (turn / near).is_multiple_of(far);
             let uses = self.quotas[from].tell(now);
             let word = self.quotas[from].tell_zone(zone as u32, now);
             for to in (first..DAEMONS).filter(|to| *to != from) {
                 let is_near = to % ZONES == zone;
                 if is_near || all {
                     let silent = if is_near { NEAR } else { NEAR * far } * 4;
-                    let told = told(from, now, self.start, uses.clone());
+                    let told = Told {
+                        incarnation: u64::from(self.life != self.start),
+                        ..told(from, now, self.life, uses.clone())
+                    };
                     self.quotas[to].hear(&told, silent);
                 }
                 // The two watchers of a zone are daemons that are never cut off here.
@@ -126,6 +132,17 @@
         (all, refused)
     }
 
+    /// Kills all daemons and starts them a second later on a checkpoint that one of them
+    /// wrote before what was `unsaved`.
+    fn restart(&mut self, saved: &[Spent]) {
+        self.rounds += (1.0 / STEP.as_secs_f64()) as u32;
+        self.life = self.start + STEP * self.rounds;
+        for quota in &mut self.quotas {
+            *quota = Quota::new(WINDOW, TOLERANCE, self.life).with_phase(self.random.f64());
+            quota.restore(saved.to_vec(), DAEMONS as u32, self.life);
+        }
+    }
+
     /// Most units in a window, as a share of what the users' bound allows.
     fn most(&self, team: &Team) -> f64 {
         let rate = team.rate.unwrap_or_default();
@@ -162,6 +179,26 @@
     }
 }
 
+/// All of 195 daemons are killed in the middle of a flood, and start a second later on a
+/// checkpoint that is half a second old. Most of them hear one another only after a while,
+/// and each must not take the few that it hears for all there are.
+#[test]
+fn a_flood_across_a_restart_of_hundreds_of_daemons_stays_within_the_allowance() {
+    let team = team(746_631.0);
+    for (seed, known) in [(1, 500), (2, 2500), (3, 6500)] {
+        let mut fleet = Fleet::new(seed);
+        fleet.ask(&team, 0.55 * 746_631.0, WINDOW * 2);
+        fleet.ask(&team, 3.3 * 746_631.0, Duration::from_millis(known));
+        let now = fleet.start + STEP * fleet.rounds;
+        let saved = fleet.quotas[DAEMONS - 1].checkpoint(now);
+        fleet.ask(&team, 3.3 * 746_631.0, Duration::from_millis(530));
+        fleet.restart(&saved);
+        fleet.ask(&team, 3.3 * 746_631.0, WINDOW * 2);
+        let most = fleet.most(&team);
+        assert!(most <= 1.0, "{most} of what is allowed, seed {seed}");
+    }
+}
+
 /// A third of 195 daemons is cut off, each by itself, in the middle of a flood. They and
 /// the rest do not hear of one another any more, and stay within the allowance together.
 #[test]
