place: a plain request is weighed between a few endpoints drawn by chance

Requests of 60 ms are over long before the word on an endpoint's load reaches the other daemons, and all chose the endpoint that had looked idle last.

Now a request is weighed between two endpoints of its own zone and one of another, drawn for each request. All are looked at only if none of these can take it.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -234,6 +234,7 @@
         avoid: &[],
         versions: &Versions::Any,
         limits: None,
+        draw: 0,
         now: Std::now(),
     };
     place::book(&mut state.board.borrow_mut(), &wanted, choice, number);
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -232,6 +232,7 @@
         avoid,
         versions: &job.versions,
         limits: limits(job, avoid),
+        draw: fastrand::u64(..),
         now: Std::now(),
     };
     let chosen = choose(&board, &wanted);
--- a/lib/src/relay/place.rs
+++ b/lib/src/relay/place.rs
@@ -7,6 +7,11 @@
 //! first event wins; for a session, all daemons agree without talk on a first
 //! choice by rendezvous hashing, and leave it only when another endpoint would
 //! answer noticeably sooner.
+//!
+//! Plain requests take less time than the word on an endpoint's load takes to reach the
+//! other daemons. If all chose from the whole list, each would send its requests to the
+//! endpoint that looked idle last, until the next word. So a plain request is weighed
+//! between few endpoints: drawn ones of its zone, and one of another zone.
 
 use std::time::{Duration, Instant};
 
@@ -45,6 +50,9 @@
 /// Requests that a plain endpoint may have waiting for each of its slots; its own
 /// queue is four times its slots, shared by all daemons.
 const QUEUE: f64 = 2.0;
+/// Endpoints that a plain request is weighed between: of its own zone, and of others.
+const NEAR: usize = 2;
+const FAR: usize = 1;
 
 /// What is asked of the board.
 #[derive(Clone, Copy, Debug)]
@@ -63,6 +71,8 @@
     pub versions: &'r Versions,
     /// What it may wait for at an engine; `None` if it is sent whatever waits there.
     pub limits: Option<Limits>,
+    /// Drawn by chance for each request, so that daemons do not all choose alike.
+    pub draw: u64,
     /// Now.
     pub now: Instant,
 }
@@ -98,6 +108,15 @@
 /// # Errors
 /// If none can take the request now.
 pub fn choose(board: &Board, wanted: &Wanted<'_>) -> Result<Choice, NoPlace> {
+    if wanted.prompt.is_some() {
+        return best(board, wanted, None);
+    }
+    let drawn = drawn(board, wanted);
+    best(board, wanted, Some(&drawn)).or_else(|_| best(board, wanted, None))
+}
+
+/// The best endpoint, of those with these ids or of all.
+fn best(board: &Board, wanted: &Wanted<'_>, among: Option<&[&str]>) -> Result<Choice, NoPlace> {
     let shared = wanted.prompt.map(chains).unwrap_or_default();
     let favourite = favourite(board, wanted, &shared);
     let tried = tried(board, wanted);
@@ -105,7 +124,8 @@
     let mut best: Option<(f64, Choice)> = None;
     let mut full = false;
     for row in board.rows() {
-        if !serves(row, wanted) || !is_tried(row, tried.as_deref()) {
+        let may = is_one_of(row, among) && is_one_of(row, tried.as_deref());
+        if !may || !serves(row, wanted) {
             continue;
         }
         if is_full(row, wanted) {
@@ -132,6 +152,24 @@
     }
 }
 
+/// Ids of the endpoints that a plain request is weighed between.
+fn drawn<'b>(board: &'b Board, wanted: &Wanted<'_>) -> Vec<&'b str> {
+    let rows = board.rows().iter();
+    let rows = rows.filter(|row| serves(row, wanted) && !is_full(row, wanted));
+    let rank = |row: &&Endpoint| xxh3_64_with_seed(row.listing.id.as_bytes(), wanted.draw);
+    let mut rows: Vec<&Endpoint> = rows.collect();
+    rows.sort_by_cached_key(rank);
+    let (mut near, mut far): (Vec<_>, Vec<_>) = rows
+        .into_iter()
+        .partition(|row| row.listing.zone == wanted.zone);
+    near.truncate(NEAR);
+    far.truncate(if near.is_empty() { NEAR } else { FAR });
+    near.append(&mut far);
+    near.into_iter()
+        .map(|row| row.listing.id.as_str())
+        .collect()
+}
+
 /// Books a chosen request at its endpoint.
 pub fn book(board: &mut Board, wanted: &Wanted<'_>, choice: &Choice, number: u64) {
     let Some(row) = board.get_mut(&choice.id) else {
@@ -178,8 +216,8 @@
     Some(ids.take(*most as usize).collect())
 }
 
-fn is_tried(row: &Endpoint, tried: Option<&[&str]>) -> bool {
-    tried.is_none_or(|ids| ids.contains(&row.listing.id.as_str()))
+fn is_one_of(row: &Endpoint, ids: Option<&[&str]>) -> bool {
+    ids.is_none_or(|ids| ids.contains(&row.listing.id.as_str()))
 }
 
 fn is_full(row: &Endpoint, wanted: &Wanted<'_>) -> bool {
--- a/lib/tests/test_relay_admit.rs
+++ b/lib/tests/test_relay_admit.rs
@@ -81,6 +81,7 @@
             avoid: &[],
             versions: &Versions::Any,
             limits: limited.then(|| Limits::new(TARGET, rank, DEADLINE)),
+            draw: 0,
             now,
         };
         let tally = &mut tallies[usize::from(urgent)];
--- a/lib/tests/test_relay_place.rs
+++ b/lib/tests/test_relay_place.rs
@@ -6,6 +6,7 @@
 use poplarvale_lib::relay::board::{Board, Flight, Others, Teller};
 use poplarvale_lib::relay::catalog::{Engine, Service};
 use poplarvale_lib::relay::evidence::Evidence;
+use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::place::{Choice, NoPlace, Wanted, book, choose};
 use poplarvale_lib::relay::quota::short;
 use poplarvale_lib::relay::rollout::Versions;
@@ -63,6 +64,7 @@
             zone: "hanko",
             avoid: &[],
             limits: None,
+            draw: 0,
             now: self.now,
         }
     }
@@ -79,6 +81,7 @@
             zone: "hanko",
             avoid: &[],
             limits: None,
+            draw: 0,
             now: self.now,
         };
         book(&mut self.board, &wanted, &choice, self.number);
@@ -221,3 +224,142 @@
         assert!(evidence.is_fit(now));
     }
 }
+
+/// Plain endpoints of six zones as many daemons see them. Each daemon knows what it sent
+/// itself, what those of its zone had in progress at their last words, and the same of each
+/// other zone as a whole.
+struct Herd {
+    service: Service,
+    start: Instant,
+    boards: Vec<Board>,
+    /// When the requests in progress at each endpoint end.
+    ends: Vec<Vec<Instant>>,
+    random: fastrand::Rng,
+    number: u64,
+    /// Requests in progress: their end, who sent them and the endpoint's number.
+    sent: Vec<(Instant, usize, usize, u64)>,
+}
+
+impl Herd {
+    const ZONES: usize = 6;
+    const DAEMONS: usize = 96;
+    const SLOTS: usize = 6;
+    /// Milliseconds between two words of a daemon.
+    const PERIOD: u64 = 264;
+
+    fn new() -> Self {
+        let mut board = Board::default();
+        for at in 0..Self::ZONES {
+            board.put(Listing {
+                id: format!("e{at}").into(),
+                service: "app".into(),
+                address: format!("10.0.0.{at}:1").parse().expect("an address"),
+                zone: format!("z{at}").into(),
+                version: "v1".into(),
+                slots: Self::SLOTS as u32,
+                leaving: false,
+                spot: false,
+                born: None,
+                count: 1,
+            });
+        }
+        Self {
+            service: Service {
+                name: "app".into(),
+                ..Service::default()
+            },
+            start: Instant::now(),
+            boards: vec![board; Self::DAEMONS],
+            ends: vec![Vec::new(); Self::ZONES],
+            random: fastrand::Rng::with_seed(3),
+            number: 0,
+            sent: Vec::new(),
+        }
+    }
+
+    /// Tells what one daemon has in progress to its zone, and if it is the first of its
+    /// zone what that has as a whole to the others.
+    fn tell(&mut self, from: usize, now: Instant) {
+        let zone = from % Self::ZONES;
+        let own = self.boards[from].rows().iter();
+        let own: Vec<_> = own.map(|row| (row.hash, row.own())).collect();
+        let word = self.boards[from].tell_zone(zone as u32);
+        for to in (0..Self::DAEMONS).filter(|to| *to != from) {
+            let board = &mut self.boards[to];
+            if to % Self::ZONES == zone {
+                let teller = Teller::Daemon(zone as u32, format!("d{from}").into());
+                board.hear(teller, own.clone(), now);
+            } else if from < Self::ZONES {
+                board.hear(Teller::Zone(zone as u32), word.clone(), now);
+            }
+        }
+    }
+
+    fn end(&mut self, now: Instant) {
+        for (_, from, to, number) in self.sent.extract_if(.., |row| row.0 <= now) {
+            let row = self.boards[from].get_mut(&format!("e{to}"));
+            row.expect("it stands").end(number);
+        }
+    }
+
+    /// Sends a request from a daemon; gives how long it waits at its endpoint for a slot.
+    fn send(&mut self, from: usize, work: Duration, now: Instant) -> Duration {
+        let zone = format!("z{}", from % Self::ZONES);
+        let wanted = Wanted {
+            versions: &Versions::Any,
+            service: &self.service,
+            prompt: None,
+            target: Duration::from_millis(300),
+            zone: &zone,
+            avoid: &[],
+            limits: None,
+            draw: self.random.u64(..),
+            now,
+        };
+        let choice = choose(&self.boards[from], &wanted).expect("there is room");
+        self.number += 1;
+        book(&mut self.boards[from], &wanted, &choice, self.number);
+        let to: usize = choice.id[1..].parse().expect("a number");
+        let ends = &mut self.ends[to];
+        ends.retain(|end| *end > now);
+        ends.sort_unstable();
+        let free = ends.len().checked_sub(Self::SLOTS).map(|at| ends[at]);
+        let begin = free.unwrap_or(now);
+        ends.push(begin + work);
+        self.sent.push((begin + work, from, to, self.number));
+        begin - now
+    }
+
+    /// Sends so many requests a second of 60 ms for a minute; gives how many there were,
+    /// and how many waited for more than 100 ms.
+    fn play(&mut self, rate: f64) -> (u32, u32) {
+        let (mut all, mut late) = (0, 0);
+        for millis in 0..60_000_u64 {
+            let now = self.start + Duration::from_millis(millis);
+            self.end(now);
+            for from in 0..Self::DAEMONS {
+                if (millis + from as u64 * 11).is_multiple_of(Self::PERIOD) {
+                    self.tell(from, now);
+                }
+            }
+            if self.random.f64() < rate / 1000.0 {
+                let from = self.random.usize(..Self::DAEMONS);
+                let work = Duration::from_millis(self.random.u64(30..90));
+                all += 1;
+                late += u32::from(self.send(from, work, now) > Duration::from_millis(100));
+            }
+        }
+        (all, late)
+    }
+}
+
+/// Six endpoints of six slots each are a quarter busy, and then nearly half, with requests
+/// that come through daemons of six zones that hear one another four times a second. Whoever
+/// is told to have nothing to do must not get the requests of all zones until the next word.
+#[test]
+fn plain_requests_do_not_herd_to_the_endpoint_that_looked_idle() {
+    for rate in [150.0, 260.0] {
+        let (all, late) = Herd::new().play(rate);
+        assert!(late * 200 < all, "{late} of {all} at {rate} a second");
+    }
+}
