follow: a word tells two hundred changes at most

Cause: found by reading. A watcher tells all changes of the last four seconds. When a hundred and more endpoints are ordered at once their entries come near the 16 KB at which a datagram was cut short, and a watcher whose words cannot be decoded seems to be silent.

Now the oldest changes are left out beyond two hundred, whoever lacks them looks for itself, and datagrams are read up to 64 KB.

Test: a_burst_of_changes_does_not_make_a_word_too_long; not run against the code before.

--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -22,8 +22,9 @@
 
 mod news;
 
-/// Largest datagram that is read, in bytes.
-const MOST: usize = 16 * 1024;
+/// Largest datagram that is read, in bytes. One that is cut short cannot be decoded, and its
+/// sender would seem to be silent.
+const MOST: usize = 64 * 1024;
 
 /// Receives digests until the process ends.
 pub(crate) async fn receive(state: Rc<State>, socket: Rc<UdpSocket>) {
--- a/lib/src/relay/follow.rs
+++ b/lib/src/relay/follow.rs
@@ -23,6 +23,9 @@
 const STALE: Duration = Duration::from_millis(1900);
 /// How long changes are told. A daemon that missed all words for so long looks for itself.
 const KEPT: Duration = Duration::from_secs(4);
+/// Most changes that are told, so that a word stays well below the largest datagram. A
+/// daemon that knows none of the older ones looks for itself.
+const MOST: usize = 200;
 /// Words in a row with another check sum after which everything is read anew. A doubt
 /// that ends or a word of another daemon may come a little sooner or later here.
 const DIFFER: u32 = 8;
@@ -120,14 +123,23 @@
 
     /// Notes a change of the registry that a watch told.
     pub fn saw(&mut self, revision: Revision, entry: Entry, now: Instant) {
-        let at = now;
+        if self.seen.len() >= MOST {
+            self.forget(1);
+        }
         self.seen.push(Seen {
             revision,
-            at,
+            at: now,
             entry,
         });
     }
 
+    /// Forgets the oldest changes; they are not told any more.
+    fn forget(&mut self, count: usize) {
+        if let Some(last) = self.seen.drain(..count).next_back() {
+            self.after = self.after.max(last.revision);
+        }
+    }
+
     /// Notes a change that everyone has to read in the store.
     pub fn saw_order(&mut self, revision: Revision) {
         self.orders = self.orders.max(revision);
@@ -139,9 +151,7 @@
         self.answered = Some(now);
         let over = |seen: &Seen| now.saturating_duration_since(seen.at) > KEPT;
         let old = self.seen.iter().take_while(|seen| over(seen)).count();
-        if let Some(last) = self.seen.drain(..old).next_back() {
-            self.after = self.after.max(last.revision);
-        }
+        self.forget(old);
     }
 
     /// Notes that what was known may have gaps: everything is to be read anew.
--- a/lib/tests/test_relay_follow.rs
+++ b/lib/tests/test_relay_follow.rs
@@ -83,6 +83,21 @@
     assert_eq!(other.revision(), Some(10));
 }
 
+/// Hundreds of endpoints change at once. A word that named them all would be too long for a
+/// datagram; who missed some of it looks for itself.
+#[test]
+fn a_burst_of_changes_does_not_make_a_word_too_long() {
+    let now = Instant::now();
+    let (mut watcher, mut other) = pair(now);
+    for revision in 11..=1000 {
+        watcher.saw(revision, put(&format!("i-{revision}")), now);
+    }
+    watcher.watched(1000, now);
+    let news = told(&watcher, now);
+    assert!(news.entries.len() <= 250, "{}", news.entries.len());
+    assert_eq!(other.hear(news, SILENT, now), Heard::Look);
+}
+
 /// The operators change the configuration. It is too long to be told, so everybody reads
 /// it, and goes by no word until that is done.
 #[test]
