--- a/lib/src/relay/fleet.rs
+++ b/lib/src/relay/fleet.rs
@@ -22,22 +22,17 @@
 
 /// Share of its places at which an engine is reckoned to work.
 const FILL: f64 = 0.5;
-/// Dear endpoints for each one that the work needs while cheap ones stand. With 0.7, a
-/// day's orders cost 0.110 of its credit, with 0.4 0.095 and with 0.2 0.088, while what
-/// was earned hardly changed.
+/// Dear endpoints for each one that the work needs while cheap ones stand.
 const LASTING: f64 = 0.2;
 /// Reclaimable endpoints for each one that the work needs; half of them may be gone in
 /// a wave before others have started.
 const CHEAP: f64 = 2.8;
 /// Endpoints in all for each one that the work needs below which dear ones are ordered.
-/// With 1.3, a day with three waves earned 0.87 of its credit in place of 0.90; with
-/// 1.7, the dear ones cost more than they brought.
 const ALONE: f64 = 1.5;
 /// Least number of each kind in all, as soon as anything is asked.
 const LEAST: f64 = 2.0;
 /// Share of the operators' own endpoints that is kept before anything is asked, once as
-/// many cheap ones stand beside them. On a grown site half of a calm day's price was for
-/// those that waited for the first callers.
+/// many cheap ones stand beside them.
 const WAITING: f64 = 0.4;
 /// How long no further endpoint must have registered before any is given up: a list
 /// that is still being filled would seem to have few.
--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -26,8 +26,7 @@
 //!
 //! The holder of the duties keeps what all let in lately in the store, and daemons
 //! that restart together begin with that: a team well within its allowance is served
-//! at once and one in a flood still has nothing. Without it 30 in 100 callers were
-//! turned away for two seconds after a kill of all seven daemons.
+//! at once and one in a flood still has nothing.
 //!
 //! A daemon that falls silent may be dead or on the other side of a partition,
 //! where it goes on letting requests in. It is taken to use most of an even share,
@@ -52,16 +51,16 @@
 use crate::{CustomerId, ZoneHash};
 
 /// Steps in which the window moves on. A step counts until all of it is out of the
-/// window; forgetting it when its beginning is out let a flood use 6 in 100 more.
+/// window.
 const STEPS: u32 = 40;
 /// Depth of the bucket beyond the burst, in seconds of its rate. What a team did not
 /// use in the window may be used at once that far. The bucket begins empty after a
-/// restart of all, so a flood across one comes to this, the burst and the rate: 8.5
-/// seconds of the rate of the 9 that a window allows.
+/// restart of all, so a flood across one comes to this, the burst and the rate, which
+/// is within what a window allows.
 const DEEPER: f64 = 0.5;
 /// Part of the tolerance that deepens the bucket. Prompts are long beside a second
-/// of a team's rate, so teams well within it were refused in 2 to 3 requests of a
-/// hundred by chance; the rest of the tolerance covers what is let in unheard.
+/// of a team's rate, so teams well within it would be refused by chance; the rest of
+/// the tolerance covers what is let in unheard.
 const TOLERATED: f64 = 0.4;
 /// Periods between words before a daemon counts as silent. What a bucket holds for
 /// one of them may be let in unheard, so below it daemons draw by their shares.
@@ -76,17 +75,15 @@
 /// second, and shares of shorter spans would be mostly chance.
 const SHARE_STEPS: StepId = 10;
 /// How long a daemon that has just started waits for a word of the others before it
-/// takes itself to be the only one. Words come within 0.62 s among 78 daemons; when
-/// all restarted at once, each gave the whole rate out until then, 1.5 times the
-/// rate together in half a second.
+/// takes itself to be the only one. Daemons that all restart at once would else each
+/// give the whole rate out until they hear one another.
 const UNSURE: Duration = Duration::from_secs(1);
 /// Span over which the current rate is told. A flood begins within a tenth of a
 /// second; over a longer span its rate is told too low while it grows.
 const RECENT: Duration = Duration::from_millis(600);
 /// Share of the allowance that is held back for each second of silence after which
 /// a daemon counts as silent. What all let in between two digests is not known to
-/// the others; with 24 daemons that tell every 0.6 s, a flood used a tenth more than
-/// the allowance without it.
+/// the others.
 const HELD_BACK: f64 = 0.04;
 /// Most that is held back.
 const MOST_HELD: f64 = 0.3;
