--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -10,6 +10,7 @@
 use poplarvale_lib::relay::ask::Ask;
 use poplarvale_lib::relay::board::{Endpoint, Standing};
 use poplarvale_lib::relay::catalog::{CatalogVersion, Route, Service, Team};
+use poplarvale_lib::relay::crash::{self, ContentHash};
 use poplarvale_lib::relay::place::{self, Choice, Wanted};
 use poplarvale_lib::relay::rollout::Versions;
 use poplarvale_lib::relay::rollout::evidence::Sample;
@@ -49,6 +50,15 @@
     pub(crate) versions: Versions,
 }
 
+impl Job<'_> {
+    /// What tells that a request comes again.
+    pub(crate) fn content(&self) -> ContentHash {
+        let team = self.team.map_or("", |team| team.name.as_str());
+        let (method, target) = (&self.request.method, &self.request.target);
+        crash::content(team, &self.ask.host, method, target, self.body)
+    }
+}
+
 /// How a sending ended.
 #[derive(Debug)]
 pub(crate) enum Ended {
@@ -116,7 +126,7 @@
         silent_or_broken => {
             let fault = silent_or_broken.and_then(Result::err);
             let fault = fault.unwrap_or(Fault::Silent);
-            failed(&booked, job, choice, fault, kept);
+            failed(&booked, job, choice, fault, kept, None);
             let ended = Ended::Broken(fault);
             compare(state, job, choice, &ended, sent_at.elapsed());
             return ended;
@@ -133,15 +143,15 @@
         return Ended::NotRun;
     }
     let is_stream = job.route.repeat.is_stream() && answer.head.status == OK;
+    let mut first = None;
     passed.events.restart();
     let events = passed.events.count();
     let ended = if is_stream && answer.said.sealed {
         let number = booked.number;
-        let mut counted = false;
         let began = || {
-            if !counted {
-                counted = true;
+            if first.is_none() {
                 let now = Std::now();
+                first = Some(now);
                 let mut board = state.board.borrow_mut();
                 board.began(&choice.id, number, now);
                 state.measure(|metrics| metrics.first(job.arrived.elapsed()));
@@ -169,7 +179,7 @@
     let took = sent_at.elapsed() / u32::try_from(events).unwrap_or(u32::MAX);
     compare(state, job, choice, &ended, took);
     match &ended {
-        Ended::Broken(fault) => failed(&booked, job, choice, *fault, kept),
+        Ended::Broken(fault) => failed(&booked, job, choice, *fault, kept, first),
         Ended::Whole(head, _) if head.status >= FAILED => {
             booked.note(|row| {
                 row.evidence.bad(Std::now());
@@ -300,13 +310,23 @@
     }
 }
 
-fn failed(booked: &Booked, job: &Job<'_>, choice: &Choice, fault: Fault, kept: bool) {
+/// Notes a failed sending; `first` is when the first event of its stream came.
+fn failed(
+    booked: &Booked,
+    job: &Job<'_>,
+    choice: &Choice,
+    fault: Fault,
+    kept: bool,
+    first: Option<Std>,
+) {
     let mut out = false;
     booked.note(|row| out = row.evidence.bad(Std::now()));
     booked.state.measure(|metrics| metrics.sent("failed"));
     log::info!(
         request = job.ask.id.as_str(), endpoint = choice.id.as_str(), kept, left_out = out,
-        after_ms = job.arrived.elapsed().as_millis() as u64;
+        after_ms = job.arrived.elapsed().as_millis() as u64,
+        content:% = format_args!("{:016x}", job.content()),
+        ran_ms = first.map(|first| first.elapsed().as_millis() as u64);
         "send: failed, {fault}."
     );
 }
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -14,6 +14,7 @@
 pub mod catalog;
 pub mod clock;
 pub mod contact;
+pub mod crash;
 pub mod demand;
 pub mod digest;
 pub mod duty;
