--- a/daemon/tests/relay_site.rs
+++ b/daemon/tests/relay_site.rs
@@ -1,11 +1,18 @@
 //! A relaying daemon among stand-ins of its platform.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
+use futures::future::join_all;
 use poplarvale_platform::read_settings;
-use poplarvale_standin::{Cloud, Endpoint, PROBE, Route, Store, config, settings};
+use poplarvale_standin::{Cloud, Endpoint, PROBE, Proxy, Route, Store, config, settings};
 use poplarvaled::Relay;
+use serde_json::{Value, json};
+
+/// Daemons of a [`Zone`].
+pub(crate) const DAEMONS: u8 = 6;
+/// How long a daemon may take until it is ready.
+const SOON: Duration = Duration::from_secs(5);
 
 /// Routes of all kinds.
 pub(crate) const ROUTES: [Route; 4] = [
@@ -88,6 +95,50 @@
     }
 }
 
+/// Daemons of one zone, each behind a proxy of its own to the store.
+pub(crate) struct Zone {
+    pub(crate) store: Store,
+    pub(crate) daemons: Vec<(Proxy, Relay)>,
+}
+
+impl Zone {
+    /// Starts them without duties and waits until all know one another. Those on the
+    /// lowest addresses are the watchers.
+    pub(crate) async fn start(number: usize, store: Store) -> Self {
+        let zone = Self::start_with(number, store, &[]).await;
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        zone
+    }
+
+    /// Starts them on addresses that no other zone of the same number has.
+    pub(crate) async fn start_with(number: usize, store: Store, duties: &[&str]) -> Self {
+        let ip = |host: u8| format!("127.0.{number}.{host}");
+        let free = UdpSocket::bind((ip(1).as_str(), 0)).expect("a free port");
+        let port = free.local_addr().expect("it is bound").port();
+        drop(free);
+        let seeds: Vec<String> = (1..=3).map(|host| format!("{}:1", ip(host))).collect();
+        let daemons = (1..=DAEMONS).map(|host| {
+            let (ip, seeds, to) = (ip(host), seeds.clone(), store.address);
+            async move {
+                let proxy = Proxy::start(to).await;
+                let text = settings(proxy.address, Cloud::start().await.address);
+                let mut file: Value = serde_json::from_str(&text).expect("it is JSON");
+                file["cloud"]["duties"] = json!(duties);
+                file["node"] = json!(format!("front-{ip}"));
+                file["ip"] = json!(ip);
+                file["internalPorts"] = json!([port, port]);
+                file["seeds"] = json!(seeds);
+                let site = read_settings(&file.to_string()).expect("they are good");
+                let relay = Relay::start(site).await.expect("it listens");
+                until(SOON, async || is_ready(relay.ready()).await).await;
+                (proxy, relay)
+            }
+        });
+        let daemons = join_all(daemons).await;
+        Self { store, daemons }
+    }
+}
+
 /// A store with a configuration and these endpoints of service `app`.
 pub(crate) async fn store_with(endpoints: &[&Endpoint]) -> Store {
     let store = Store::start().await;
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -18,6 +18,7 @@
 mod test_relay_answers;
 mod test_relay_callers;
 mod test_relay_closing;
+mod test_relay_crash;
 mod test_relay_cut;
 mod test_relay_duties;
 mod test_relay_end;
--- a/daemon/tests/test_relay_watchers.rs
+++ b/daemon/tests/test_relay_watchers.rs
@@ -1,70 +1,20 @@
 //! Several daemons of one zone, of which a few follow the store for all.
 
-use std::net::UdpSocket;
 use std::ops::Range;
 use std::time::{Duration, Instant};
 
-use futures::future::join_all;
-use poplarvale_platform::read_settings;
-use poplarvale_standin::{
-    Cloud, Endpoint, Fault, Proxy, Store, ask, config, plain, request, settings,
-};
+use poplarvale_standin::{Endpoint, Fault, Proxy, ask, config, plain, request};
 use poplarvaled::Relay;
-use serde_json::{Value, json};
 
-use crate::relay_site::{ROUTES, is_ready, store_with, until};
+use crate::relay_site::{DAEMONS, ROUTES, Zone, store_with};
 
-const DAEMONS: u8 = 6;
 const WATCHERS: usize = 2;
-const SOON: Duration = Duration::from_secs(5);
 /// How long after the store's word an endpoint that left may still get requests.
 const LEAVING: Duration = Duration::from_secs(2);
 /// Time between two requests.
 const PAUSE: Duration = Duration::from_millis(10);
 
-/// Daemons of one zone, each behind a proxy of its own to the store.
-struct Zone {
-    store: Store,
-    daemons: Vec<(Proxy, Relay)>,
-}
-
 impl Zone {
-    /// Starts them without duties and waits until all know one another. Those on the
-    /// lowest addresses are the watchers.
-    async fn start(number: usize, store: Store) -> Self {
-        let zone = Self::start_with(number, store, &[]).await;
-        tokio::time::sleep(Duration::from_secs(3)).await;
-        zone
-    }
-
-    /// Starts them on addresses that no other zone of the same number has.
-    async fn start_with(number: usize, store: Store, duties: &[&str]) -> Self {
-        let ip = |host: u8| format!("127.0.{number}.{host}");
-        let free = UdpSocket::bind((ip(1).as_str(), 0)).expect("a free port");
-        let port = free.local_addr().expect("it is bound").port();
-        drop(free);
-        let seeds: Vec<String> = (1..=3).map(|host| format!("{}:1", ip(host))).collect();
-        let daemons = (1..=DAEMONS).map(|host| {
-            let (ip, seeds, to) = (ip(host), seeds.clone(), store.address);
-            async move {
-                let proxy = Proxy::start(to).await;
-                let text = settings(proxy.address, Cloud::start().await.address);
-                let mut file: Value = serde_json::from_str(&text).expect("it is JSON");
-                file["cloud"]["duties"] = json!(duties);
-                file["node"] = json!(format!("front-{ip}"));
-                file["ip"] = json!(ip);
-                file["internalPorts"] = json!([port, port]);
-                file["seeds"] = json!(seeds);
-                let site = read_settings(&file.to_string()).expect("they are good");
-                let relay = Relay::start(site).await.expect("it listens");
-                until(SOON, async || is_ready(relay.ready()).await).await;
-                (proxy, relay)
-            }
-        });
-        let daemons = join_all(daemons).await;
-        Self { store, daemons }
-    }
-
     fn last(&self) -> &(Proxy, Relay) {
         &self.daemons[self.daemons.len() - 1]
     }
