relay: a request that crashes endpoints is quarantined

Cause: nothing remembered a request that broke. Each attempt of its caller has an id of its own and comes to any daemon, so it was placed anew each time. Class: a failure that travels with the request was put down to the endpoint alone, and each daemon judged by what it saw itself.

Requests are known by a hash of their content. What had run for a second, and what is served anywhere, is not suspected.

test_relay_crash::a_request_that_crashes_endpoints_stops_reaching_them failed before: 14 of 14 endpoints ended, four requests later than a second after the third. Now three end.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -11,6 +11,7 @@
 mod caller;
 mod checkpoint;
 mod client;
+mod crash;
 mod dispatch;
 mod duties;
 mod exchange;
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -1,5 +1,6 @@
 //! One sending of a request to one endpoint.
 
+use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant as Std};
@@ -10,7 +11,8 @@
 use poplarvale_lib::relay::ask::Ask;
 use poplarvale_lib::relay::board::{Endpoint, Standing};
 use poplarvale_lib::relay::catalog::{CatalogVersion, Route, Service, Team};
-use poplarvale_lib::relay::crash::{self, ContentHash};
+use poplarvale_lib::relay::crash::{self, ContentHash, SETTLED};
+use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::place::{self, Choice, Wanted};
 use poplarvale_lib::relay::rollout::Versions;
 use poplarvale_lib::relay::rollout::evidence::Sample;
@@ -18,6 +20,7 @@
 use tokio::net::tcp::WriteHalf;
 use tokio::time::{Instant, timeout_at};
 
+use super::crash::{clear, suspect};
 use super::exchange::{Answer, FAILED, Fault, exchange, whole_body};
 use super::state::State;
 use super::stream::{Passed, Patience, StreamEnd, pass_on};
@@ -48,14 +51,18 @@
     pub(crate) version: CatalogVersion,
     /// Versions of the service that it may go to.
     pub(crate) versions: Versions,
+    /// Hash of what it asks for, once it was needed.
+    pub(crate) content: OnceCell<ContentHash>,
 }
 
 impl Job<'_> {
     /// What tells that a request comes again.
     pub(crate) fn content(&self) -> ContentHash {
-        let team = self.team.map_or("", |team| team.name.as_str());
-        let (method, target) = (&self.request.method, &self.request.target);
-        crash::content(team, &self.ask.host, method, target, self.body)
+        *self.content.get_or_init(|| {
+            let team = self.team.map_or("", |team| team.name.as_str());
+            let (method, target) = (&self.request.method, &self.request.target);
+            crash::content(team, &self.ask.host, method, target, self.body)
+        })
     }
 }
 
@@ -112,9 +119,10 @@
     mut patience: Patience<'_>,
 ) -> Ended {
     let booked = book(state, job, choice);
-    let Some((address, mut wire, kept)) = connect(state, job, choice).await else {
+    let Some((endpoint, mut wire, kept)) = connect(state, job, choice).await else {
         return Ended::NotSent;
     };
+    let address = endpoint.address;
     tell_doubt(state, job, choice);
     let bytes = head_and_body(job, choice, passed);
     let team = job.team.map(|team| &team.name);
@@ -127,6 +135,9 @@
             let fault = silent_or_broken.and_then(Result::err);
             let fault = fault.unwrap_or(Fault::Silent);
             failed(&booked, job, choice, fault, kept, None);
+            if may_have_ended(state, &endpoint, fault, None) {
+                suspect(state, &endpoint, job.content());
+            }
             let ended = Ended::Broken(fault);
             compare(state, job, choice, &ended, sent_at.elapsed());
             return ended;
@@ -178,8 +189,16 @@
     let events = passed.events.count().saturating_sub(events).max(1);
     let took = sent_at.elapsed() / u32::try_from(events).unwrap_or(u32::MAX);
     compare(state, job, choice, &ended, took);
+    if !matches!(ended, Ended::Broken(_)) && !state.crashes.borrow().is_empty() {
+        clear(state, job.content());
+    }
     match &ended {
-        Ended::Broken(fault) => failed(&booked, job, choice, *fault, kept, first),
+        Ended::Broken(fault) => {
+            failed(&booked, job, choice, *fault, kept, first);
+            if may_have_ended(state, &endpoint, *fault, first) {
+                suspect(state, &endpoint, job.content());
+            }
+        }
         Ended::Whole(head, _) if head.status >= FAILED => {
             booked.note(|row| {
                 row.evidence.bad(Std::now());
@@ -201,10 +220,10 @@
     state: &Rc<State>,
     job: &Job<'_>,
     choice: &Choice,
-) -> Option<(SocketAddr, Wire, bool)> {
-    let address = state.board.borrow().get(&choice.id)?.listing.address;
-    match state.upstreams.get(address).await {
-        Ok((wire, kept)) => Some((address, wire, kept)),
+) -> Option<(Listing, Wire, bool)> {
+    let endpoint = state.board.borrow().get(&choice.id)?.listing.clone();
+    match state.upstreams.get(endpoint.address).await {
+        Ok((wire, kept)) => Some((endpoint, wire, kept)),
         Err(error) => {
             let mut board = state.board.borrow_mut();
             let row = board.get_mut(&choice.id);
@@ -219,6 +238,17 @@
     }
 }
 
+/// Whether an endpoint may have ended because of a request that broke off there; `first` is
+/// when the first event of its stream came.
+fn may_have_ended(state: &State, endpoint: &Listing, fault: Fault, first: Option<Std>) -> bool {
+    let is_settled = first.is_some_and(|first| first.elapsed() >= SETTLED);
+    let board = state.board.borrow();
+    let row = board.get(&endpoint.id);
+    // One that leaves ends in any case.
+    let is_leaving = row.is_none_or(|row| row.standing == Standing::Leaving);
+    fault == Fault::Broken && !is_settled && !is_leaving
+}
+
 /// Tells that a request goes to an endpoint whose entry is missing: if it fails or the
 /// endpoint had left, this line is the reason why it was sent there.
 fn tell_doubt(state: &State, job: &Job<'_>, choice: &Choice) {
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -14,7 +14,7 @@
 
 use super::attempt::{Ended, Job, attempt};
 use super::exchange::FAILED;
-use super::serve::{After, Refusal, SOON, after, answer, refuse};
+use super::serve::{After, Refusal, SOON, after, answer, quarantined, refuse};
 use super::state::State;
 use super::stream::{Passed, Patience};
 
@@ -82,6 +82,10 @@
         if Instant::now() + LEAST >= job.deadline || self.stopped.is_some() {
             return None;
         }
+        if quarantined(state, job).is_some() {
+            self.stopped = Some(NoPlace::None);
+            return None;
+        }
         match pick(state, job, &self.avoid) {
             Ok(choice) => {
                 let granted = std::mem::take(&mut self.reserved) || self.sends == 0;
--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -23,6 +23,7 @@
     requests: Counter<u64>,
     sendings: Counter<u64>,
     calls: Counter<u64>,
+    quarantined: Counter<u64>,
     first: Histogram<f64>,
     whole: Histogram<f64>,
     /// Ends with the instruments.
@@ -65,6 +66,10 @@
                 "poplarvale_relay_calls",
                 "Calls to the platform's services, by service and outcome",
             ),
+            quarantined: counter(
+                "poplarvale_relay_quarantined",
+                "Requests that were quarantined because endpoints ended under them",
+            ),
             first: seconds(
                 "poplarvale_relay_first",
                 "Time from a request's head to its first event or answer",
@@ -93,6 +98,10 @@
         self.sendings.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    pub(crate) fn quarantined(&self) {
+        self.quarantined.add(1, &[]);
+    }
+
     pub(crate) fn first(&self, took: Duration) {
         self.first.record(took.as_secs_f64(), &[]);
     }
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -17,6 +17,7 @@
 use prost::Message as _;
 use tokio::net::UdpSocket;
 
+use super::crash;
 use super::state::State;
 use super::watch::take_news;
 
@@ -183,6 +184,7 @@
         Vec::new()
     };
     let place = state.peers.borrow().place();
+    let crashes = state.crashes.borrow();
     Digest {
         name: state.site.name.to_string(),
         incarnation: state.incarnation,
@@ -205,6 +207,12 @@
         left: left.to_vec(),
         uptime_ms: state.started.elapsed().as_millis() as u64,
         moves: state.rollouts.borrow().tell().map(tell_move).collect(),
+        crashes: crashes
+            .tell(whole, now)
+            .into_iter()
+            .map(crash::tell)
+            .collect(),
+        cleared: crashes.tell_cleared(now),
         contact: state
             .contact
             .get()
@@ -374,6 +382,12 @@
         Some(None) => log::warn!("peers: news of {name} is not read."),
         None => {}
     }
+    for told in digest.crashes {
+        crash::hear(state, &name, told);
+    }
+    for content in digest.cleared {
+        crash::hear_cleared(state, &name, content);
+    }
     let uses = digest.endpoints.iter().map(hear_use).collect();
     let teller = Teller::Daemon(digest.zone, name.clone());
     state.board.borrow_mut().hear(teller, uses, now);
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -13,6 +13,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::caller::serve_caller;
+use super::crash::keep_quarantined;
 use super::duties::serve_duties;
 use super::peers::{receive, send, tell_last};
 use super::probe::serve_probe;
@@ -88,6 +89,7 @@
         actix_web::rt::spawn(receive(state(), Rc::clone(&relay.peers)));
         actix_web::rt::spawn(send(state(), Rc::clone(&relay.peers)));
         actix_web::rt::spawn(serve_duties(state()));
+        actix_web::rt::spawn(keep_quarantined(state()));
         actix_web::rt::spawn(clean(state()));
         Ok(relay)
     }
@@ -205,6 +207,7 @@
         state.upstreams.expire(now);
         state.quota.borrow_mut().expire(now);
         state.demand.borrow_mut().expire(now);
+        state.crashes.borrow_mut().expire(now);
         let current = state.window_at(now);
         state.usage.borrow_mut().expire(current);
         for id in state.board.borrow_mut().expire(now) {
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -1,5 +1,6 @@
 //! One request of a caller, from its head to its last byte.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant as Std};
 
@@ -107,17 +108,6 @@
         let refused = Refusal::later(Code::NoEndpoint, SOON);
         return refuse(state, write, ask, refused, keep).await;
     };
-    let cost = team.map_or(0.0, |team| quota::units(team, ask));
-    let allowed = team.map(|team| state.quota.borrow_mut().take(team, cost, Std::now()));
-    if let Some(Err(again)) = allowed {
-        let refused = Refusal::later(Code::TokenRate, again);
-        return refuse(state, write, ask, refused, keep).await;
-    }
-    if let Some(prompt) = &ask.prompt {
-        let work = demand::work(prompt);
-        let mut demand = state.demand.borrow_mut();
-        demand.ask(&service.name, work, Std::now());
-    }
     let job = Job {
         request,
         body,
@@ -130,10 +120,35 @@
         deadline: arrived + wait,
         version: catalog.version,
         versions: versions(state, &service.name),
+        content: OnceCell::new(),
     };
+    if let Some(left) = quarantined(state, &job) {
+        let refused = Refusal::later(Code::Quarantined, left);
+        return refuse(state, write, ask, refused, keep).await;
+    }
+    let cost = team.map_or(0.0, |team| quota::units(team, ask));
+    let allowed = team.map(|team| state.quota.borrow_mut().take(team, cost, Std::now()));
+    if let Some(Err(again)) = allowed {
+        let refused = Refusal::later(Code::TokenRate, again);
+        return refuse(state, write, ask, refused, keep).await;
+    }
+    if let Some(prompt) = &ask.prompt {
+        let work = demand::work(prompt);
+        let mut demand = state.demand.borrow_mut();
+        demand.ask(&service.name, work, Std::now());
+    }
     dispatch(state, &job, write, keep).await
 }
 
+/// How long a request must not be sent because endpoints end under it; `None` if it may be.
+pub(crate) fn quarantined(state: &State, job: &Job<'_>) -> Option<Duration> {
+    let crashes = state.crashes.borrow();
+    if crashes.is_empty() {
+        return None;
+    }
+    crashes.held(job.content(), Std::now())
+}
+
 /// Versions of a service that a new request may go to.
 fn versions(state: &State, service: &str) -> Versions {
     let olds = |version: &str| {
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -11,6 +11,7 @@
 use poplarvale_lib::relay::catalog::Catalog;
 use poplarvale_lib::relay::clock::Clock;
 use poplarvale_lib::relay::contact::Contact;
+use poplarvale_lib::relay::crash::Crashes;
 use poplarvale_lib::relay::demand::Demand;
 use poplarvale_lib::relay::digest::{Peers, Place};
 use poplarvale_lib::relay::follow::Follow;
@@ -22,6 +23,7 @@
 use poplarvale_lib::{CustomerId, Incarnation};
 use tokio::sync::Notify;
 
+use super::crash::Suspicion;
 use super::metrics::Metrics;
 use super::trail::Sampler;
 use super::upstream::Upstreams;
@@ -37,6 +39,11 @@
     pub(crate) board: RefCell<Board>,
     pub(crate) quota: RefCell<Quota>,
     pub(crate) budget: RefCell<Budget>,
+    pub(crate) crashes: RefCell<Crashes>,
+    /// Endpoints that may have ended, until that is known.
+    pub(crate) suspicions: RefCell<Vec<Suspicion>>,
+    /// Told when a request is quarantined.
+    pub(crate) quarantined: Notify,
     pub(crate) demand: RefCell<Demand>,
     pub(crate) rollouts: RefCell<Rollouts>,
     pub(crate) usage: RefCell<Usage>,
@@ -99,6 +106,9 @@
                 site.bounds.repeat_slack,
                 site.bounds.repeat_window,
             )),
+            crashes: RefCell::default(),
+            suspicions: RefCell::default(),
+            quarantined: Notify::new(),
             demand: RefCell::default(),
             rollouts: RefCell::new(Rollouts::new(site.bounds.exposure)),
             usage: RefCell::new(Usage::new(site.name.clone(), incarnation)),
--- a/daemon/src/relay/status.rs
+++ b/daemon/src/relay/status.rs
@@ -52,6 +52,11 @@
                    "store_steady_ms": steady(row.contact, now)})
         })
         .collect();
+    let crashes = state.crashes.borrow();
+    let quarantined: Vec<String> = crashes
+        .quarantined()
+        .map(|content| format!("{content:016x}"))
+        .collect();
     json!({
         "name": state.site.name.as_str(),
         "zone": state.site.zone.as_str(),
@@ -63,6 +68,7 @@
         "store_steady_ms": steady(state.contact.get().span(), now),
         "holder": state.leader.borrow().as_deref(),
         "log_lines_dropped": super::trail::dropped(),
+        "quarantined": quarantined,
         "endpoints": endpoints,
         "daemons": peers,
     })
--- a/daemon/src/relay/upstream.rs
+++ b/daemon/src/relay/upstream.rs
@@ -18,6 +18,11 @@
 /// after it, so that all daemons together stay below what an endpoint accepts.
 const MOST_IDLE: usize = 12;
 
+/// A new connection to an endpoint.
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<Wire> {
+    Wire::connect(address, CONNECT, SILENCE).await
+}
+
 #[derive(Debug)]
 struct Idle {
     address: SocketAddr,
@@ -39,7 +44,7 @@
                 return Ok((idle.wire, true));
             }
         }
-        let wire = Wire::connect(address, CONNECT, SILENCE).await?;
+        let wire = connect(address).await?;
         Ok((wire, false))
     }
 
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -22,6 +22,7 @@
 
 use super::checkpoint::{self, CHECKPOINT};
 use super::client::{CallError, Client};
+use super::crash::{self, CRASHES};
 use super::duties::{LEADER, OWN};
 use super::state::State;
 
@@ -150,6 +151,9 @@
     }
     let (items, _) = list(client, OWN).await?;
     take_leader(state, items.iter().find(|item| item.key == LEADER));
+    for item in items.iter().filter(|item| item.key.starts_with(CRASHES)) {
+        crash::restore(state, &item.value);
+    }
     if !state.listed.get() {
         let saved = items.iter().find(|item| item.key == CHECKPOINT);
         let saved = saved.and_then(|item| checkpoint::read(&item.value));
@@ -233,6 +237,7 @@
                 take_entry(state, *revision, Entry::Gone(id.into()));
             }
         }
+        Change::Put(item) if item.key.starts_with(CRASHES) => crash::restore(state, &item.value),
         Change::Put(_) => {}
     }
 }
--- a/lib/src/code.rs
+++ b/lib/src/code.rs
@@ -97,6 +97,8 @@
     NoClaim = 2009, 503, "The idempotency key could not be claimed.";
     /// Too many requests wait.
     Full = 2010, 503, "Too many requests are waiting.";
+    /// Endpoints ended under it.
+    Quarantined = 2011, 503, "Endpoints ended while they ran this request.";
     /// Deadline passed while waiting.
     Expired = 3001, 504, "The deadline passed before the request was sent.";
     /// Endpoint failed after the request was sent.
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -56,9 +56,30 @@
     /// has nothing else than this and who tells it.
     #[prost(message, optional, tag = "18")]
     pub zone_use: ::core::option::Option<digest::ZoneUse>,
+    /// Requests under which endpoints ended.
+    #[prost(message, repeated, tag = "19")]
+    pub crashes: ::prost::alloc::vec::Vec<digest::Crash>,
+    /// Contents of requests that were suspected to crash endpoints and then served.
+    #[prost(fixed64, repeated, tag = "20")]
+    pub cleared: ::prost::alloc::vec::Vec<u64>,
 }
 /// Nested message and enum types in `Digest`.
 pub mod digest {
+    /// Lives of endpoints that ended under a request; also the value of a quarantined
+    /// request's key in the store.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+    pub struct Crash {
+        /// Hash of what the request asks for.
+        #[prost(fixed64, tag = "1")]
+        pub content: u64,
+        #[prost(fixed32, repeated, tag = "2")]
+        pub lives: ::prost::alloc::vec::Vec<u32>,
+        /// How long it is still remembered, in milliseconds.
+        #[prost(uint32, tag = "3")]
+        pub left_ms: u32,
+    }
     /// Time during which the store answered without a break.
     #[derive(serde::Serialize, serde::Deserialize)]
     #[serde(default)]
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -26,6 +26,7 @@
 mod test_relay_admit;
 mod test_relay_board;
 mod test_relay_contact;
+mod test_relay_crash;
 mod test_relay_engine;
 mod test_relay_fleet;
 mod test_relay_follow;
