--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -16,7 +16,7 @@
 use poplarvale_lib::relay::place::{self, Choice, Wanted};
 use poplarvale_lib::relay::rollout::Versions;
 use poplarvale_lib::relay::rollout::evidence::Sample;
-use poplarvale_platform::{Outbound, request_head};
+use poplarvale_platform::{NamedLimit, Outbound, request_head};
 use tokio::net::tcp::WriteHalf;
 use tokio::time::{Instant, timeout_at};
 
@@ -143,6 +143,7 @@
             return ended;
         }
     };
+    note_limit(&booked, answer.said.limit);
     if answer.said.not_run {
         booked.note(|row| row.full = Some(Std::now() + FULL));
         state.measure(|metrics| metrics.sent("not run"));
@@ -214,6 +215,24 @@
     ended
 }
 
+/// Notes which limit an answer of an endpoint names.
+fn note_limit(booked: &Booked, named: NamedLimit) {
+    let limit = match named {
+        NamedLimit::Unnamed => None,
+        NamedLimit::Rate(rate) => Some(rate),
+        NamedLimit::Unreadable => {
+            log::warn!("limit: what endpoint {} names is no rate.", booked.endpoint);
+            return;
+        }
+    };
+    booked.note(|row| {
+        if row.limit != limit {
+            log::info!(before:? = row.limit, now:? = limit; "limit: endpoint {} names another.", row.listing.id);
+            row.limit = limit;
+        }
+    });
+}
+
 /// A connection to the chosen endpoint, and whether it was used before; `None` if
 /// there is none to be had.
 async fn connect(
--- a/daemon/src/relay/status.rs
+++ b/daemon/src/relay/status.rs
@@ -96,6 +96,7 @@
         "requests": row.flights.len(),
         "others": row.others.requests,
         "backlog_tokens": row.backlog() as u64,
+        "limit": row.limit,
         "speed_factor": row.speed.factor(),
     })
 }
--- a/lib/src/relay/board.rs
+++ b/lib/src/relay/board.rs
@@ -103,6 +103,8 @@
     pub cache: Cache,
     /// Until when it is taken as full because it said so.
     pub full: Option<Instant>,
+    /// Requests a second that it takes from all daemons together, as it names them.
+    pub limit: Option<f64>,
 }
 
 /// Who tells what is in progress: another daemon, or a watcher for its whole zone.
@@ -521,6 +523,7 @@
             evidence: Evidence::default(),
             cache: Cache::default(),
             full: None,
+            limit: None,
         }
     }
 
