relay: all daemons together keep the limit that an endpoint names

An endpoint in need gets what it can take: 19 and 17 requests came within four seconds to two engines that had named one a second, 11 are allowed.

Cause: the field was not read. Class: a bound that holds for all daemons together was not kept, or would be kept by each for itself.

Ruled out: sessions drawn to their engine. They are, but the engines got plain new sessions too, and no cost would have kept requests away.

Few daemons share a limit, one for each request a second and three more, chosen by rendezvous hashing over those that are heard; each has its part of the rate and begins with nothing in hand. The others send nothing there and hear through the digests what the endpoint says; the newest word holds, and only an answer without a limit ends it. Where no endpoint has room, callers are refused at once with the time until there is.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -12,6 +12,7 @@
 use poplarvale_lib::relay::board::{Endpoint, Standing};
 use poplarvale_lib::relay::catalog::{CatalogVersion, Route, Service, Team};
 use poplarvale_lib::relay::crash::{self, ContentHash, SETTLED};
+use poplarvale_lib::relay::limit::Said;
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::place::{self, Choice, Wanted};
 use poplarvale_lib::relay::rollout::Versions;
@@ -143,7 +144,7 @@
             return ended;
         }
     };
-    note_limit(&booked, answer.said.limit);
+    note_limit(state, &endpoint, &answer, sent_at);
     if answer.said.not_run {
         booked.note(|row| row.full = Some(Std::now() + FULL));
         state.measure(|metrics| metrics.sent("not run"));
@@ -215,22 +216,31 @@
     ended
 }
 
-/// Notes which limit an answer of an endpoint names.
-fn note_limit(booked: &Booked, named: NamedLimit) {
-    let limit = match named {
-        NamedLimit::Unnamed => None,
+/// Takes in which limit an answer to a request that was sent at `sent` names.
+fn note_limit(state: &State, endpoint: &Listing, answer: &Answer, sent: Std) {
+    let now = Std::now();
+    let rate = match answer.said.limit {
         NamedLimit::Rate(rate) => Some(rate),
+        // Answers overtake one another, and only those of requests that ran tell of no need.
+        NamedLimit::Unnamed if answer.said.sealed && is_after_limit(state, endpoint, sent) => None,
+        NamedLimit::Unnamed => return,
         NamedLimit::Unreadable => {
-            log::warn!("limit: what endpoint {} names is no rate.", booked.endpoint);
+            log::warn!("limit: what endpoint {} names is no rate.", endpoint.id);
             return;
         }
     };
-    booked.note(|row| {
-        if row.limit != limit {
-            log::info!(before:? = row.limit, now:? = limit; "limit: endpoint {} names another.", row.listing.id);
-            row.limit = limit;
-        }
-    });
+    let said = Said { rate, heard: now };
+    if state.board.borrow_mut().named(&endpoint.id, said) {
+        log::info!(now:? = rate; "limit: endpoint {} names another.", endpoint.id);
+        state.news.notify_one();
+    }
+}
+
+/// Whether a moment is after the last word of an endpoint's limit.
+fn is_after_limit(state: &State, endpoint: &Listing, sent: Std) -> bool {
+    let board = state.board.borrow();
+    let limit = board.get(&endpoint.id).and_then(|row| row.limit.as_ref());
+    limit.is_some_and(|limit| sent > limit.heard())
 }
 
 /// A connection to the chosen endpoint, and whether it was used before; `None` if
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -11,6 +11,7 @@
 use poplarvale_lib::relay::contact::Span;
 use poplarvale_lib::relay::demand::Work;
 use poplarvale_lib::relay::digest::{Peer, Place, Turn, Turns};
+use poplarvale_lib::relay::limit::{Said, Sharers};
 use poplarvale_lib::relay::quota::{Told, Use, ZoneSummary, ZoneUse};
 use poplarvale_lib::relay::rollout::evidence::{Key, Side, Sides};
 use poplarvale_lib::relay::rollout::{Order, Outcome, Word};
@@ -49,6 +50,7 @@
     loop {
         let now = Instant::now();
         state.peers.borrow_mut().expire(now);
+        share_limits(&state, now);
         let rounds = state.peers.borrow().rounds();
         urgent |= !state.left.borrow().is_empty();
         tell(&state, &socket, turns.next(rounds, urgent, now));
@@ -63,6 +65,16 @@
     }
 }
 
+/// Has the limits that endpoints name shared by the daemons that are heard.
+fn share_limits(state: &State, now: Instant) {
+    let peers = state.peers.borrow();
+    let sharers = Sharers {
+        me: peers.me(),
+        others: peers.lately(now),
+    };
+    state.board.borrow_mut().share(sharers);
+}
+
 /// Sends the last digest of a daemon that ends. What it counted since the last whole one
 /// would be lost with it, and teams charged for less than they used.
 pub(crate) fn tell_last(state: &State, socket: &UdpSocket) {
@@ -213,6 +225,11 @@
             .map(crash::tell)
             .collect(),
         cleared: crashes.tell_cleared(now),
+        limits: board
+            .tell_limits(now)
+            .into_iter()
+            .map(|row| tell_limit(row, now))
+            .collect(),
         contact: state
             .contact
             .get()
@@ -221,6 +238,31 @@
     }
 }
 
+fn tell_limit((endpoint, said): (u32, Said), now: Instant) -> digest::EndpointLimit {
+    let age = now.saturating_duration_since(said.heard).as_millis();
+    digest::EndpointLimit {
+        endpoint,
+        rate: said.rate.map(|rate| rate as f32),
+        age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+    }
+}
+
+/// Takes in which limit an endpoint named to another daemon.
+fn hear_limit(state: &State, name: &str, told: &digest::EndpointLimit, now: Instant) {
+    let Some(heard) = now.checked_sub(Duration::from_millis(told.age_ms.into())) else {
+        return;
+    };
+    let rate = told.rate.map(f64::from);
+    if rate.is_some_and(|rate| !rate.is_finite() || rate < 0.0) {
+        log::warn!("limit: what {name} tells of an endpoint is no rate.");
+        return;
+    }
+    let said = Said { rate, heard };
+    if state.board.borrow_mut().hear_named(told.endpoint, said) {
+        log::info!(endpoint = told.endpoint, now:? = rate; "limit: an endpoint names another, {name} tells.");
+    }
+}
+
 fn tell_contact(span: Span, now: Instant) -> digest::Contact {
     let age = |at: Instant| now.saturating_duration_since(at).as_millis();
     let age = |at| u32::try_from(age(at)).unwrap_or(u32::MAX);
@@ -382,6 +424,9 @@
         Some(None) => log::warn!("peers: news of {name} is not read."),
         None => {}
     }
+    for told in &digest.limits {
+        hear_limit(state, &name, told, now);
+    }
     for told in digest.crashes {
         crash::hear(state, &name, told);
     }
--- a/daemon/src/relay/status.rs
+++ b/daemon/src/relay/status.rs
@@ -7,6 +7,7 @@
 use poplarvale_lib::http1::Request;
 use poplarvale_lib::relay::board::{Endpoint, Standing};
 use poplarvale_lib::relay::contact::Span;
+use poplarvale_lib::relay::limit::Limit;
 use poplarvale_lib::{Code, Ran};
 use poplarvale_platform::refusal;
 use serde_json::{Value, json};
@@ -96,7 +97,7 @@
         "requests": row.flights.len(),
         "others": row.others.requests,
         "backlog_tokens": row.backlog() as u64,
-        "limit": row.limit,
+        "limit": row.limit.as_ref().and_then(Limit::rate),
         "speed_factor": row.speed.factor(),
     })
 }
--- a/daemon/tests/test_relay_limit.rs
+++ b/daemon/tests/test_relay_limit.rs
@@ -7,7 +7,7 @@
 use futures::future::join_all;
 use poplarvale_standin::{Endpoint, Seen, Step, ask, limited, plain, request};
 
-use crate::relay_site::{Zone, store_with};
+use crate::relay_site::{Site, Zone, store_with};
 
 /// Span in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -113,3 +113,39 @@
         "not served though an endpoint has room"
     );
 }
+
+/// An endpoint's need is over, and nobody notices, as those who may ask it are few.
+#[actix_web::test]
+async fn an_endpoint_whose_need_is_over_is_used_again() {
+    let needy = Needy::start("i-1", RATE).await;
+    let calm = Needy::start("i-2", RATE).await;
+    let zone = Zone::start(24, store_with(&[&needy.endpoint, &calm.endpoint]).await).await;
+    needy.needs.set(true);
+    ask_all(&zone, SPREAD).await;
+    needy.needs.set(false);
+    ask_all(&zone, Duration::from_secs(6)).await;
+    let since = Instant::now();
+    ask_all(&zone, Duration::from_secs(2)).await;
+    let most = needy.most_since(since);
+    assert!(most > allowed(RATE) * 3, "{most} in {WINDOW:?}");
+}
+
+/// All endpoints of a service are in need. Who cannot be served hears so at once, and when
+/// to come back; waiting for room would hold callers until their deadline.
+#[actix_web::test]
+async fn callers_beyond_all_limits_are_refused_at_once() {
+    let needy = Needy::start("i-1", RATE).await;
+    needy.needs.set(true);
+    let site = Site::start(&[&needy.endpoint]).await;
+    let text = request("GET", "/safe/a", "r1", "");
+    let first = ask(site.address(), &text).await.expect("an answer");
+    assert_eq!(first.status, 200);
+    let begin = Instant::now();
+    let answer = ask(site.address(), &text).await.expect("an answer");
+    assert!(begin.elapsed() < PAUSE, "{:?}", begin.elapsed());
+    assert_eq!(answer.status, 503);
+    assert!(answer.body.contains("\"no\""), "{answer:?}");
+    let again = answer.head.fields.text("Retry-After");
+    let again: f64 = again.and_then(|text| text.parse().ok()).expect("a time");
+    assert!((0.5..=2.0).contains(&again), "{again}");
+}
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -62,9 +62,25 @@
     /// Contents of requests that were suspected to crash endpoints and then served.
     #[prost(fixed64, repeated, tag = "20")]
     pub cleared: ::prost::alloc::vec::Vec<u64>,
+    /// Limits that endpoints named to the sender.
+    #[prost(message, repeated, tag = "21")]
+    pub limits: ::prost::alloc::vec::Vec<digest::EndpointLimit>,
 }
 /// Nested message and enum types in `Digest`.
 pub mod digest {
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, Copy, PartialEq, ::prost::Message)]
+    pub struct EndpointLimit {
+        #[prost(fixed32, tag = "1")]
+        pub endpoint: u32,
+        /// Requests a second from all daemons together; missing if it names none any more.
+        #[prost(float, optional, tag = "2")]
+        pub rate: ::core::option::Option<f32>,
+        /// Age of the answer that told it, in milliseconds.
+        #[prost(uint32, tag = "3")]
+        pub age_ms: u32,
+    }
     /// Lives of endpoints that ended under a request; also the value of a quarantined
     /// request's key in the store.
     #[derive(serde::Serialize, serde::Deserialize)]
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -24,6 +24,7 @@
 pub mod fleet;
 pub mod follow;
 pub mod life;
+pub mod limit;
 pub mod listing;
 pub mod place;
 pub mod quota;
--- a/lib/src/relay/admit.rs
+++ b/lib/src/relay/admit.rs
@@ -24,7 +24,7 @@
 /// Shortest and longest time after which a refused request is told to come back. Below,
 /// it would come before anything has changed; above, callers have gone.
 const SOONEST: Duration = Duration::from_millis(100);
-const LATEST: Duration = Duration::from_secs(2);
+pub(crate) const LATEST: Duration = Duration::from_secs(2);
 /// Predicted time to the first event beside the time left above which a request is
 /// not sent. Predictions are off by a third now and then; a request that fits by a
 /// little more is worth its try.
--- a/lib/src/relay/board.rs
+++ b/lib/src/relay/board.rs
@@ -16,6 +16,7 @@
 use super::ended::Ended;
 use super::engine::{Pace, Speed};
 use super::evidence::Evidence;
+use super::limit::{Limit, Said, Sharers};
 use super::listing::Listing;
 use super::quota::short;
 use crate::{EndpointId, ServiceId, ZoneHash};
@@ -103,8 +104,8 @@
     pub cache: Cache,
     /// Until when it is taken as full because it said so.
     pub full: Option<Instant>,
-    /// Requests a second that it takes from all daemons together, as it names them.
-    pub limit: Option<f64>,
+    /// What it takes from all daemons together, if it ever named a limit.
+    pub limit: Option<Limit>,
 }
 
 /// Who tells what is in progress: another daemon, or a watcher for its whole zone.
@@ -139,6 +140,8 @@
     settling: Option<Instant>,
     /// Those that left and have no row any more.
     ended: Ended,
+    /// Daemons that share the limits which endpoints name.
+    sharers: Sharers,
 }
 
 /// What a change of the registry did.
@@ -419,6 +422,57 @@
         found
     }
 
+    /// Takes in what an endpoint said to this daemon of its limit; tells whether it said
+    /// something else before.
+    pub fn named(&mut self, id: &str, said: Said) -> bool {
+        let Ok(at) = self.find(id) else {
+            return false;
+        };
+        let hash = self.rows[at].hash;
+        self.hear_limit(hash, said, true)
+    }
+
+    /// Takes in what another daemon tells of an endpoint's limit.
+    pub fn hear_named(&mut self, endpoint: u32, said: Said) -> bool {
+        self.hear_limit(endpoint, said, false)
+    }
+
+    fn hear_limit(&mut self, endpoint: u32, said: Said, is_own: bool) -> bool {
+        let mut rows = self.rows.iter_mut();
+        let Some(row) = rows.find(|row| row.hash == endpoint) else {
+            return false;
+        };
+        let before = row.limit.as_ref().and_then(Limit::rate);
+        let held = row.limit.as_ref();
+        if held.is_none() && said.rate.is_none() {
+            return false;
+        }
+        if let Some(limit) = Limit::hear(held, endpoint, said, is_own, &self.sharers) {
+            row.limit = Some(limit);
+        }
+        before != row.limit.as_ref().and_then(Limit::rate)
+    }
+
+    /// What this daemon tells the others of limits that endpoints named to it, by hash of
+    /// their ids.
+    pub fn tell_limits(&self, now: Instant) -> Vec<(u32, Said)> {
+        let told = |row: &Endpoint| Some((row.hash, row.limit.as_ref()?.tell(now)?));
+        self.rows.iter().filter_map(told).collect()
+    }
+
+    /// Takes in which daemons share the limits that endpoints name.
+    pub fn share(&mut self, sharers: Sharers) {
+        if self.sharers == sharers {
+            return;
+        }
+        for row in &mut self.rows {
+            if let Some(limit) = &mut row.limit {
+                limit.divide(row.hash, &sharers);
+            }
+        }
+        self.sharers = sharers;
+    }
+
     /// Notes that the registry is back after it was away or refused this daemon.
     pub fn registry_back(&mut self, now: Instant) {
         self.settling = Some(now + RETURN);
@@ -559,6 +613,9 @@
     /// Notes a request that is sent.
     pub fn send(&mut self, flight: Flight) {
         self.evidence.sent();
+        if let Some(limit) = &mut self.limit {
+            limit.take(flight.sent);
+        }
         self.flights.push(flight);
     }
 
--- a/lib/src/relay/digest.rs
+++ b/lib/src/relay/digest.rs
@@ -198,6 +198,11 @@
         }
     }
 
+    /// This daemon's address.
+    pub fn me(&self) -> Ipv4Addr {
+        self.me
+    }
+
     /// Where this daemon runs.
     pub fn place(&self) -> Place {
         self.place
--- a/lib/src/relay/place.rs
+++ b/lib/src/relay/place.rs
@@ -17,7 +17,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::admit::Limits;
+use super::admit::{LATEST, Limits};
 use super::ask::Prompt;
 use super::board::{Board, Endpoint, Flight};
 use super::cache::{Chain, chains};
@@ -123,6 +123,7 @@
     let pace = board.pace(&wanted.service.name);
     let mut best: Option<(f64, Choice)> = None;
     let mut full = false;
+    let mut limited: Option<Duration> = None;
     for row in board.rows() {
         let may = is_one_of(row, among) && is_one_of(row, tried.as_deref());
         if !may || !serves(row, wanted) {
@@ -132,6 +133,10 @@
             full = true;
             continue;
         }
+        if let Some(wait) = limited_for(row, wanted.now) {
+            limited = Some(limited.map_or(wait, |least| least.min(wait)));
+            continue;
+        }
         let (cost, choice) = weigh(row, pace, wanted, &shared, favourite);
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, choice));
@@ -148,14 +153,16 @@
             }
         }
         None if full => Err(NoPlace::Full),
-        None => Err(NoPlace::None),
+        None => Err(limited.map_or(NoPlace::None, |wait| NoPlace::Busy(wait.min(LATEST)))),
     }
 }
 
 /// Ids of the endpoints that a plain request is weighed between.
 fn drawn<'b>(board: &'b Board, wanted: &Wanted<'_>) -> Vec<&'b str> {
     let rows = board.rows().iter();
-    let rows = rows.filter(|row| serves(row, wanted) && !is_full(row, wanted));
+    let rows = rows.filter(|row| {
+        serves(row, wanted) && !is_full(row, wanted) && limited_for(row, wanted.now).is_none()
+    });
     let rank = |row: &&Endpoint| xxh3_64_with_seed(row.listing.id.as_bytes(), wanted.draw);
     let mut rows: Vec<&Endpoint> = rows.collect();
     rows.sort_by_cached_key(rank);
@@ -232,6 +239,12 @@
     }
 }
 
+/// How long the limit that an endpoint names keeps this daemon from sending to it; `None` if
+/// it does not.
+fn limited_for(row: &Endpoint, now: Instant) -> Option<Duration> {
+    row.limit.as_ref()?.check(now).err()
+}
+
 /// The endpoint that all daemons try first for a session's requests.
 fn favourite<'b>(
     board: &'b Board,
