--- a/daemon/tests/relay_site.rs
+++ b/daemon/tests/relay_site.rs
@@ -58,7 +58,12 @@
 
     /// The same, and nothing is written to the store but by the test.
     pub(crate) async fn without_duties(endpoints: &[&Endpoint]) -> Self {
-        let (store, cloud) = (store_with(endpoints).await, Cloud::start().await);
+        Self::without_duties_on(store_with(endpoints).await).await
+    }
+
+    /// The same on a store.
+    pub(crate) async fn without_duties_on(store: Store) -> Self {
+        let cloud = Cloud::start().await;
         let text = settings(store.address, cloud.address);
         Self::with_settings(store, cloud, &text.replace("[\"usage\"]", "[]")).await
     }
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -22,6 +22,7 @@
 mod test_relay_cut;
 mod test_relay_duties;
 mod test_relay_end;
+mod test_relay_era;
 mod test_relay_limit;
 mod test_relay_log;
 mod test_relay_rollout;
