platform, relay: revisions rise also when the store comes back from an older copy

Endpoints that had left got requests for seconds, and the platform got falling fences.

Cause: revisions were compared as if they only rose. A watch went on from a revision of the former history, and the fence of the duties is the revision of the leader's key.

The adapter joins the era that each answer tells to its revisions, and parts them in calls; everything else compares the joined number as before. Where the store tells no era nothing changes. An answer of another era ends a watch, and everything is read anew; missing entries stay in use for a moment as after an outage, reckoned from the last answer of the former era.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -14,6 +14,7 @@
 mod crash;
 mod dispatch;
 mod duties;
+mod era;
 mod exchange;
 mod metrics;
 mod peers;
--- a/daemon/src/relay/client.rs
+++ b/daemon/src/relay/client.rs
@@ -2,13 +2,16 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use poplarvale_lib::http1::{Body, BodyError, HeadError, Response};
-use poplarvale_platform::{Call, Reply};
+use poplarvale_platform::{Call, Reply, read_era};
 use tokio::io::AsyncWriteExt as _;
 
+use super::era::Eras;
+use super::state::State;
 use super::wire::{Wire, fill};
 
 /// Time for a connection to a service of the platform; it answers in a few
@@ -25,6 +28,8 @@
     Broken(io::Error),
     #[error("no answer came in time")]
     Silent,
+    #[error("the answer is of an era that is over")]
+    Over,
     #[error("the answer is not in the protocol: {0}")]
     Head(#[from] HeadError),
     #[error("the answer is not in the protocol: {0}")]
@@ -36,6 +41,8 @@
 pub(crate) struct Client {
     address: SocketAddr,
     wire: Option<Wire>,
+    /// Eras of the store; `None` for other services.
+    eras: Option<Rc<Eras>>,
 }
 
 impl Client {
@@ -43,6 +50,15 @@
         Self {
             address,
             wire: None,
+            eras: None,
+        }
+    }
+
+    /// A client of the store.
+    pub(crate) fn of_store(state: &State) -> Self {
+        Self {
+            eras: Some(Rc::clone(&state.eras)),
+            ..Self::new(state.site.store)
         }
     }
 
@@ -58,17 +74,24 @@
         let exchange = exchange(&mut wire, &call.0);
         let answer = tokio::time::timeout(limit, exchange).await;
         let answer = answer.map_err(|_elapsed| CallError::Silent).flatten();
-        let (reply, keep) = answer?;
-        if keep {
+        let (head, body) = answer?;
+        if head.keep {
             self.wire = Some(wire);
         }
-        Ok(reply)
+        let era = match &self.eras {
+            Some(eras) => eras.see(read_era(&head)).ok_or(CallError::Over)?,
+            None => 0,
+        };
+        Ok(Reply {
+            status: head.status,
+            era,
+            body,
+        })
     }
 }
 
-/// Sends a request and reads its whole answer; tells whether the connection can be
-/// used again.
-async fn exchange(wire: &mut Wire, request: &Bytes) -> Result<(Reply, bool), CallError> {
+/// Sends a request and reads its whole answer.
+async fn exchange(wire: &mut Wire, request: &Bytes) -> Result<(Response, Bytes), CallError> {
     let (mut read, mut write) = wire.stream.split();
     write.write_all(request).await.map_err(CallError::Broken)?;
     let head = loop {
@@ -94,9 +117,5 @@
             body.end()?;
         }
     }
-    let reply = Reply {
-        status: head.status,
-        body: bytes.freeze(),
-    };
-    Ok((reply, head.keep))
+    Ok((head, bytes.freeze()))
 }
--- a/daemon/src/relay/crash.rs
+++ b/daemon/src/relay/crash.rs
@@ -176,7 +176,7 @@
 /// Keeps quarantined requests in the store, until the process ends. Daemons that are cut off
 /// from the others, or start when all were killed, learn of them there.
 pub(crate) async fn keep_quarantined(state: Rc<State>) {
-    let mut store = Client::new(state.site.store);
+    let mut store = Client::of_store(&state);
     loop {
         state.quarantined.notified().await;
         let unsaved = state.crashes.borrow_mut().unsaved(Instant::now());
--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -58,7 +58,7 @@
 
 /// Takes the duties up whenever nobody holds them.
 pub(crate) async fn serve_duties(state: Rc<State>) {
-    let mut store = Client::new(state.site.store);
+    let mut store = Client::of_store(&state);
     let mut cloud = state.site.cloud.map(Client::new);
     loop {
         tokio::time::sleep(wait(&state)).await;
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -24,6 +24,7 @@
 use tokio::sync::Notify;
 
 use super::crash::Suspicion;
+use super::era::Eras;
 use super::metrics::Metrics;
 use super::trail::Sampler;
 use super::upstream::Upstreams;
@@ -53,6 +54,7 @@
     pub(crate) follow: RefCell<Follow>,
     /// Told when this daemon has to look into the store itself.
     pub(crate) look: Notify,
+    pub(crate) eras: Rc<Eras>,
     /// Who holds the duties, as far as the store told.
     pub(crate) leader: RefCell<Option<CompactString>>,
     /// Drawn at the start.
@@ -116,6 +118,7 @@
             peers: RefCell::new(Peers::new(me, place, &seeds, started)),
             follow: RefCell::default(),
             look: Notify::new(),
+            eras: Rc::default(),
             leader: RefCell::new(None),
             incarnation,
             started,
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -16,7 +16,7 @@
 use poplarvale_lib::relay::quota::short;
 use poplarvale_lib::relay::rollout::Order;
 use poplarvale_platform::{
-    CONFIG_KEY, Change, Item, OPERATORS, REGISTRY, ROLLOUTS, Reply, STATUS, StoreError, range,
+    CONFIG_KEY, Change, Item, OPERATORS, REGISTRY, ROLLOUTS, Reply, STATUS, StoreError, era, range,
     read_config, read_listing, read_range, read_rollout, read_status, read_watched, watch,
 };
 
@@ -61,7 +61,7 @@
 
 /// Follows the store until the process ends.
 pub(crate) async fn follow(state: Rc<State>) {
-    let mut client = Client::new(state.site.store);
+    let mut client = Client::of_store(&state);
     let mut retry = RETRY;
     let mut failing = false;
     loop {
@@ -96,6 +96,11 @@
                     state.follow.borrow_mut().lost();
                     continue;
                 }
+                if matches!(error, WatchError::Store(StoreError::Returned)) {
+                    log::info!("store: it came back from an older copy, everything is read anew.");
+                    state.follow.borrow_mut().lost();
+                    continue;
+                }
                 // After an outage the whole list is read: a removal may have been missed.
                 state.store_failed(began);
                 if !state.contact.get().is_unbroken() {
@@ -162,12 +167,22 @@
         }
     }
     let (items, _) = list(client, REGISTRY).await?;
+    if era(revision) != state.eras.newest() {
+        return Err(StoreError::Returned.into());
+    }
     let now = Instant::now();
+    let returned = state.eras.read_in(era(revision));
     let listings = items.iter().filter_map(listing).collect();
     let changes = {
         let mut board = state.board.borrow_mut();
-        if state.listed.get() && !state.contact.get().is_unbroken() {
+        let contact = state.contact.get();
+        if state.listed.get() && !contact.is_unbroken() {
             board.registry_back(now);
+        } else if state.listed.get() && returned {
+            // Entries of living endpoints are missing in an older copy too. It came back
+            // after the last answer; reckoned from its first, one that left since would
+            // stay in use for too long.
+            board.registry_back(contact.heard());
         }
         board.replace(listings, now)
     };
@@ -199,7 +214,7 @@
 async fn watch_once(state: &State, client: &mut Client, after: u64) -> Result<(), WatchError> {
     let call = watch(FOLLOWED, after, WAIT);
     let reply: Reply = client.call(&call, WAIT + SLACK).await?;
-    let watched = read_watched(&reply)?;
+    let watched = read_watched(&reply, after)?;
     for change in &watched.changes {
         take_change(state, change);
     }
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -32,8 +32,11 @@
 pub type RequestId = u128;
 /// One sending of a request to an endpoint, unique over all daemons.
 pub type AttemptId = u128;
-/// Revision of the configuration in the platform's key-value service.
+/// Revision of the configuration in the platform's key-value service. Its upper bits are the
+/// service's era, so revisions rise also where the service gives them out again.
 pub type Revision = u64;
+/// How often the platform's key-value service came back from an older copy.
+pub type Era = u32;
 
 /// Joins a daemon's incarnation and its own count to an id.
 pub fn joined(incarnation: Incarnation, count: u64) -> u128 {
--- a/lib/src/relay/contact.rs
+++ b/lib/src/relay/contact.rs
@@ -72,6 +72,11 @@
         self.since.is_some()
     }
 
+    /// When the last answer came; the start of the daemon before the first one.
+    pub fn heard(&self) -> Instant {
+        self.heard
+    }
+
     /// Time since the last answer.
     pub fn silence(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.heard)
