duties: a lease that went with a return of the store counts for nobody

Two daemons could act as holder of the duties at once: the leader's key was claimed anew 0.6 s after the return, while the lease of the former holder lasted a second by its own reckoning.

Cause: a lease was taken to end only by its time. The former holder now stops as soon as an answer tells another era, and nobody claims the duties for the length of a lease after the return was noticed.

Failed before: test_relay_era::a_holder_of_a_lease_that_is_gone_acts_no_more.

--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -5,14 +5,15 @@
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
+use poplarvale_lib::Era;
 use poplarvale_lib::protos::relay::UsageRecord;
 use poplarvale_lib::relay::duty::Held;
 use poplarvale_lib::relay::fleet::{Orders, Wish};
 use poplarvale_lib::relay::rollout::Status;
 use poplarvale_lib::relay::usage::{Counts, WindowId};
 use poplarvale_platform::{
-    Duty, Item, Order, STATUS, StoreError, Txn, get, grant, keep_alive, order_call, read_granted,
-    read_item, read_txn, status_value, txn, usage_call,
+    Duty, Item, Order, STATUS, StoreError, Txn, era, get, grant, keep_alive, order_call,
+    read_granted, read_item, read_txn, status_value, txn, usage_call,
 };
 use prost::Message as _;
 
@@ -83,7 +84,12 @@
 }
 
 fn is_vacant(state: &State) -> bool {
-    state.listed.get() && state.life().is_serving() && state.leader.borrow().is_none()
+    let is_free = state.leader.borrow().is_none();
+    // Who held the duties before a return of the store does not know yet that it is over.
+    let is_over = !state
+        .eras
+        .may_outlast(state.site.bounds.lease, Instant::now());
+    state.listed.get() && state.life().is_serving() && is_free && is_over
 }
 
 /// Waits longer the further back this daemon stands among the others. Right after the
@@ -131,6 +137,8 @@
 #[derive(Debug)]
 struct Holder {
     held: Held,
+    /// Era of the store in which the duties were taken up.
+    era: Era,
     duty: Duty,
     /// Revision of the usage record; 0 if there is none.
     revision: u64,
@@ -157,6 +165,10 @@
         if holder.held.is_due(now) && !renew(store, &mut holder).await {
             return;
         }
+        if state.eras.newest() != holder.era {
+            log::info!("duty: the store came back without what was written for it.");
+            return;
+        }
         if !state.life().is_serving() {
             give_up(store, &holder).await;
             return;
@@ -211,6 +223,7 @@
         let next = record.as_ref().map_or(first, |record| record.number + 1);
         return Some(Holder {
             held,
+            era: era(held.fence),
             duty,
             revision,
             next,
--- a/daemon/src/relay/era.rs
+++ b/daemon/src/relay/era.rs
@@ -4,6 +4,7 @@
 //! again. All clients of the store note the era of every answer here.
 
 use std::cell::Cell;
+use std::time::{Duration, Instant};
 
 use poplarvale_lib::Era;
 use poplarvale_platform::StoreError;
@@ -14,6 +15,8 @@
     newest: Cell<Option<Era>>,
     /// Era in which everything was read last.
     read: Cell<Option<Era>>,
+    /// When the last return was noticed.
+    returned: Cell<Option<Instant>>,
 }
 
 impl Eras {
@@ -29,6 +32,13 @@
         before.is_some_and(|before| before != era)
     }
 
+    /// Whether a lease of the former era may still count for whoever held it: one of `life`
+    /// that was granted or renewed right before the return.
+    pub(crate) fn may_outlast(&self, life: Duration, now: Instant) -> bool {
+        let returned = self.returned.get();
+        returned.is_some_and(|at| now.saturating_duration_since(at) < life)
+    }
+
     /// Notes the era that an answer tells; gives the one that the answer belongs to, `None`
     /// if that is over.
     pub(crate) fn see(&self, told: Result<Option<Era>, StoreError>) -> Option<Era> {
@@ -50,6 +60,7 @@
             }
             Some(newest) if era > newest => {
                 log::warn!("store: came back from an older copy, era {era}.");
+                self.returned.set(Some(Instant::now()));
             }
             _ => {}
         }
