board: the last entry of an endpoint that left does not bring it back

Endpoints that had left got requests again: 170 in two seconds after the store had come back from a copy that named one as ready.

Cause: an entry was passed over only if it was older than the one known. The copy's is often the same one, the last before the endpoint left. In a whole list it is passed over now; an entry that the endpoint writes after that counts as before.

Failed before: test_relay_era::an_older_copy_brings_no_endpoint_back_that_left.

--- a/lib/src/relay/board.rs
+++ b/lib/src/relay/board.rs
@@ -332,8 +332,16 @@
     }
 
     /// Takes a whole list in; entries that are not in it are gone.
-    pub fn replace(&mut self, listings: Vec<Listing>, now: Instant) -> Vec<(EndpointId, Changed)> {
+    ///
+    /// The list may be older than what is known, where the registry came back from a copy:
+    /// the last entry of an endpoint that left since does not bring it back.
+    pub fn replace(
+        &mut self,
+        mut listings: Vec<Listing>,
+        now: Instant,
+    ) -> Vec<(EndpointId, Changed)> {
         let mut changes = Vec::new();
+        listings.retain(|listing| !self.has_left(listing));
         let mut present: Vec<EndpointId> = listings.iter().map(|row| row.id.clone()).collect();
         present.sort();
         for listing in listings {
@@ -351,6 +359,17 @@
         changes
     }
 
+    /// Whether an endpoint has left that wrote nothing since this entry.
+    fn has_left(&self, listing: &Listing) -> bool {
+        let row = self.get(&listing.id);
+        if row.is_some_and(|row| row.standing != Standing::Leaving) {
+            return false;
+        }
+        let last = row.map(|row| &row.listing);
+        let last = last.or_else(|| self.ended.last(&listing.id));
+        last.is_some_and(|last| listing.is_known_by(last))
+    }
+
     /// Takes in what others have in progress, by hash of the endpoints' ids. A zone as a
     /// whole stands for its daemons as long as it is told.
     pub fn hear(&mut self, teller: Teller, mut uses: Vec<(u32, Others)>, now: Instant) {
--- a/lib/src/relay/ended.rs
+++ b/lib/src/relay/ended.rs
@@ -30,8 +30,13 @@
 
     /// Whether an entry is older than the last one of an endpoint that left.
     pub(crate) fn is_newer_than(&self, entry: &Listing) -> bool {
-        let at = self.find(&entry.id);
-        at.is_ok_and(|at| entry.is_older_than(&self.rows[at].0))
+        let last = self.last(&entry.id);
+        last.is_some_and(|last| entry.is_older_than(last))
+    }
+
+    /// The last entry of an endpoint that left.
+    pub(crate) fn last(&self, id: &str) -> Option<&Listing> {
+        self.find(id).ok().map(|at| &self.rows[at].0)
     }
 
     /// Forgets those whose time is over.
--- a/lib/src/relay/listing.rs
+++ b/lib/src/relay/listing.rs
@@ -30,6 +30,15 @@
 }
 
 impl Listing {
+    /// Whether it says nothing that another entry of the same id does not say already: it is
+    /// that one, or older.
+    pub fn is_known_by(&self, other: &Self) -> bool {
+        match (self.born, other.born) {
+            (Some(mine), Some(others)) => (mine, self.count) <= (others, other.count),
+            _ => false,
+        }
+    }
+
     /// Whether it was written before another entry of the same id: in a former life, or
     /// earlier in the same one. Entries that do not tell their life cannot be compared,
     /// as each life counts anew.
