duties: a window that was reported keeps its count when its record is gone

The platform got two reports with different counts for one window after the store had come back from an older copy: the record of the first was gone, and counts that came in since went into the second.

Cause: the record in the store was taken for all there is to know. Daemons remember the last report that was fixed, and who fixed it tells the others for three seconds; whoever takes the duties up goes on from the newer of both.

Failed before: test_relay_era::a_window_reported_before_the_return_keeps_its_count.

--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -10,7 +10,7 @@
 use poplarvale_lib::relay::duty::Held;
 use poplarvale_lib::relay::fleet::{Orders, Wish};
 use poplarvale_lib::relay::rollout::Status;
-use poplarvale_lib::relay::usage::{Counts, WindowId};
+use poplarvale_lib::relay::usage::{Counts, Report, WindowId};
 use poplarvale_platform::{
     Duty, Item, Order, STATUS, StoreError, Txn, era, get, grant, keep_alive, order_call,
     read_granted, read_item, read_txn, status_value, txn, usage_call,
@@ -211,6 +211,7 @@
             Some(item) => (item.revision, read_record(item.value)),
             None => (0, None),
         };
+        let last = last_report(state, record);
         let mut orders = Orders::new(state.demand.borrow().first());
         let saved = saved.and_then(|item| checkpoint::read(&item.value));
         if let Some(saved) = &saved {
@@ -220,14 +221,14 @@
         let counted = state.usage.borrow().since(0).map(|row| row.1).min();
         let first = state.window_at(state.started);
         let first = counted.map_or(first, |counted| first.min(counted));
-        let next = record.as_ref().map_or(first, |record| record.number + 1);
+        let next = last.as_ref().map_or(first, |last| last.window + 1);
         return Some(Holder {
             held,
             era: era(held.fence),
             duty,
             revision,
             next,
-            unsent: record.map(|record| (record.number, record.counts.into())),
+            unsent: last.map(|last| (last.window, last.counts)),
             retry: None,
             orders,
             save: Instant::now(),
@@ -436,6 +437,7 @@
         }
     };
     if let Some(revision) = fixed {
+        note_fixed(state, window, &counts);
         holder.revision = revision;
         holder.next = window + 1;
         holder.unsent = Some((window, counts));
@@ -447,14 +449,43 @@
         if let Some(record) = read_record(item.value)
             && record.number >= window
         {
+            let counts = CompactString::from(record.counts);
+            note_fixed(state, record.number, &counts);
             holder.next = record.number + 1;
-            holder.unsent = Some((record.number, record.counts.into()));
+            holder.unsent = Some((record.number, counts));
             return Ok(());
         }
     }
     Err(DutyError::Raced)
 }
 
+/// Notes a report that lies in the store, for when that comes back from an older copy.
+fn note_fixed(state: &State, window: WindowId, counts: &CompactString) {
+    let report = Report {
+        window,
+        counts: counts.clone(),
+    };
+    state.usage.borrow_mut().fix(report, Instant::now());
+}
+
+/// The last report: the record in the store, or what is known to have lain there.
+fn last_report(state: &State, record: Option<UsageRecord>) -> Option<Report> {
+    let mut usage = state.usage.borrow_mut();
+    if let Some(record) = record {
+        let report = Report {
+            window: record.number,
+            counts: record.counts.into(),
+        };
+        if !usage.hear_fixed(report.clone()) && usage.fixed() != Some(&report) {
+            log::info!(
+                "duty: the record of the last report is of window {}, a newer one is known.",
+                report.window
+            );
+        }
+    }
+    usage.fixed().cloned()
+}
+
 fn counts_text(counts: &Counts) -> Result<CompactString, serde_json::Error> {
     let map: std::collections::BTreeMap<&str, u32> = counts
         .iter()
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -6,7 +6,7 @@
 
 use compact_str::CompactString;
 use poplarvale_lib::ZoneHash;
-use poplarvale_lib::protos::relay::{Digest, digest};
+use poplarvale_lib::protos::relay::{Digest, UsageRecord, digest};
 use poplarvale_lib::relay::board::{Others, Teller};
 use poplarvale_lib::relay::contact::Span;
 use poplarvale_lib::relay::demand::Work;
@@ -15,6 +15,7 @@
 use poplarvale_lib::relay::quota::{Told, Use, ZoneSummary, ZoneUse};
 use poplarvale_lib::relay::rollout::evidence::{Key, Side, Sides};
 use poplarvale_lib::relay::rollout::{Order, Outcome, Word};
+use poplarvale_lib::relay::usage::Report;
 use prost::Message as _;
 use tokio::net::UdpSocket;
 
@@ -225,6 +226,10 @@
             .map(crash::tell)
             .collect(),
         cleared: crashes.tell_cleared(now),
+        fixed: usage.tell_fixed(now).map(|report| UsageRecord {
+            number: report.window,
+            counts: report.counts.to_string(),
+        }),
         limits: board
             .tell_limits(now)
             .into_iter()
@@ -460,6 +465,12 @@
         }
     }
     let mut usage = state.usage.borrow_mut();
+    if let Some(told) = digest.fixed {
+        usage.hear_fixed(Report {
+            window: told.number,
+            counts: told.counts.into(),
+        });
+    }
     for window in digest.windows {
         let row = |count: digest::Count| (CompactString::from(count.team), count.runs);
         let counts = window.counts.into_iter().map(row).collect();
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -62,6 +62,9 @@
     /// Contents of requests that were suspected to crash endpoints and then served.
     #[prost(fixed64, repeated, tag = "20")]
     pub cleared: ::prost::alloc::vec::Vec<u64>,
+    /// The last usage report that the sender fixed in the store, if that was lately.
+    #[prost(message, optional, tag = "22")]
+    pub fixed: ::core::option::Option<UsageRecord>,
     /// Limits that endpoints named to the sender.
     #[prost(message, repeated, tag = "21")]
     pub limits: ::prost::alloc::vec::Vec<digest::EndpointLimit>,
--- a/lib/src/relay/usage.rs
+++ b/lib/src/relay/usage.rs
@@ -4,6 +4,8 @@
 //! counts of the last windows. So whoever reports has all counts, and those of a
 //! daemon that was killed meanwhile up to its last word.
 
+use std::time::{Duration, Instant};
+
 use compact_str::CompactString;
 
 use crate::CustomerId;
@@ -11,6 +13,8 @@
 /// Number of a window; window k begins k lengths after the start of 1970.
 pub type WindowId = u64;
 
+/// How long a report that was fixed is told to the other daemons.
+const TOLD: Duration = Duration::from_secs(3);
 /// Windows that are kept; a report may come two windows late.
 const KEPT: u64 = 5;
 
@@ -20,6 +24,15 @@
 /// Who counted: a daemon's name and incarnation.
 pub type Counter = (CompactString, u64);
 
+/// Counts of a window as they are reported, each time with the same text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// The window.
+    pub window: WindowId,
+    /// Its counts as they are sent.
+    pub counts: CompactString,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 struct Row {
     window: WindowId,
@@ -32,6 +45,11 @@
 pub struct Usage {
     me: Counter,
     rows: Vec<Row>,
+    /// The last report that is known to be fixed. Its record in the store may be gone when
+    /// that comes back from an older copy, and what came in since would change it.
+    fixed: Option<Report>,
+    /// Until when this daemon tells it.
+    told: Option<Instant>,
 }
 
 impl Usage {
@@ -40,9 +58,40 @@
         Self {
             me: (name, incarnation),
             rows: Vec::new(),
+            fixed: None,
+            told: None,
         }
     }
 
+    /// Notes a report that this daemon fixed; the others are told.
+    pub fn fix(&mut self, report: Report, now: Instant) {
+        if self.hear_fixed(report) {
+            self.told = Some(now + TOLD);
+        }
+    }
+
+    /// Notes a report that was fixed; tells whether it is newer than the one known.
+    pub fn hear_fixed(&mut self, report: Report) -> bool {
+        let held = self.fixed.as_ref();
+        let is_newer = held.is_none_or(|held| held.window < report.window);
+        if is_newer {
+            self.fixed = Some(report);
+            self.told = None;
+        }
+        is_newer
+    }
+
+    /// The last report that is known to be fixed.
+    pub fn fixed(&self) -> Option<&Report> {
+        self.fixed.as_ref()
+    }
+
+    /// The report that this daemon tells the others, if it fixed one lately.
+    pub fn tell_fixed(&self, now: Instant) -> Option<&Report> {
+        self.told.filter(|until| now < *until)?;
+        self.fixed.as_ref()
+    }
+
     /// Counts a run that began here.
     pub fn count(&mut self, window: WindowId, team: &CustomerId) {
         let me = self.me.clone();
