crash: quarantined requests are kept again when the store lost them

Their keys go with the copy that the store comes back from, and a daemon that starts later sends the request on. Each daemon that saw an end of it writes it again after the return.

Failed before: test_relay_era::quarantined_requests_are_kept_again_after_the_return.

--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -99,6 +99,8 @@
                 if matches!(error, WatchError::Store(StoreError::Returned)) {
                     log::info!("store: it came back from an older copy, everything is read anew.");
                     state.follow.borrow_mut().lost();
+                    state.crashes.borrow_mut().lost_saved();
+                    state.quarantined.notify_one();
                     continue;
                 }
                 // After an outage the whole list is read: a removal may have been missed.
--- a/daemon/tests/test_relay_era.rs
+++ b/daemon/tests/test_relay_era.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use poplarvale_lib::protos::relay::{Digest, digest};
-use poplarvale_standin::{Cloud, Endpoint, Seen, ask, config, plain, request, settings};
+use poplarvale_standin::{Cloud, Endpoint, Seen, Step, ask, config, plain, request, settings};
 use prost::Message as _;
 use serde_json::{Value, json};
 
@@ -214,3 +214,30 @@
     assert_eq!(ask_for(site.address(), LEAVING).await, Vec::<u16>::new());
     assert_eq!(one.seen().len(), before, "requests to what has left");
 }
+
+/// What was found out of a request that crashes endpoints goes with the copy; daemons that
+/// start later must learn of it all the same.
+#[actix_web::test]
+async fn quarantined_requests_are_kept_again_after_the_return() {
+    let start = |id| {
+        Endpoint::start(id, |seen| match seen.target().as_str() {
+            "/stream/fatal" => vec![Step::Crash],
+            _ => vec![plain(seen, 200, "done")],
+        })
+    };
+    let (one, two, three) = (start("i-1").await, start("i-2").await, start("i-3").await);
+    let store = store_with(&[&one, &two, &three]).await;
+    store.save();
+    let site = Site::without_duties_on(store).await;
+    let kept = || site.store.keys("poplarvale/crashes/").len();
+    for number in 0..3 {
+        let text = request("GET", "/stream/fatal", &format!("r{number}"), "");
+        // The endpoint breaks it off.
+        let _broken = ask(site.address(), &text).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    until(SOON, async || kept() == 1).await;
+    site.store.come_back();
+    assert_eq!(kept(), 0);
+    until(SOON, async || kept() == 1).await;
+}
--- a/lib/src/relay/crash.rs
+++ b/lib/src/relay/crash.rs
@@ -269,6 +269,13 @@
         .collect()
     }
 
+    /// Notes that what was kept in the store may be gone.
+    pub fn lost_saved(&mut self) {
+        for row in &mut self.rows {
+            row.is_saved = false;
+        }
+    }
+
     /// Forgets those whose time is over.
     pub fn expire(&mut self, now: Instant) {
         self.rows.retain(|row| now < row.until);
