rollout: an order that is read again in a new era is no new move

A move that was rolled back would begin anew when the store came back from an older copy, as the order is read with a revision that is greater than the one known; its state would not be written again either.

Failed before: test_relay_rollout::a_move_that_is_read_again_in_a_new_era_is_the_same. The layout of a revision moves to the ids, which the adapter and the moves share.

--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -5,15 +5,15 @@
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
-use poplarvale_lib::Era;
 use poplarvale_lib::protos::relay::UsageRecord;
 use poplarvale_lib::relay::duty::Held;
 use poplarvale_lib::relay::fleet::{Orders, Wish};
 use poplarvale_lib::relay::rollout::Status;
 use poplarvale_lib::relay::usage::{Counts, Report, WindowId};
+use poplarvale_lib::{Era, era_of};
 use poplarvale_platform::{
-    Duty, Item, Order, STATUS, StoreError, Txn, era, get, grant, keep_alive, order_call,
-    read_granted, read_item, read_txn, status_value, txn, usage_call,
+    Duty, Item, Order, STATUS, StoreError, Txn, get, grant, keep_alive, order_call, read_granted,
+    read_item, read_txn, status_value, txn, usage_call,
 };
 use prost::Message as _;
 
@@ -224,7 +224,7 @@
         let next = last.as_ref().map_or(first, |last| last.window + 1);
         return Some(Holder {
             held,
-            era: era(held.fence),
+            era: era_of(held.fence),
             duty,
             revision,
             next,
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -8,15 +8,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use poplarvale_lib::EndpointId;
 use poplarvale_lib::relay::board::Changed;
 use poplarvale_lib::relay::digest::WATCHERS;
 use poplarvale_lib::relay::follow::{Entry, Heard, News};
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::quota::short;
 use poplarvale_lib::relay::rollout::Order;
+use poplarvale_lib::{EndpointId, era_of};
 use poplarvale_platform::{
-    CONFIG_KEY, Change, Item, OPERATORS, REGISTRY, ROLLOUTS, Reply, STATUS, StoreError, era, range,
+    CONFIG_KEY, Change, Item, OPERATORS, REGISTRY, ROLLOUTS, Reply, STATUS, StoreError, range,
     read_config, read_listing, read_range, read_rollout, read_status, read_watched, watch,
 };
 
@@ -169,11 +169,11 @@
         }
     }
     let (items, _) = list(client, REGISTRY).await?;
-    if era(revision) != state.eras.newest() {
+    if era_of(revision) != state.eras.newest() {
         return Err(StoreError::Returned.into());
     }
     let now = Instant::now();
-    let returned = state.eras.read_in(era(revision));
+    let returned = state.eras.read_in(era_of(revision));
     let listings = items.iter().filter_map(listing).collect();
     let changes = {
         let mut board = state.board.borrow_mut();
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -38,6 +38,24 @@
 /// How often the platform's key-value service came back from an older copy.
 pub type Era = u32;
 
+/// Bits of a revision below its era. The service's own revisions are far smaller.
+const ERA_BITS: u32 = 40;
+
+/// A revision that the service gave out in an era.
+pub fn revision_in(era: Era, bare: u64) -> Revision {
+    (u64::from(era) << ERA_BITS) | bare
+}
+
+/// Era of a revision.
+pub fn era_of(revision: Revision) -> Era {
+    (revision >> ERA_BITS) as Era
+}
+
+/// A revision as the service gave it out.
+pub fn bare(revision: Revision) -> u64 {
+    revision & ((1 << ERA_BITS) - 1)
+}
+
 /// Joins a daemon's incarnation and its own count to an id.
 pub fn joined(incarnation: Incarnation, count: u64) -> u128 {
     (u128::from(incarnation) << 64) | u128::from(count)
--- a/lib/src/relay/rollout.rs
+++ b/lib/src/relay/rollout.rs
@@ -18,7 +18,7 @@
 use evidence::{Counts, Key, SLOTS, Sample, Sides};
 
 use super::quota::short;
-use crate::{ServiceId, VersionId};
+use crate::{ServiceId, VersionId, era_of};
 
 /// Unix milliseconds by the clocks of all daemons.
 pub type TrueMs = u64;
@@ -62,6 +62,14 @@
     pub revision: u64,
 }
 
+impl Order {
+    /// Whether another order of this service is this one, read again after the store came
+    /// back from an older copy and gave revisions out again.
+    fn is_same_in_another_era(&self, other: &Self) -> bool {
+        self.target == other.target && era_of(self.revision) != era_of(other.revision)
+    }
+}
+
 /// Which versions a request may go to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum Versions {
@@ -161,6 +169,13 @@
     pub fn order(&mut self, order: Order, now: TrueMs, finish: TrueMs) -> bool {
         match self.find(&order.service) {
             Ok(at) if self.rows[at].order.revision >= order.revision => false,
+            Ok(at) if self.rows[at].order.is_same_in_another_era(&order) => {
+                let row = &mut self.rows[at];
+                row.order = order;
+                // What was written of its state may be gone.
+                row.reported = None;
+                false
+            }
             Ok(at) => {
                 self.rows[at] = Move::new(order, now, finish);
                 true
--- a/lib/tests/test_relay_rollout.rs
+++ b/lib/tests/test_relay_rollout.rs
@@ -5,6 +5,7 @@
 
 use poplarvale_lib::relay::rollout::evidence::Sample;
 use poplarvale_lib::relay::rollout::{Order, Outcome, Rollouts, Versions};
+use poplarvale_lib::revision_in;
 
 const BEGIN: u64 = 1_000_000;
 /// Shortest time that operators give a move.
@@ -246,3 +247,31 @@
         assert!(daemon.due(BEGIN + LIFE, |_, _| 0).is_empty());
     }
 }
+
+/// The store comes back from an older copy and gives revisions out again: an order that is
+/// read once more is no new move, and what became of it is written again.
+#[test]
+fn a_move_that_is_read_again_in_a_new_era_is_the_same() {
+    let mut rollouts = Rollouts::new(0.1);
+    rollouts.order(order(), BEGIN, BEGIN + LIFE);
+    rollouts.status("pool", "v2", Outcome::RolledBack, 8);
+    let again = Order {
+        revision: revision_in(1, 5),
+        ..order()
+    };
+    assert!(!rollouts.order(again, BEGIN + LIFE / 2, BEGIN + LIFE * 2));
+    let now = BEGIN + LIFE / 2;
+    assert_eq!(
+        rollouts.versions("pool", |_| OLDS, now),
+        Versions::Not("v2".into())
+    );
+    let due = rollouts.due(now, |_, _| 0);
+    assert_eq!(due.len(), 1);
+    assert_eq!(due[0].outcome, Outcome::RolledBack);
+    let other = Order {
+        target: "v3".into(),
+        revision: revision_in(1, 9),
+        ..order()
+    };
+    assert!(rollouts.order(other, now, now + LIFE));
+}
