--- a/lib/src/relay/follow.rs
+++ b/lib/src/relay/follow.rs
@@ -16,7 +16,7 @@
 use std::time::{Duration, Instant};
 
 use super::listing::Listing;
-use crate::{EndpointId, Revision};
+use crate::{EndpointId, Revision, era_of};
 
 /// How old a watcher's answer of the store may be for the others to go by it: a pause
 /// between two watches, a watch that waits for news, and the way.
@@ -63,7 +63,7 @@
     Take(Vec<Entry>),
     /// Looks for itself: it missed something, or has to read it in the store.
     Look,
-    /// Nothing: it has not read the store yet, or the news is too old.
+    /// Nothing: it has not read the store yet, or the news is too old or of a former era.
     Nothing,
 }
 
@@ -189,6 +189,9 @@
         let Some(left) = STALE.checked_sub(news.age) else {
             return Heard::Nothing;
         };
+        if era_of(news.revision) < era_of(mine) {
+            return Heard::Nothing;
+        }
         if news.revision > mine && (news.after > mine || news.orders > mine) {
             self.told = None;
             return Heard::Look;
--- a/lib/tests/test_relay_follow.rs
+++ b/lib/tests/test_relay_follow.rs
@@ -4,6 +4,7 @@
 
 use poplarvale_lib::relay::digest::{Peers, Place, Turns, WATCHERS};
 use poplarvale_lib::relay::follow::{Entry, Follow, Heard, News};
+use poplarvale_lib::revision_in;
 
 use crate::test_relay_board::listing;
 
@@ -200,3 +201,18 @@
     assert!(turn.near);
     assert_eq!(turn.far, Some(true));
 }
+
+/// A watcher has not seen yet that the store came back from an older copy; what it tells is
+/// of a history that is over.
+#[test]
+fn news_of_a_former_era_counts_for_nothing() {
+    let now = Instant::now();
+    let (mut watcher, mut other) = pair(now);
+    other.read(revision_in(1, 3), now);
+    watcher.saw(12, put("a"), now);
+    watcher.watched(13, now);
+    assert_eq!(other.hear(told(&watcher, now), SILENT, now), Heard::Nothing);
+    assert!(other.told(now).is_none());
+    watcher.read(revision_in(1, 4), now);
+    assert_eq!(other.hear(told(&watcher, now), SILENT, now), Heard::Look);
+}
