--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -15,7 +15,7 @@
 use poplarvale_lib::relay::quota::{Told, Use, ZoneSummary, ZoneUse};
 use poplarvale_lib::relay::rollout::evidence::{Key, Side, Sides};
 use poplarvale_lib::relay::rollout::{Order, Outcome, Word};
-use poplarvale_lib::relay::usage::Report;
+use poplarvale_lib::relay::usage::{Report, Usage, WindowId};
 use prost::Message as _;
 use tokio::net::UdpSocket;
 
@@ -390,6 +390,22 @@
     board.hear(Teller::Zone(zone), uses, now);
 }
 
+/// Takes in which report another daemon fixed. One of a window that has not begun would keep
+/// all reports until then from being sent.
+fn hear_fixed(usage: &mut Usage, told: UsageRecord, current: WindowId, name: &str) {
+    if told.number > current {
+        log::warn!(
+            "duty: window {} that {name} tells has not begun.",
+            told.number
+        );
+        return;
+    }
+    usage.hear_fixed(Report {
+        window: told.number,
+        counts: told.counts.into(),
+    });
+}
+
 fn count((team, runs): &(CompactString, u32)) -> digest::Count {
     digest::Count {
         team: team.to_string(),
@@ -466,10 +482,7 @@
     }
     let mut usage = state.usage.borrow_mut();
     if let Some(told) = digest.fixed {
-        usage.hear_fixed(Report {
-            window: told.number,
-            counts: told.counts.into(),
-        });
+        hear_fixed(&mut usage, told, state.window_at(now), &name);
     }
     for window in digest.windows {
         let row = |count: digest::Count| (CompactString::from(count.team), count.runs);
