serve: what a request asks for is hashed apart from its placing

The versions that a request may go to are drawn when it has been let in, as before quarantine: drawn earlier, requests that are refused by allowance would count for the share of a tried version. One place notes a failed sending and suspects its request.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -1,6 +1,5 @@
 //! One sending of a request to one endpoint.
 
-use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant as Std};
@@ -11,7 +10,7 @@
 use poplarvale_lib::relay::ask::Ask;
 use poplarvale_lib::relay::board::{Endpoint, Standing};
 use poplarvale_lib::relay::catalog::{CatalogVersion, Route, Service, Team};
-use poplarvale_lib::relay::crash::{self, ContentHash, SETTLED};
+use poplarvale_lib::relay::crash::SETTLED;
 use poplarvale_lib::relay::limit::Said;
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::place::{self, Choice, Wanted};
@@ -21,7 +20,7 @@
 use tokio::net::tcp::WriteHalf;
 use tokio::time::{Instant, timeout_at};
 
-use super::crash::{clear, suspect};
+use super::crash::{Content, clear, suspect};
 use super::exchange::{Answer, FAILED, Fault, exchange, whole_body};
 use super::state::State;
 use super::stream::{Passed, Patience, StreamEnd, pass_on};
@@ -52,19 +51,7 @@
     pub(crate) version: CatalogVersion,
     /// Versions of the service that it may go to.
     pub(crate) versions: Versions,
-    /// Hash of what it asks for, once it was needed.
-    pub(crate) content: OnceCell<ContentHash>,
-}
-
-impl Job<'_> {
-    /// What tells that a request comes again.
-    pub(crate) fn content(&self) -> ContentHash {
-        *self.content.get_or_init(|| {
-            let team = self.team.map_or("", |team| team.name.as_str());
-            let (method, target) = (&self.request.method, &self.request.target);
-            crash::content(team, &self.ask.host, method, target, self.body)
-        })
-    }
+    pub(crate) content: Content<'r>,
 }
 
 /// How a sending ended.
@@ -135,10 +122,7 @@
         silent_or_broken => {
             let fault = silent_or_broken.and_then(Result::err);
             let fault = fault.unwrap_or(Fault::Silent);
-            failed(&booked, job, choice, fault, kept, None);
-            if may_have_ended(state, &endpoint, fault, None) {
-                suspect(state, &endpoint, job.content());
-            }
+            failed(&booked, job, &endpoint, fault, kept, None);
             let ended = Ended::Broken(fault);
             compare(state, job, choice, &ended, sent_at.elapsed());
             return ended;
@@ -192,15 +176,10 @@
     let took = sent_at.elapsed() / u32::try_from(events).unwrap_or(u32::MAX);
     compare(state, job, choice, &ended, took);
     if !matches!(ended, Ended::Broken(_)) && !state.crashes.borrow().is_empty() {
-        clear(state, job.content());
+        clear(state, job.content.hash());
     }
     match &ended {
-        Ended::Broken(fault) => {
-            failed(&booked, job, choice, *fault, kept, first);
-            if may_have_ended(state, &endpoint, *fault, first) {
-                suspect(state, &endpoint, job.content());
-            }
-        }
+        Ended::Broken(fault) => failed(&booked, job, &endpoint, *fault, kept, first),
         Ended::Whole(head, _) if head.status >= FAILED => {
             booked.note(|row| {
                 row.evidence.bad(Std::now());
@@ -373,21 +352,25 @@
 fn failed(
     booked: &Booked,
     job: &Job<'_>,
-    choice: &Choice,
+    endpoint: &Listing,
     fault: Fault,
     kept: bool,
     first: Option<Std>,
 ) {
+    let state = &booked.state;
     let mut out = false;
     booked.note(|row| out = row.evidence.bad(Std::now()));
-    booked.state.measure(|metrics| metrics.sent("failed"));
+    state.measure(|metrics| metrics.sent("failed"));
     log::info!(
-        request = job.ask.id.as_str(), endpoint = choice.id.as_str(), kept, left_out = out,
+        request = job.ask.id.as_str(), endpoint = endpoint.id.as_str(), kept, left_out = out,
         after_ms = job.arrived.elapsed().as_millis() as u64,
-        content:% = format_args!("{:016x}", job.content()),
+        content:% = format_args!("{:016x}", job.content.hash()),
         ran_ms = first.map(|first| first.elapsed().as_millis() as u64);
         "send: failed, {fault}."
     );
+    if may_have_ended(state, endpoint, fault, first) {
+        suspect(state, endpoint, job.content.hash());
+    }
 }
 
 /// Reads a refusal's body, so that its connection can be used again.
--- a/daemon/src/relay/crash.rs
+++ b/daemon/src/relay/crash.rs
@@ -4,13 +4,15 @@
 //! A broken connection does not tell that its endpoint has ended: links are reset, and
 //! faulty endpoints break off. One that ended takes no new connection.
 
+use std::cell::OnceCell;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compact_str::format_compact;
+use poplarvale_lib::http1::Request;
 use poplarvale_lib::protos::relay::digest;
-use poplarvale_lib::relay::crash::{ContentHash, Crash, KEPT, LifeHash, Noted, life};
+use poplarvale_lib::relay::crash::{ContentHash, Crash, KEPT, LifeHash, Noted, content, life};
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_platform::{StoreError, Txn, grant, read_granted, read_txn, txn};
 use prost::Message as _;
@@ -39,6 +41,44 @@
     Format(#[from] serde_json::Error),
 }
 
+/// What a request asks for, hashed when that is first needed.
+#[derive(Debug)]
+pub(crate) struct Content<'r> {
+    team: &'r str,
+    host: &'r str,
+    request: &'r Request,
+    body: &'r [u8],
+    hash: OnceCell<ContentHash>,
+}
+
+impl<'r> Content<'r> {
+    pub(crate) fn new(team: &'r str, host: &'r str, request: &'r Request, body: &'r [u8]) -> Self {
+        Self {
+            team,
+            host,
+            request,
+            body,
+            hash: OnceCell::new(),
+        }
+    }
+
+    pub(crate) fn hash(&self) -> ContentHash {
+        let (method, target) = (&self.request.method, &self.request.target);
+        *self
+            .hash
+            .get_or_init(|| content(self.team, self.host, method, target, self.body))
+    }
+}
+
+/// How long a request must not be sent because endpoints ended under it; `None` if it may be.
+pub(crate) fn quarantined(state: &State, content: &Content<'_>) -> Option<Duration> {
+    let crashes = state.crashes.borrow();
+    if crashes.is_empty() {
+        return None;
+    }
+    crashes.held(content.hash(), Instant::now())
+}
+
 /// An endpoint that is being looked at, and the requests that broke off there.
 #[derive(Debug)]
 pub(crate) struct Suspicion {
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -13,8 +13,9 @@
 use tokio::time::Instant;
 
 use super::attempt::{Ended, Job, attempt};
+use super::crash::quarantined;
 use super::exchange::FAILED;
-use super::serve::{After, Refusal, SOON, after, answer, quarantined, refuse};
+use super::serve::{After, Refusal, SOON, after, answer, refuse};
 use super::state::State;
 use super::stream::{Passed, Patience};
 
@@ -82,7 +83,7 @@
         if Instant::now() + LEAST >= job.deadline || self.stopped.is_some() {
             return None;
         }
-        if quarantined(state, job).is_some() {
+        if quarantined(state, &job.content).is_some() {
             self.stopped = Some(NoPlace::None);
             return None;
         }
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -1,6 +1,5 @@
 //! One request of a caller, from its head to its last byte.
 
-use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant as Std};
 
@@ -18,6 +17,7 @@
 use tokio::time::Instant;
 
 use super::attempt::Job;
+use super::crash::{Content, quarantined};
 use super::dispatch::dispatch;
 use super::state::State;
 
@@ -108,21 +108,9 @@
         let refused = Refusal::later(Code::NoEndpoint, SOON);
         return refuse(state, write, ask, refused, keep).await;
     };
-    let job = Job {
-        request,
-        body,
-        ask,
-        route,
-        team,
-        service,
-        rank: rank(route, team.and_then(|team| team.rank)),
-        arrived,
-        deadline: arrived + wait,
-        version: catalog.version,
-        versions: versions(state, &service.name),
-        content: OnceCell::new(),
-    };
-    if let Some(left) = quarantined(state, &job) {
+    let name = team.map_or("", |team| team.name.as_str());
+    let content = Content::new(name, &ask.host, request, body);
+    if let Some(left) = quarantined(state, &content) {
         let refused = Refusal::later(Code::Quarantined, left);
         return refuse(state, write, ask, refused, keep).await;
     }
@@ -137,18 +125,23 @@
         let mut demand = state.demand.borrow_mut();
         demand.ask(&service.name, work, Std::now());
     }
+    let job = Job {
+        request,
+        body,
+        ask,
+        route,
+        team,
+        service,
+        rank: rank(route, team.and_then(|team| team.rank)),
+        arrived,
+        deadline: arrived + wait,
+        version: catalog.version,
+        versions: versions(state, &service.name),
+        content,
+    };
     dispatch(state, &job, write, keep).await
 }
 
-/// How long a request must not be sent because endpoints end under it; `None` if it may be.
-pub(crate) fn quarantined(state: &State, job: &Job<'_>) -> Option<Duration> {
-    let crashes = state.crashes.borrow();
-    if crashes.is_empty() {
-        return None;
-    }
-    crashes.held(job.content(), Std::now())
-}
-
 /// Versions of a service that a new request may go to.
 fn versions(state: &State, service: &str) -> Versions {
     let olds = |version: &str| {
