--- a/daemon/src/relay/client.rs
+++ b/daemon/src/relay/client.rs
@@ -7,7 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use poplarvale_lib::http1::{Body, BodyError, HeadError, Response};
-use poplarvale_platform::{Call, Reply, read_era};
+use poplarvale_platform::{Call, Reply, StoreError, read_era};
 use tokio::io::AsyncWriteExt as _;
 
 use super::era::Eras;
@@ -36,6 +36,19 @@
     Body(#[from] BodyError),
 }
 
+/// Why something was not written, or not read back.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum WriteError {
+    #[error("{0}")]
+    Call(#[from] CallError),
+    #[error("{0}")]
+    Store(#[from] StoreError),
+    #[error("{0}")]
+    Format(#[from] serde_json::Error),
+    #[error("the record in the store is not as it was left")]
+    Raced,
+}
+
 /// Client of one of the platform's services.
 #[derive(Debug)]
 pub(crate) struct Client {
--- a/daemon/src/relay/crash.rs
+++ b/daemon/src/relay/crash.rs
@@ -12,18 +12,22 @@
 use compact_str::format_compact;
 use poplarvale_lib::http1::Request;
 use poplarvale_lib::protos::relay::digest;
-use poplarvale_lib::relay::crash::{ContentHash, Crash, KEPT, LifeHash, Noted, content, life};
+use poplarvale_lib::relay::crash::{
+    ContentHash, Crash, ENOUGH, KEPT, LifeHash, Noted, content, life,
+};
 use poplarvale_lib::relay::listing::Listing;
-use poplarvale_platform::{StoreError, Txn, grant, read_granted, read_txn, txn};
+use poplarvale_platform::{Txn, grant, read_granted, read_txn, txn};
 use prost::Message as _;
 
-use super::client::{CallError, Client};
+use super::client::{Client, WriteError};
 use super::metrics::Metrics;
 use super::state::State;
 use super::upstream;
 
 /// Beginning of the keys of quarantined requests.
 pub(crate) const CRASHES: &str = "poplarvale/crashes/";
+/// Ends under a request from which on the other daemons are told at once.
+const URGENT: usize = ENOUGH - 1;
 /// Longest time for one call of the store.
 const CALL: Duration = Duration::from_millis(900);
 /// Pause after a request could not be kept.
@@ -31,16 +35,6 @@
 /// Tries to keep one; the other daemons that saw it try too.
 const TRIES: u32 = 20;
 
-#[derive(Debug, thiserror::Error)]
-enum KeepError {
-    #[error("{0}")]
-    Call(#[from] CallError),
-    #[error("{0}")]
-    Store(#[from] StoreError),
-    #[error("{0}")]
-    Format(#[from] serde_json::Error),
-}
-
 /// What a request asks for, hashed when that is first needed.
 #[derive(Debug)]
 pub(crate) struct Content<'r> {
@@ -143,7 +137,7 @@
                 content:% = format_args!("{content:016x}"), lives;
                 "crash: request suspected, {source} tells."
             );
-            if lives < 2 {
+            if lives < URGENT {
                 return;
             }
         }
@@ -241,7 +235,7 @@
 
 /// Makes the key of a request, which goes with its lease. One that is there already holds
 /// the same.
-async fn write(store: &mut Client, content: ContentHash, value: &[u8]) -> Result<(), KeepError> {
+async fn write(store: &mut Client, content: ContentHash, value: &[u8]) -> Result<(), WriteError> {
     let lease = read_granted(&store.call(&grant(KEPT), CALL).await?)?;
     let key = format_compact!("{CRASHES}{content:016x}");
     let call = txn(&Txn {
--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -12,13 +12,13 @@
 use poplarvale_lib::relay::usage::{Counts, Report, WindowId};
 use poplarvale_lib::{Era, era_of};
 use poplarvale_platform::{
-    Duty, Item, Order, STATUS, StoreError, Txn, get, grant, keep_alive, order_call, read_granted,
-    read_item, read_txn, status_value, txn, usage_call,
+    Duty, Item, Order, STATUS, Txn, get, grant, keep_alive, order_call, read_granted, read_item,
+    read_txn, status_value, txn, usage_call,
 };
 use prost::Message as _;
 
 use super::checkpoint::{self, CHECKPOINT, DIGESTS};
-use super::client::{CallError, Client};
+use super::client::{Client, WriteError};
 use super::state::State;
 
 /// Beginning of the keys that are the daemons' own.
@@ -45,18 +45,6 @@
 /// Pause after a report that was not accepted.
 const RETRY: Duration = Duration::from_millis(600);
 
-#[derive(Debug, thiserror::Error)]
-enum DutyError {
-    #[error("{0}")]
-    Call(#[from] CallError),
-    #[error("{0}")]
-    Store(#[from] StoreError),
-    #[error("{0}")]
-    Format(#[from] serde_json::Error),
-    #[error("the record in the store is not as it was left")]
-    Raced,
-}
-
 /// Takes the duties up whenever nobody holds them.
 pub(crate) async fn serve_duties(state: Rc<State>) {
     let mut store = Client::of_store(&state);
@@ -108,7 +96,7 @@
 }
 
 /// Makes the leader's key; `None` if another daemon did.
-async fn acquire(state: &State, store: &mut Client) -> Result<Option<Held>, DutyError> {
+async fn acquire(state: &State, store: &mut Client) -> Result<Option<Held>, WriteError> {
     let since = Instant::now();
     let life = state.site.bounds.lease;
     let lease = read_granted(&store.call(&grant(life), CALL).await?)?;
@@ -237,7 +225,7 @@
 }
 
 /// The last usage record and the last checkpoint.
-async fn left_behind(store: &mut Client) -> Result<(Option<Item>, Option<Item>), DutyError> {
+async fn left_behind(store: &mut Client) -> Result<(Option<Item>, Option<Item>), WriteError> {
     let record = read_item(&store.call(&get(USAGE), CALL).await?)?;
     let saved = read_item(&store.call(&get(CHECKPOINT), CALL).await?)?;
     Ok((record, saved))
@@ -316,7 +304,7 @@
     store: &mut Client,
     holder: &Holder,
     value: Bytes,
-) -> Result<Option<u64>, DutyError> {
+) -> Result<Option<u64>, WriteError> {
     let call = txn(&Txn {
         expect: vec![(LEADER.into(), holder.duty.fence)],
         puts: vec![(CHECKPOINT.into(), value, 0)],
@@ -354,7 +342,7 @@
     store: &mut Client,
     holder: &Holder,
     status: &Status,
-) -> Result<Option<u64>, DutyError> {
+) -> Result<Option<u64>, WriteError> {
     let value = status_value(&status.target, status.outcome)?;
     let key = format_compact!("{STATUS}{}", status.service);
     let call = txn(&Txn {
@@ -412,7 +400,7 @@
 
 /// Writes a window's counts to the store. Whoever reports the window sends these
 /// bytes: two different counts for one window would charge customers wrongly.
-async fn fix(state: &State, store: &mut Client, holder: &mut Holder) -> Result<(), DutyError> {
+async fn fix(state: &State, store: &mut Client, holder: &mut Holder) -> Result<(), WriteError> {
     let window = holder.next;
     let counts = counts_text(&state.usage.borrow().total(window))?;
     let record = UsageRecord {
@@ -456,7 +444,7 @@
             return Ok(());
         }
     }
-    Err(DutyError::Raced)
+    Err(WriteError::Raced)
 }
 
 /// Notes a report that lies in the store, for when that comes back from an older copy.
@@ -499,7 +487,7 @@
     holder: &Holder,
     window: WindowId,
     counts: &str,
-) -> Result<u16, DutyError> {
+) -> Result<u16, WriteError> {
     let call = usage_call(&holder.duty, window, counts)?;
     Ok(cloud.call(&call, limit(holder)).await?.status)
 }
