limit: a daemon gathers nothing while it has no share

While daemons restart one after the other, those that share a limit in their place each had a request in hand at once, gathered by the new share over the time before it.

Failed before: test_relay_limit::a_new_sharer_has_nothing_in_hand.

--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -73,7 +73,7 @@
         me: peers.me(),
         others: peers.lately(now),
     };
-    state.board.borrow_mut().share(sharers);
+    state.board.borrow_mut().share(sharers, now);
 }
 
 /// Sends the last digest of a daemon that ends. What it counted since the last whole one
--- a/lib/src/relay/board.rs
+++ b/lib/src/relay/board.rs
@@ -480,13 +480,13 @@
     }
 
     /// Takes in which daemons share the limits that endpoints name.
-    pub fn share(&mut self, sharers: Sharers) {
+    pub fn share(&mut self, sharers: Sharers, now: Instant) {
         if self.sharers == sharers {
             return;
         }
         for row in &mut self.rows {
             if let Some(limit) = &mut row.limit {
-                limit.divide(row.hash, &sharers);
+                limit.divide(row.hash, &sharers, now);
             }
         }
         self.sharers = sharers;
--- a/lib/src/relay/limit.rs
+++ b/lib/src/relay/limit.rs
@@ -102,24 +102,30 @@
         if held.is_some_and(|held| held.said.heard >= said.heard) {
             return None;
         }
-        let mut limit = Self {
-            said,
-            is_own,
-            share: 0.0,
+        let mut limit = match held {
+            Some(held) if held.said.rate.is_some() => Self {
+                said,
+                is_own,
+                ..held.clone()
+            },
             // What was sent before it was known is not known either: nothing is in hand.
-            tokens: held.map_or(0.0, |held| held.tokens),
-            filled: held.map_or(said.heard, |held| held.filled),
+            _ => Self {
+                said,
+                is_own,
+                share: 0.0,
+                tokens: 0.0,
+                filled: said.heard,
+            },
         };
-        if held.is_none_or(|held| held.said.rate.is_none()) {
-            limit.tokens = 0.0;
-            limit.filled = said.heard;
-        }
-        limit.divide(endpoint, sharers);
+        limit.divide(endpoint, sharers, said.heard.max(limit.filled));
         Some(limit)
     }
 
     /// Takes in which daemons share it now.
-    pub fn divide(&mut self, endpoint: u32, sharers: &Sharers) {
+    pub fn divide(&mut self, endpoint: u32, sharers: &Sharers, now: Instant) {
+        // What has gathered so far did so by the former share.
+        self.tokens = self.tokens(now);
+        self.filled = now;
         self.share = self
             .said
             .rate
--- a/lib/tests/test_relay_limit.rs
+++ b/lib/tests/test_relay_limit.rs
@@ -180,8 +180,47 @@
         limit.divide(
             ENDPOINT,
             &sharers(number, 50, |other| gone.contains(&other)),
+            start,
         );
     }
     let next = (0..50).filter(|number| !gone.contains(number) && shares(&limits[*number]));
     assert_eq!(next.count(), gone.len());
 }
+
+/// Daemons restart one after the other, and others share the limit in their place: these have
+/// not gathered anything while they had no share.
+#[test]
+fn a_new_sharer_has_nothing_in_hand() {
+    let start = Instant::now();
+    let mut limits: Vec<Limit> = (0..50)
+        .map(|number| first(named(1.0, start), &sharers(number, 50, |_| false)))
+        .collect();
+    let later = start + LONG;
+    let without: Vec<usize> = (0..50)
+        .filter(|number| limits[*number].check(later).is_err())
+        .collect();
+    assert!(without.len() >= 45);
+    for number in without {
+        limits[number].divide(ENDPOINT, &sharers(number, 1, |_| false), later);
+        assert!(limits[number].check(later).is_err(), "{number}");
+        assert!(limits[number].check(later + WINDOW).is_ok(), "{number}");
+    }
+}
+
+/// Each answer names the limit again; what a daemon has gathered meanwhile is not lost by it.
+#[test]
+fn a_limit_that_is_named_again_is_still_used() {
+    let start = Instant::now();
+    let alone = sharers(0, 1, |_| false);
+    let mut limit = first(named(1.0, start), &alone);
+    let (mut now, mut sent) = (start, 0);
+    while now < start + LONG {
+        now += STEP;
+        limit = Limit::hear(Some(&limit), ENDPOINT, named(1.0, now), true, &alone).expect("newer");
+        if limit.check(now).is_ok() {
+            limit.take(now);
+            sent += 1;
+        }
+    }
+    assert!((22..=25).contains(&sent), "{sent}");
+}
