--- a/daemon/tests/test_relay_era.rs
+++ b/daemon/tests/test_relay_era.rs
@@ -34,8 +34,7 @@
 }
 
 fn fences(cloud: &Cloud) -> Vec<u64> {
-    let fence = |call: &Seen| call.field("Poplarvale-Fence-Token").parse().ok();
-    cloud.seen().iter().filter_map(fence).collect()
+    cloud.seen().iter().filter_map(Seen::fence).collect()
 }
 
 /// Revisions are given out again, and the token by which the platform tells holders of the
