platform: a crashed stand-in keeps its port

The port of a stand-in that crashed was free again, and a server of another test that got it answered requests that were to find the endpoint gone: one stream of test_relay_crash::a_long_running_stream_is_not_suspected was not kept, once, in the whole suite on a busy machine.

Ruled out: the relay itself.

--- a/daemon/tests/test_relay_crash.rs
+++ b/daemon/tests/test_relay_crash.rs
@@ -1,6 +1,8 @@
 //! Quarantine of requests that crash the endpoints that run them.
 
 use std::cell::RefCell;
+use std::io;
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -141,3 +143,22 @@
     })
     .await;
 }
+
+/// The port of a crashed stand-in is assigned to a server of another test, which answers requests
+/// that are meant to find the endpoint gone.
+#[actix_web::test]
+async fn a_crashed_stand_in_refuses_connections_and_keeps_its_port() {
+    let endpoint = Endpoint::start("i-1", |seen| vec![plain(seen, 200, "done")]).await;
+    let text = request("GET", "/safe/a", "r1", "");
+    assert!(ask(endpoint.address, &text).await.is_ok());
+    endpoint.crash();
+    until(PROPAGATION_TIME, async || {
+        ask(endpoint.address, &text).await.is_err()
+    })
+    .await;
+    let bound = TcpListener::bind(endpoint.address);
+    assert!(
+        bound.is_err_and(|error| error.kind() == io::ErrorKind::AddrInUse),
+        "another server got the port"
+    );
+}
