--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -15,6 +15,7 @@
 mod dispatch;
 mod duties;
 mod era;
+mod evacuation;
 mod exchange;
 mod logging;
 mod metrics;
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -9,7 +9,6 @@
 use std::time::{Duration, Instant as Std};
 
 use bytes::Bytes;
-use poplarvale_lib::EndpointId;
 use poplarvale_lib::http1::{Request, Response};
 use poplarvale_lib::relay::catalog::{CatalogVersion, Route, Service, Team};
 use poplarvale_lib::relay::crash::SAFE_AFTER;
@@ -20,6 +19,7 @@
 use poplarvale_lib::relay::rollout::Versions;
 use poplarvale_lib::relay::rollout::evidence::Sample;
 use poplarvale_lib::relay::selection::{self, Choice, Criteria};
+use poplarvale_lib::{EndpointId, ZoneId};
 use poplarvale_platform::{LimitField, Outbound, request_head};
 use tokio::net::tcp::WriteHalf;
 use tokio::time::{Instant, timeout_at};
@@ -55,6 +55,8 @@
     pub(crate) version: CatalogVersion,
     /// Versions of the service that it may be sent to.
     pub(crate) versions: Versions,
+    /// Sorted zones that it may be sent to; `None` for all.
+    pub(crate) homes: Option<Vec<ZoneId>>,
     pub(crate) fingerprint: LazyFingerprint<'r>,
 }
 
@@ -309,6 +311,7 @@
         zone: &state.settings.zone,
         avoid: &[],
         versions: &Versions::Any,
+        homes: None,
         limits: None,
         seed: 0,
         now: Std::now(),
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -28,6 +28,9 @@
 /// Minimum time without a response after which a request is moved to another endpoint. The
 /// slowest of normal plain responses take about 200 ms.
 const MIN_STALL_TIME: Duration = Duration::from_millis(350);
+/// Time after which a caller may retry while all zones with endpoints are evacuated. Operators
+/// take a zone back seconds later at the earliest.
+const EVACUATION_RETRY: Duration = Duration::from_secs(2);
 /// Time left until the deadline below which an attempt is not worth making.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
@@ -187,6 +190,10 @@
             (true, _) => Rejection::unknown_outcome(Code::Broken),
             (false, Some(SelectError::Busy(wait))) => Rejection::retry_later(Code::Full, wait),
             (false, Some(SelectError::Full)) => Rejection::retry_later(Code::Full, RETRY_SOON),
+            (false, Some(SelectError::NoHome)) => Rejection::retry_later(Code::NoHome, RETRY_SOON),
+            (false, Some(SelectError::Evacuated)) => {
+                Rejection::retry_later(Code::Evacuated, EVACUATION_RETRY)
+            }
             (false, _) => Rejection::retry_later(Code::NoEndpoint, RETRY_SOON),
         };
         if let Some(team) = job.team
@@ -245,6 +252,7 @@
         zone: &state.settings.zone,
         avoid,
         versions: &job.versions,
+        homes: job.homes.as_deref(),
         limits: limits(job, avoid),
         seed: fastrand::u64(..),
         now: Std::now(),
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -13,11 +13,12 @@
 use poplarvale_lib::relay::connectivity::ReachableSpan;
 use poplarvale_lib::relay::demand::Work;
 use poplarvale_lib::relay::digest::{DueDigests, Location, Peer, Schedule};
-use poplarvale_lib::relay::endpoint_table::{Load, Reporter};
-use poplarvale_lib::relay::limit::{AnnouncedLimit, Sharers};
+use poplarvale_lib::relay::limit::AnnouncedLimit;
+use poplarvale_lib::relay::load_reports::{Load, Reporter};
 use poplarvale_lib::relay::quota::{PeerReport, TeamRates, TeamUse, ZoneSummary};
 use poplarvale_lib::relay::rollout::evidence::{Comparison, Key, VersionCounts};
 use poplarvale_lib::relay::rollout::{MoveReport, Order, Outcome};
+use poplarvale_lib::relay::sharers::Sharers;
 use poplarvale_lib::relay::usage::{Report, Usage, WindowId};
 use prost::Message as _;
 use tokio::net::UdpSocket;
@@ -69,14 +70,22 @@
     }
 }
 
-/// Divides the limits that endpoints announce among the daemons that sent a digest recently.
+/// Divides the limits that endpoints announce among the daemons that sent a digest recently, and
+/// the rates of cold endpoints among all that are known.
 fn share_limits(state: &State, now: Instant) {
     let peers = state.peers.borrow();
-    let sharers = Sharers {
-        me: peers.own_address(),
+    let me = peers.own_address();
+    let recent = Sharers {
+        me,
         others: peers.recent_addresses(now),
     };
-    state.endpoints.borrow_mut().set_sharers(sharers, now);
+    let known = Sharers {
+        me,
+        others: peers.rows().iter().map(|row| row.address).collect(),
+    };
+    let mut table = state.endpoints.borrow_mut();
+    table.set_sharers(recent, now);
+    table.set_daemons(known);
 }
 
 /// Sends a full digest right before the daemon ends. What it counted since its last full digest
@@ -103,9 +112,10 @@
     }
     let mut digest = build_digest(state, sequence, due.local, &left, now);
     if peers.is_watcher(now) {
-        let checksum = state.endpoints.borrow().checksum();
-        let feed = state.store_progress.borrow().feed(checksum, now);
-        digest.news = feed.map(change_feed::encode);
+        let table = state.endpoints.borrow();
+        let progress = state.store_progress.borrow();
+        let feed = progress.feed(table.checksum(), table.evacuated(), now);
+        digest.news = feed.map(|feed| change_feed::encode(feed, now));
     }
     let bytes = digest.encode_to_vec();
     let local = peers.rows().iter().filter(|peer| !peers.is_remote(peer));
@@ -432,6 +442,31 @@
     }
 }
 
+/// Applies the change feed of a watcher; one with values out of range is ignored.
+fn merge_feed(state: &State, name: &str, news: digest::News, now: Instant) {
+    match change_feed::decode(news, now) {
+        Ok(feed) => apply_feed(state, feed, now),
+        Err(error) => {
+            state.measure(|metrics| metrics.record_call("peers", "invalid"));
+            log::warn!("peers: ignored the changes from {name}, {error}.");
+        }
+    }
+}
+
+/// Merges what another daemon reports of a version move.
+fn merge_move(state: &State, name: &CompactString, message: digest::Move) {
+    let report = decode_move(message);
+    if state.rollouts.borrow_mut().merge(name, &report) {
+        let order = &report.order;
+        log::info!(
+            "rollout: {} to version {} has ended, {name} reports.",
+            order.service,
+            order.target
+        );
+        state.digest_due.notify_one();
+    }
+}
+
 /// Applies a digest to the shared state, unless a newer one of its sender was received before.
 fn apply_digest(state: &State, from: Ipv4Addr, digest: Digest) {
     let now = Instant::now();
@@ -462,10 +497,8 @@
         end_doubt(state, &name, span, now);
     }
     state.clock.borrow_mut().record(&name, digest.wall_ms, now);
-    match digest.news.map(change_feed::decode) {
-        Some(Some(feed)) => apply_feed(state, feed, now),
-        Some(None) => log::warn!("peers: ignored the changes from {name}, a port is invalid."),
-        None => {}
+    if let Some(news) = digest.news {
+        merge_feed(state, &name, news, now);
     }
     for limit in &digest.limits {
         merge_limit(state, &name, limit, now);
@@ -491,16 +524,7 @@
     });
     state.demand.borrow_mut().merge(&name, work.collect(), now);
     for message in digest.moves {
-        let report = decode_move(message);
-        if state.rollouts.borrow_mut().merge(&name, &report) {
-            let order = &report.order;
-            log::info!(
-                "rollout: {} to version {} has ended, {name} reports.",
-                order.service,
-                order.target
-            );
-            state.digest_due.notify_one();
-        }
+        merge_move(state, &name, message);
     }
     let mut usage = state.usage.borrow_mut();
     if let Some(record) = digest.fixed {
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -11,6 +11,7 @@
 use poplarvale_lib::http1::{Framing, Request, Response};
 use poplarvale_lib::relay::catalog::{Backend, Catalog, Route};
 use poplarvale_lib::relay::demand;
+use poplarvale_lib::relay::homes::home_zones;
 use poplarvale_lib::relay::quota;
 use poplarvale_lib::relay::request::RequestHead;
 use poplarvale_lib::relay::rollout::Versions;
@@ -146,6 +147,11 @@
         deadline: arrived + timeout,
         version: catalog.version,
         versions: versions(state, &service.name),
+        homes: home_zones(
+            &state.settings.regions,
+            &route.regions,
+            team.map_or(&[], |team| &team.regions),
+        ),
         fingerprint,
     };
     dispatch(state, &job, write, keep).await
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -8,16 +8,18 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use poplarvale_lib::relay::catalog::{Catalog, Service};
 use poplarvale_lib::relay::change_feed::{ChangeFeed, FeedAction, RegistryChange};
 use poplarvale_lib::relay::digest::WATCHERS;
 use poplarvale_lib::relay::endpoint_table::Changed;
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::quota::name_hash;
 use poplarvale_lib::relay::rollout::Order;
+use poplarvale_lib::relay::slow_start::SlowStart;
 use poplarvale_lib::{EndpointId, era_of};
 use poplarvale_platform::{
-    CONFIG_KEY, Change, Item, OPERATOR_PREFIX, REGISTRY_PREFIX, ROLLOUT_PREFIX, Reply,
-    STATUS_PREFIX, StoreError, range, read_config, read_listing, read_range, read_rollout,
+    CONFIG_KEY, Change, EVACUATION_PREFIX, Item, OPERATOR_PREFIX, REGISTRY_PREFIX, ROLLOUT_PREFIX,
+    Reply, STATUS_PREFIX, StoreError, range, read_config, read_listing, read_range, read_rollout,
     read_status, read_watch, watch,
 };
 
@@ -25,6 +27,7 @@
 use super::client::{CallError, Client};
 use super::crash::{self, CRASH_PREFIX};
 use super::duties::{LEADER_KEY, OWN_PREFIX};
+use super::evacuation;
 use super::state::State;
 
 /// How long the store may hold a watch open. A connection on which the store stopped answering
@@ -151,6 +154,7 @@
     for item in &items {
         apply_config_item(state, item);
     }
+    evacuation::replace(state, evacuation::zones_of(&items));
     let moves = !state.rollouts.borrow().is_empty();
     if moves {
         let (items, _) = list(client, STATUS_PREFIX).await?;
@@ -239,6 +243,16 @@
 /// Applies a change of any watched key.
 fn apply_change(state: &State, change: &Change) {
     match change {
+        Change::Put(item) if item.key.starts_with(EVACUATION_PREFIX) => {
+            if let Some(zone) = evacuation::zone_of(&item.key) {
+                evacuation::begin(state, zone);
+            }
+        }
+        Change::Removed(key, _) if key.starts_with(EVACUATION_PREFIX) => {
+            if let Some(zone) = evacuation::zone_of(key) {
+                evacuation::end(state, &zone);
+            }
+        }
         Change::Put(item) if item.key.starts_with(OPERATOR_PREFIX) => {
             state
                 .store_progress
@@ -321,14 +335,17 @@
     let (answered, checksum) = (now.checked_sub(feed.age), feed.checksum);
     let timeout = state.peers.borrow().local_timeout();
     let action = state.store_progress.borrow_mut().merge(feed, timeout, now);
-    let changes = match action {
-        FeedAction::Apply(changes) => changes,
+    let (changes, evacuated) = match action {
+        FeedAction::Apply(changes, evacuated) => (changes, evacuated),
         FeedAction::Read => return state.read_store.notify_one(),
         FeedAction::Ignore => return,
     };
     if let Some(answered) = answered {
         state.store_answered(answered);
     }
+    if let Some(zones) = evacuated {
+        evacuation::replace(state, zones);
+    }
     for change in changes {
         let (id, effect) = apply(state, change, now);
         log_change(state, &id, effect);
@@ -444,14 +461,27 @@
         .is_none_or(|current| current.version < catalog.version)
     {
         log::info!("config: version {} in force.", catalog.version);
+        set_slow_starts(state, &catalog);
         *current = Some(Rc::new(catalog));
     }
 }
 
+/// Sets the slow starts of the services whose endpoints are cold after their start.
+fn set_slow_starts(state: &State, catalog: &Catalog) {
+    let tolerance = state.settings.bounds.cold_tolerance;
+    let slow_start = |service: &Service| {
+        let cold = service.cold?;
+        let limit = SlowStart::new(cold.time, cold.rate, tolerance);
+        Some((service.name.clone(), limit))
+    };
+    let slow_starts = catalog.services.iter().filter_map(slow_start).collect();
+    state.endpoints.borrow_mut().set_slow_starts(slow_starts);
+}
+
 /// The endpoint of a registry item; `None` if the item cannot be read.
 fn read_entry(item: &Item) -> Option<Listing> {
     let id = item.key.strip_prefix(REGISTRY_PREFIX)?;
-    match read_listing(id, &item.value) {
+    match read_listing(id, &item.value, Instant::now()) {
         Ok(listing) => Some(listing),
         Err(error) => {
             log::debug!("board: ignored the registry entry {id}, {error}.");
--- a/lib/src/code.rs
+++ b/lib/src/code.rs
@@ -99,6 +99,10 @@
     Full = 2010, 503, "Too many requests are waiting.";
     /// Quarantined because endpoints ended while they ran the request.
     Quarantined = 2011, 503, "Endpoints ended while they ran this request.";
+    /// No endpoint runs in a region that the route or team allows.
+    NoHome = 2012, 503, "No endpoint in an allowed region can be reached.";
+    /// All endpoints of the service are in evacuated zones.
+    Evacuated = 2013, 503, "All zones with endpoints of this service are evacuated.";
     /// Deadline passed while the request waited.
     Expired = 3001, 504, "The deadline passed before the request was sent.";
     /// Endpoint failed after the request was sent.
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -134,6 +134,16 @@
         /// Check sum of the endpoints that are in use after them.
         #[prost(fixed32, tag = "6")]
         pub check: u32,
+        /// Evacuated zones; missing from daemons that do not know of evacuations.
+        #[prost(message, optional, tag = "7")]
+        pub evacuated: ::core::option::Option<Zones>,
+    }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+    pub struct Zones {
+        #[prost(string, repeated, tag = "1")]
+        pub names: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     }
     /// An entry of the registry as it was written or removed.
     #[derive(serde::Serialize, serde::Deserialize)]
@@ -172,6 +182,9 @@
         pub born: ::core::option::Option<u64>,
         #[prost(uint64, tag = "10")]
         pub count: u64,
+        /// For how long it is still cold, in milliseconds; 0 if it is warm.
+        #[prost(uint32, tag = "11")]
+        pub cold_ms: u32,
     }
     #[derive(serde::Serialize, serde::Deserialize)]
     #[serde(default)]
--- a/lib/src/relay/catalog.rs
+++ b/lib/src/relay/catalog.rs
@@ -8,7 +8,7 @@
 
 use compact_str::CompactString;
 
-use crate::{CustomerId, ServiceId, ZoneId};
+use crate::{CustomerId, RegionId, ServiceId, ZoneId};
 
 /// Number of a configuration; increases with each change.
 pub type CatalogVersion = u64;
@@ -80,6 +80,8 @@
     pub attempts: u32,
     /// Whether it serves requests without an API key.
     pub public: bool,
+    /// Regions that its requests may be served in, sorted; all if it is empty.
+    pub regions: Vec<RegionId>,
 }
 
 impl Route {
@@ -110,10 +112,21 @@
     pub engine: Option<Engine>,
     /// Bounds for scaling its endpoints; `None` if they are not scaled.
     pub scaling: Option<Scaling>,
+    /// What its endpoints take while they are cold; `None` if they serve at once.
+    pub cold: Option<ColdRate>,
     /// Shortest latency target of the routes to it; `None` if there is none.
     pub target: Option<Duration>,
 }
 
+/// What an endpoint takes while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdRate {
+    /// How long it is cold after its start.
+    pub time: Duration,
+    /// Requests a second from all daemons together.
+    pub rate: f64,
+}
+
 /// Capacity of one model engine of a service.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Engine {
@@ -154,6 +167,8 @@
     pub burst: f64,
     /// Unit in which requests count.
     pub unit: Unit,
+    /// Regions that its requests may be served in, sorted; all if it is empty.
+    pub regions: Vec<RegionId>,
 }
 
 /// How a request counts against its team's allowance.
--- a/lib/src/relay/change_feed.rs
+++ b/lib/src/relay/change_feed.rs
@@ -16,7 +16,7 @@
 use std::time::{Duration, Instant};
 
 use super::listing::Listing;
-use crate::{EndpointId, Revision, era_of};
+use crate::{EndpointId, Revision, ZoneId, era_of};
 
 /// Greatest age of a watcher's answer from the store at which its feed is used: a pause
 /// between two watches, a watch that waits for changes, and the transmission.
@@ -56,17 +56,20 @@
     pub changes: Vec<(Revision, RegistryChange)>,
     /// Checksum of the ready endpoints after these changes.
     pub checksum: u32,
+    /// All evacuated zones as of `revision`; `None` if the watcher does not know of any order
+    /// to evacuate, as its build does not read them.
+    pub evacuated: Option<Vec<ZoneId>>,
 }
 
 /// What a daemon does with a feed.
 #[derive(Clone, Debug, PartialEq)]
 pub enum FeedAction {
-    /// Applies these changes.
-    Apply(Vec<RegistryChange>),
+    /// Applies these changes, and replaces the evacuated zones if the feed has newer ones.
+    Apply(Vec<RegistryChange>, Option<Vec<ZoneId>>),
     /// Reads the store itself: it missed changes, or has to read one from the store.
     Read,
     /// Ignores it: this daemon is reading the store or has not read it yet, or the feed is
-    /// too old or of a former era.
+    /// too old, of a former era or without the evacuated zones.
     Ignore,
 }
 
@@ -164,9 +167,9 @@
         self.fed_until = None;
     }
 
-    /// The feed that a watcher sends, with the checksum of its endpoints; `None` if the store
-    /// has not answered it recently.
-    pub fn feed(&self, checksum: u32, now: Instant) -> Option<ChangeFeed> {
+    /// The feed that a watcher sends, with the checksum of its endpoints and the evacuated zones;
+    /// `None` if the store has not answered it recently.
+    pub fn feed(&self, checksum: u32, evacuated: &[ZoneId], now: Instant) -> Option<ChangeFeed> {
         let age = now.saturating_duration_since(self.answered_at?);
         if age >= MAX_AGE {
             return None;
@@ -181,6 +184,7 @@
                 .map(|row| (row.revision, row.change.clone()))
                 .collect(),
             checksum,
+            evacuated: Some(evacuated.to_vec()),
         })
     }
 
@@ -196,7 +200,7 @@
         let Some(left) = MAX_AGE.checked_sub(feed.age) else {
             return FeedAction::Ignore;
         };
-        if era_of(feed.revision) < era_of(known) {
+        if era_of(feed.revision) < era_of(known) || feed.evacuated.is_none() {
             return FeedAction::Ignore;
         }
         if feed.revision > known && (feed.after > known || feed.config_revision > known) {
@@ -206,14 +210,14 @@
         let until = now + left.min(timeout);
         self.fed_until = Some(self.fed_until.map_or(until, |fed| fed.max(until)));
         if feed.revision <= known {
-            return FeedAction::Apply(Vec::new());
+            return FeedAction::Apply(Vec::new(), None);
         }
         self.revision = Some(feed.revision);
         // The changes that this daemon read itself are no longer all since `recent_after`.
         self.recent.clear();
         self.recent_after = feed.revision;
         let fresh = feed.changes.into_iter().filter(|row| row.0 > known);
-        FeedAction::Apply(fresh.map(|row| row.1).collect())
+        FeedAction::Apply(fresh.map(|row| row.1).collect(), feed.evacuated)
     }
 
     /// Compares the checksum of a feed with the own one after the feed was merged; `false` if
--- a/lib/src/relay/endpoint_table.rs
+++ b/lib/src/relay/endpoint_table.rs
@@ -11,25 +11,24 @@
 
 use std::time::{Duration, Instant};
 
-use compact_str::CompactString;
-
 use super::breaker::CircuitBreaker;
 use super::engine::{EngineSpeed, ServiceSpeed};
-use super::limit::{AnnouncedLimit, Limit, Sharers};
-use super::listing::Listing;
+use super::evacuation::{EvacuationChanges, Evacuations};
+use super::limit::{AnnouncedLimit, Limit};
+use super::listing::{ColdTime, Listing};
+use super::load_reports::{Load, LoadReports, Reporter};
 use super::prefix_cache::PrefixCache;
 use super::quota::name_hash;
+use super::sharers::Sharers;
+use super::slow_start::{ColdEndpoint, SlowStart};
 use super::tombstones::Tombstones;
-use crate::{EndpointId, ServiceId, ZoneHash};
+use crate::{EndpointId, ServiceId, ZoneHash, ZoneId};
 
 /// How long an endpoint stays in use whose entry is missing after an outage of the
 /// registry. Running endpoints have registered again within about two seconds, and an endpoint
 /// that left must get nothing two seconds after the registry shows it.
 pub const REREGISTER_GRACE: Duration = Duration::from_millis(1800);
 
-/// How long a load report of another daemon or zone counts.
-const LOAD_REPORT_TTL: Duration = Duration::from_secs(2);
-
 /// Tokens after the first event that a stream must have for its token time to be learned.
 /// Shorter streams arrive in one or two events; read together, their tokens seem to have
 /// taken no time.
@@ -66,7 +65,7 @@
 impl EndpointState {
     /// Whether an endpoint in this state may get requests now. Doubtful endpoints are dropped
     /// only at intervals; one whose grace is over must not stay in use until the next of them.
-    fn is_in_use(self, now: Instant) -> bool {
+    pub(crate) fn is_in_use(self, now: Instant) -> bool {
         match self {
             Self::Ready => true,
             Self::Doubtful(until) => now < until,
@@ -75,15 +74,6 @@
     }
 }
 
-/// Load that one or several daemons put on an endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Load {
-    /// Requests in progress.
-    pub requests: u32,
-    /// Prompt tokens of those requests that wait for prefill.
-    pub tokens: f64,
-}
-
 /// One endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Endpoint {
@@ -107,24 +97,10 @@
     pub full_until: Option<Instant>,
     /// Request rate that it accepts from all daemons together, if it ever announced a limit.
     pub limit: Option<Limit>,
-}
-
-/// Sender of a load report: another daemon, or a watcher for its whole zone.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Reporter {
-    /// A daemon, and its zone.
-    Daemon(ZoneHash, CompactString),
-    /// A zone.
-    Zone(ZoneHash),
-}
-
-/// Last load report of another daemon or zone.
-#[derive(Clone, Debug, PartialEq)]
-struct LoadReport {
-    reporter: Reporter,
-    received: Instant,
-    /// Load by hash of the endpoint's id, sorted.
-    loads: Vec<(u32, Load)>,
+    /// Its slow start, while it is cold.
+    pub cold: Option<ColdEndpoint>,
+    /// Whether its zone is evacuated, so that it gets no new request.
+    pub is_evacuated: bool,
 }
 
 /// All endpoints, sorted by id.
@@ -135,14 +111,20 @@
     service_speeds: Vec<(ServiceId, ServiceSpeed)>,
     /// Speed of services for which none was learned yet.
     default_speed: ServiceSpeed,
-    /// Current load reports, sorted by reporter.
-    reports: Vec<LoadReport>,
+    /// Current load reports of other daemons and zones.
+    reports: LoadReports,
     /// Until when missing entries make their endpoints doubtful, after an outage.
     grace_until: Option<Instant>,
     /// Endpoints that left and have no row any more.
     tombstones: Tombstones,
     /// Daemons that share the limits which endpoints announce.
     sharers: Sharers,
+    /// Daemons that share the rates of cold endpoints.
+    daemons: Sharers,
+    /// Slow starts of the services that have one, sorted by service.
+    slow_starts: Vec<(ServiceId, SlowStart)>,
+    /// Evacuated zones.
+    evacuations: Evacuations,
 }
 
 /// Effect of a registry change on an endpoint.
@@ -271,12 +253,12 @@
         match self.find(&listing.id) {
             Err(_) if self.tombstones.is_outdated(&listing) => Changed::Nothing,
             Err(at) => {
-                let row = Endpoint::new(listing, state, &self.reports);
+                let row = self.new_row(listing, state);
                 self.rows.insert(at, row);
                 joined(state)
             }
             Ok(at) => {
-                let row = &mut self.rows[at];
+                let row = &self.rows[at];
                 if listing.is_older_than(&row.listing) {
                     return Changed::Nothing;
                 }
@@ -284,9 +266,13 @@
                     row.listing.born != listing.born || row.listing.address != listing.address;
                 if restarted {
                     // Nothing that was learned of the former incarnation holds for the new one.
-                    *row = Endpoint::new(listing, state, &self.reports);
+                    self.rows[at] = self.new_row(listing, state);
                     return joined(state);
                 }
+                if let Some(cold) = listing.cold {
+                    self.merge_cold(at, cold);
+                }
+                let row = &mut self.rows[at];
                 let left = state == EndpointState::Leaving && row.state != EndpointState::Leaving;
                 row.state = state;
                 row.listing = listing;
@@ -299,6 +285,83 @@
         }
     }
 
+    /// A row of which nothing is known but its entry.
+    fn new_row(&self, listing: Listing, state: EndpointState) -> Endpoint {
+        let hash = name_hash(&listing.id);
+        let cold = listing.cold;
+        let mut row = Endpoint {
+            hash,
+            state,
+            in_flight: Vec::new(),
+            remote_load: self.reports.total(hash),
+            speed: EngineSpeed::default(),
+            breaker: CircuitBreaker::default(),
+            cache: PrefixCache::default(),
+            full_until: None,
+            limit: None,
+            cold: None,
+            is_evacuated: self.evacuations.contains(&listing.zone),
+            listing,
+        };
+        if let (Some(cold), Some(limit)) = (cold, self.slow_start(&row.listing.service)) {
+            row.merge_cold(cold, limit, &self.daemons);
+        }
+        row
+    }
+
+    fn slow_start(&self, service: &str) -> Option<&SlowStart> {
+        let at = self
+            .slow_starts
+            .binary_search_by(|row| row.0.as_str().cmp(service));
+        at.ok().map(|at| &self.slow_starts[at].1)
+    }
+
+    /// Starts or continues the slow start of an endpoint that states to be cold.
+    fn merge_cold(&mut self, at: usize, cold: ColdTime) {
+        let Some(limit) = self.slow_start(&self.rows[at].listing.service).copied() else {
+            return;
+        };
+        self.rows[at].merge_cold(cold, &limit, &self.daemons);
+    }
+
+    /// Sets the slow starts of the services that have one.
+    pub fn set_slow_starts(&mut self, mut slow_starts: Vec<(ServiceId, SlowStart)>) {
+        slow_starts.sort_by(|a, b| a.0.cmp(&b.0));
+        if self.slow_starts == slow_starts {
+            return;
+        }
+        self.slow_starts = slow_starts;
+        for at in 0..self.rows.len() {
+            self.rows[at].cold = None;
+            if let Some(cold) = self.rows[at].listing.cold {
+                self.merge_cold(at, cold);
+            }
+        }
+    }
+
+    /// Replaces the set of evacuated zones. The endpoints of a zone that is restored may have
+    /// become cold meanwhile, and their entries tell so only later: they are taken to be cold.
+    pub fn set_evacuated(&mut self, zones: Vec<ZoneId>, now: Instant) -> EvacuationChanges {
+        let changes = self.evacuations.replace(zones);
+        for at in 0..self.rows.len() {
+            let zone = &self.rows[at].listing.zone;
+            let is_restored = changes.ended.contains(zone);
+            self.rows[at].is_evacuated = self.evacuations.contains(zone);
+            if let Some(limit) = self.slow_start(&self.rows[at].listing.service)
+                && is_restored
+            {
+                let until = now + limit.time;
+                self.merge_cold(at, ColdTime { read: now, until });
+            }
+        }
+        changes
+    }
+
+    /// Evacuated zones, sorted.
+    pub fn evacuated(&self) -> &[ZoneId] {
+        self.evacuations.zones()
+    }
+
     /// Applies the removal of a registry entry.
     pub fn entry_removed(&mut self, id: &str, now: Instant) -> Changed {
         let grace_until = self.grace_until.filter(|until| now < *until);
@@ -334,9 +397,13 @@
         };
         let rewritten = Listing {
             count: listing.count,
+            cold: listing.cold,
             ..row.listing.clone()
         };
-        rewritten != *listing || (row.state == EndpointState::Ready) == listing.leaving
+        let turned_cold = listing.cold.is_some_and(|cold| !row.is_known_cold(cold));
+        rewritten != *listing
+            || turned_cold
+            || (row.state == EndpointState::Ready) == listing.leaving
     }
 
     /// Applies the whole list of entries; entries that are not in it count as removed.
@@ -378,64 +445,15 @@
         last.is_some_and(|last| listing.is_redundant_to(last))
     }
 
-    /// Applies a load report: load by hash of the endpoint's id. The report of a zone replaces
-    /// those of its daemons for as long as it is current.
-    pub fn apply_report(&mut self, reporter: Reporter, mut loads: Vec<(u32, Load)>, now: Instant) {
-        loads.sort_by_key(|(endpoint, _)| *endpoint);
-        self.expire_reports(now);
-        match &reporter {
-            Reporter::Zone(zone) => self.drop_reports(|report| report.is_daemon_of(*zone)),
-            Reporter::Daemon(zone, _) if self.find_report(&Reporter::Zone(*zone)).is_ok() => return,
-            Reporter::Daemon(..) => {}
-        }
-        self.drop_reports(|report| report.reporter == reporter);
-        add(&mut self.rows, &loads, 1);
-        let report = LoadReport {
-            reporter,
-            received: now,
-            loads,
-        };
-        let at = self.find_report(&report.reporter).unwrap_or_else(|at| at);
-        self.reports.insert(at, report);
+    /// Applies a load report: load by hash of the endpoint's id.
+    pub fn apply_report(&mut self, reporter: Reporter, loads: Vec<(u32, Load)>, now: Instant) {
+        self.reports.apply(&mut self.rows, reporter, loads, now);
     }
 
     /// Load of this daemon and all others of its zone together, by hash of the endpoint's id,
     /// sorted.
     pub fn zone_load(&self, zone: ZoneHash) -> Vec<(u32, Load)> {
-        let local = self.rows.iter().map(|row| (row.hash, row.local_load()));
-        let peers = self
-            .reports
-            .iter()
-            .filter(|report| report.is_daemon_of(zone));
-        let peers = peers.flat_map(|report| report.loads.iter().copied());
-        let mut all: Vec<(u32, Load)> = local.chain(peers).collect();
-        all.sort_by_key(|row| row.0);
-        all.dedup_by(|row, kept| {
-            let same = row.0 == kept.0;
-            if same {
-                kept.1.requests += row.1.requests;
-                kept.1.tokens += row.1.tokens;
-            }
-            same
-        });
-        all.retain(|row| row.1.requests > 0);
-        all
-    }
-
-    fn find_report(&self, reporter: &Reporter) -> Result<usize, usize> {
-        self.reports
-            .binary_search_by(|report| report.reporter.cmp(reporter))
-    }
-
-    fn expire_reports(&mut self, now: Instant) {
-        self.drop_reports(|report| now.duration_since(report.received) > LOAD_REPORT_TTL);
-    }
-
-    fn drop_reports(&mut self, is_over: impl Fn(&LoadReport) -> bool) {
-        for report in self.reports.iter().filter(|report| is_over(report)) {
-            add(&mut self.rows, &report.loads, -1);
-        }
-        self.reports.retain(|report| !is_over(report));
+        self.reports.zone_load(&self.rows, zone)
     }
 
     /// Marks the endpoints as leaving whose departure another daemon reports, by hash of their
@@ -505,6 +523,24 @@
         self.sharers = sharers;
     }
 
+    /// Sets which daemons share the rates of cold endpoints.
+    pub fn set_daemons(&mut self, daemons: Sharers) {
+        if self.daemons == daemons {
+            return;
+        }
+        self.daemons = daemons;
+        for at in 0..self.rows.len() {
+            let row = &self.rows[at];
+            let (Some(limit), hash) = (self.slow_start(&row.listing.service).copied(), row.hash)
+            else {
+                continue;
+            };
+            if let Some(cold) = &mut self.rows[at].cold {
+                cold.update_sharers(hash, &limit, &self.daemons);
+            }
+        }
+    }
+
     /// Starts the grace for missing entries: the registry is back after it was unavailable or
     /// rejected this daemon.
     pub fn registry_back(&mut self, now: Instant) {
@@ -546,6 +582,9 @@
         let dropped = self.drop_doubtful(now);
         for row in &mut self.rows {
             row.speed.recover();
+            if row.cold.as_ref().is_some_and(|cold| cold.is_over(now)) {
+                row.cold = None;
+            }
         }
         let is_over =
             |row: &Endpoint| row.state == EndpointState::Leaving && row.in_flight.is_empty();
@@ -566,61 +605,38 @@
     }
 }
 
-/// Adds reported loads to the rows, or subtracts them with a `sign` of -1.
-///
-/// Computing the sum over the reports of all daemons again, at each digest of each of them,
-/// would take longer with each daemon.
-fn add(rows: &mut [Endpoint], loads: &[(u32, Load)], sign: i32) {
-    for row in rows {
-        if let Ok(at) = loads.binary_search_by_key(&row.hash, |load| load.0) {
-            let (total, load) = (&mut row.remote_load, loads[at].1);
-            let requests = load.requests.cast_signed() * sign;
-            total.requests = total.requests.saturating_add_signed(requests);
-            total.tokens += load.tokens * f64::from(sign);
+impl Endpoint {
+    fn merge_cold(&mut self, cold: ColdTime, limit: &SlowStart, daemons: &Sharers) {
+        match &mut self.cold {
+            Some(known) if !known.is_over(cold.read) => known.merge(cold),
+            known => *known = Some(ColdEndpoint::new(self.hash, cold, limit, daemons)),
         }
     }
-}
 
-/// Sum of all reports on one endpoint.
-fn reported_load(reports: &[LoadReport], endpoint: u32) -> Load {
-    let mut total = Load::default();
-    for report in reports {
-        if let Ok(at) = report.loads.binary_search_by_key(&endpoint, |row| row.0) {
-            total.requests += report.loads[at].1.requests;
-            total.tokens += report.loads[at].1.tokens;
-        }
+    /// Whether a statement that it is cold is known already.
+    fn is_known_cold(&self, cold: ColdTime) -> bool {
+        let known = self.cold.as_ref();
+        known.is_some_and(|known| known.covers(cold))
     }
-    total
-}
 
-impl LoadReport {
-    fn is_daemon_of(&self, zone: ZoneHash) -> bool {
-        matches!(&self.reporter, Reporter::Daemon(at, _) if *at == zone)
+    /// Whether it may get requests, whatever its load.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.state.is_in_use(now) && !self.is_evacuated && self.breaker.allows_request(now)
     }
-}
 
-impl Endpoint {
-    fn new(listing: Listing, state: EndpointState, reports: &[LoadReport]) -> Self {
-        let hash = name_hash(&listing.id);
-        Self {
-            listing,
-            hash,
-            state,
-            in_flight: Vec::new(),
-            remote_load: reported_load(reports, hash),
-            speed: EngineSpeed::default(),
-            breaker: CircuitBreaker::default(),
-            cache: PrefixCache::default(),
-            full_until: None,
-            limit: None,
+    /// Whether its announced limit and its slow start let this daemon send a request now.
+    ///
+    /// # Errors
+    /// Returns the time until they may.
+    pub fn check_rate(&self, now: Instant) -> Result<(), Duration> {
+        let limit = self.limit.as_ref().map_or(Ok(()), |limit| limit.check(now));
+        let cold = self.cold.as_ref().map_or(Ok(()), |cold| cold.check(now));
+        match (limit, cold) {
+            (Err(limit), Err(cold)) => Err(limit.max(cold)),
+            (limit, cold) => limit.and(cold),
         }
     }
 
-    /// Whether it may get requests, whatever its load.
-    pub fn is_usable(&self, now: Instant) -> bool {
-        self.state.is_in_use(now) && self.breaker.allows_request(now)
-    }
-
     /// Requests in progress, from all daemons.
     pub fn active_requests(&self) -> u32 {
         self.in_flight.len() as u32 + self.remote_load.requests
@@ -654,6 +670,9 @@
         if let Some(limit) = &mut self.limit {
             limit.take(request.sent);
         }
+        if let Some(cold) = &mut self.cold {
+            cold.take(request.sent);
+        }
         self.in_flight.push(request);
     }
 
--- a/lib/src/relay/fleet.rs
+++ b/lib/src/relay/fleet.rs
@@ -227,6 +227,15 @@
     rows.count() as u32
 }
 
+/// Whether an endpoint of the service is cold that may get requests.
+fn any_cold(table: &EndpointTable, service: &str, now: Instant) -> bool {
+    table.rows().iter().any(|row| {
+        row.listing.service == service
+            && row.is_usable(now)
+            && row.cold.as_ref().is_some_and(|cold| now < cold.warm_at())
+    })
+}
+
 /// Price of endpoints in a zone; 1 if none is configured.
 fn price(scaling: &Scaling, zone: &str) -> f64 {
     let at = scaling
@@ -358,6 +367,10 @@
     /// Until the need is known, the on-demand endpoints stay as the operators set them up and as
     /// many reclaimable ones are ordered, since a wave of reclaims may follow at once. While there
     /// is no work at all, some of the on-demand ones are given up once these are in use.
+    ///
+    /// Evacuated zones count as if they had no endpoints, so that others are ordered in the other
+    /// zones at once, and nothing is ordered or given up there: what runs there serves again as
+    /// soon as the zone is restored.
     pub fn desired_counts(
         &mut self,
         table: &EndpointTable,
@@ -369,6 +382,13 @@
         let (Some(scaling), Some(engine)) = (&service.scaling, &service.engine) else {
             return Vec::new();
         };
+        let is_evacuated = |zone: &ZoneId| table.evacuated().binary_search(zone).is_ok();
+        let zones: Vec<ZoneId> = zones
+            .iter()
+            .filter(|zone| !is_evacuated(zone))
+            .cloned()
+            .collect();
+        let zones = zones.as_slice();
         let serving = Serving::of(table, &service.name, zones);
         let level = if work == Work::default() {
             self.levels
@@ -390,6 +410,7 @@
         let room = |zone: &str| scaling.max.saturating_sub(serving.in_zone(zone).1);
         let on_demand = distribute(scaling, zones, total.on_demand, room);
         let reclaimable = distribute(scaling, zones, total.reclaimable, |_| scaling.max);
+        let is_cold = any_cold(table, &service.name, now);
         let mut counts = Vec::new();
         for ((zone, on_demand), (_, reclaimable)) in on_demand.into_iter().zip(reclaimable) {
             let (held_on_demand, held_reclaimable) = serving.in_zone(&zone);
@@ -409,7 +430,13 @@
                 (true, reclaimable, held_reclaimable),
                 (false, on_demand, held_on_demand),
             ] {
-                if wanted != held {
+                // Cold endpoints do not replace the others yet.
+                let is_due = if wanted < held {
+                    !is_cold
+                } else {
+                    wanted > held
+                };
+                if is_due {
                     counts.push(DesiredCount {
                         service: service.name.clone(),
                         zone: zone.clone(),
--- a/lib/src/relay/limit.rs
+++ b/lib/src/relay/limit.rs
@@ -15,10 +15,10 @@
 //!
 //! A limit does not expire: only an answer without one shows that the overload is over.
 
-use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use super::sharers::Sharers;
+use super::token_bucket::TokenBucket;
 
 /// Number of daemons that share a limit, in addition to one for each request a second.
 const EXTRA_SHARERS: usize = 3;
@@ -30,44 +30,6 @@
 /// How long a daemon reports that an endpoint announces no limit any more.
 const WITHDRAWAL_TIME: Duration = Duration::from_secs(10);
 
-/// Daemons that may share limits, as this one knows them.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Sharers {
-    /// This daemon.
-    pub me: Ipv4Addr,
-    /// Other daemons that this one received digests from lately.
-    pub others: Vec<Ipv4Addr>,
-}
-
-impl Default for Sharers {
-    fn default() -> Self {
-        Self {
-            me: Ipv4Addr::UNSPECIFIED,
-            others: Vec::new(),
-        }
-    }
-}
-
-impl Sharers {
-    /// Requests a second that this daemon may send to an endpoint that takes `rate` in all.
-    fn share(&self, endpoint: u32, rate: f64) -> f64 {
-        let rate = rate.max(MIN_RATE);
-        let most = (rate as usize).saturating_add(EXTRA_SHARERS);
-        let count = most.min(self.others.len() + 1);
-        let rank = |daemon: &Ipv4Addr| {
-            let seed = u64::from(endpoint);
-            (xxh3_64_with_seed(&daemon.octets(), seed), *daemon)
-        };
-        let own_rank = rank(&self.me);
-        let before = self.others.iter().filter(|other| rank(other) < own_rank);
-        if before.count() < count {
-            rate / count as f64
-        } else {
-            0.0
-        }
-    }
-}
-
 /// Limit that an endpoint announced, as daemons report it to each other.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AnnouncedLimit {
@@ -84,11 +46,8 @@
     announced: AnnouncedLimit,
     /// Whether the endpoint announced it to this daemon.
     is_direct: bool,
-    /// Requests a second that this daemon may send.
-    share: f64,
-    /// Tokens, one for each request that it may send, as of `filled_at`.
-    tokens: f64,
-    filled_at: Instant,
+    /// Tokens for the requests that this daemon may send.
+    bucket: TokenBucket,
 }
 
 impl Limit {
@@ -116,24 +75,18 @@
             _ => Self {
                 announced,
                 is_direct,
-                share: 0.0,
-                tokens: 0.0,
-                filled_at: announced.at,
+                bucket: TokenBucket::empty(0.0, 0.0, announced.at),
             },
         };
-        limit.update_share(endpoint, sharers, announced.at.max(limit.filled_at));
+        limit.update_share(endpoint, sharers, announced.at);
         Some(limit)
     }
 
     /// Recomputes this daemon's share for a new set of sharers.
     pub fn update_share(&mut self, endpoint: u32, sharers: &Sharers, now: Instant) {
-        // The tokens accumulated so far were earned at the former share.
-        self.tokens = self.tokens(now);
-        self.filled_at = now;
-        self.share = self
-            .announced
-            .rate
-            .map_or(0.0, |rate| sharers.share(endpoint, rate));
+        let rate = self.announced.rate;
+        let share = rate.map_or(0.0, |rate| share(endpoint, rate, sharers));
+        self.bucket.set_rate(share, (share * BURST_S).max(1.0), now);
     }
 
     /// Requests a second that the endpoint takes from all daemons together; `None` without a
@@ -161,22 +114,26 @@
         if self.announced.rate.is_none() {
             return Ok(());
         }
-        let missing = 1.0 - self.tokens(now);
-        if missing <= 0.0 {
-            return Ok(());
+        match self.bucket.wait(now) {
+            Duration::ZERO => Ok(()),
+            wait => Err(wait),
         }
-        Err(Duration::try_from_secs_f64(missing / self.share).unwrap_or(Duration::MAX))
     }
 
     /// Takes a token for a request that is sent.
     pub fn take(&mut self, now: Instant) {
-        self.tokens = (self.tokens(now) - 1.0).max(0.0);
-        self.filled_at = now;
+        self.bucket.take(now);
     }
+}
 
-    fn tokens(&self, now: Instant) -> f64 {
-        let since = now.saturating_duration_since(self.filled_at).as_secs_f64();
-        let burst = (self.share * BURST_S).max(1.0);
-        (self.tokens + since * self.share).min(burst)
+/// Requests a second that this daemon may send to an endpoint that takes `rate` in all.
+fn share(endpoint: u32, rate: f64, sharers: &Sharers) -> f64 {
+    let rate = rate.max(MIN_RATE);
+    let most = (rate as usize).saturating_add(EXTRA_SHARERS);
+    let count = most.min(sharers.others.len() + 1);
+    if sharers.is_sharer(endpoint, count) {
+        rate / count as f64
+    } else {
+        0.0
     }
 }
--- a/lib/src/relay/listing.rs
+++ b/lib/src/relay/listing.rs
@@ -1,6 +1,7 @@
 //! Entries of the platform's registry of endpoints.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use crate::{EndpointId, ServiceId, VersionId, ZoneId};
 
@@ -27,6 +28,31 @@
     pub born: Option<u64>,
     /// Sequence number: entries that it has written since its start, this one included.
     pub count: u64,
+    /// For how long it is still cold; `None` if it is warm.
+    pub cold: Option<ColdTime>,
+}
+
+/// Longest time for which an endpoint may state to be cold.
+pub const MAX_COLD_TIME: Duration = Duration::from_mins(1);
+
+/// Statement of an endpoint that it is cold: it takes few requests a second until it is warm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdTime {
+    /// When this daemon read the statement.
+    pub read: Instant,
+    /// When the endpoint is warm.
+    pub until: Instant,
+}
+
+impl ColdTime {
+    /// A statement read now, that the endpoint is cold for a further time; `None` if it is warm.
+    /// Absurdly long times are cut to [`MAX_COLD_TIME`].
+    pub fn after(left: Duration, now: Instant) -> Option<Self> {
+        (left > Duration::ZERO).then(|| Self {
+            read: now,
+            until: now + left.min(MAX_COLD_TIME),
+        })
+    }
 }
 
 impl Listing {
--- a/lib/src/relay/selection.rs
+++ b/lib/src/relay/selection.rs
@@ -23,7 +23,7 @@
 use super::prefix_cache::{PrefixHash, prefix_hashes};
 use super::request::Prompt;
 use super::rollout::Versions;
-use crate::EndpointId;
+use crate::{EndpointId, ZoneId};
 
 /// How much sooner an endpoint in another zone must answer to be chosen, in seconds. Crossing
 /// zones costs about 3 ms for the round trip, and traffic between zones is paid by the byte.
@@ -68,6 +68,8 @@
     pub avoid: &'r [EndpointId],
     /// Versions that it may go to while its service moves from one to another.
     pub versions: &'r Versions,
+    /// Sorted zones whose endpoints it may go to; `None` for all.
+    pub homes: Option<&'r [ZoneId]>,
     /// How long it may wait at an engine; `None` if it is sent whatever waits there.
     pub limits: Option<Limits>,
     /// Random for each request, so that daemons do not all sample the same endpoints.
@@ -76,6 +78,13 @@
     pub now: Instant,
 }
 
+impl Criteria<'_> {
+    fn is_home(&self, zone: &ZoneId) -> bool {
+        self.homes
+            .is_none_or(|homes| homes.binary_search(zone).is_ok())
+    }
+}
+
 /// Endpoint that a request is sent to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -96,6 +105,10 @@
 pub enum SelectError {
     /// None is registered, or all are excluded.
     None,
+    /// There are some, but none in the zones that the request may go to.
+    NoHome,
+    /// There are some, but only in evacuated zones.
+    Evacuated,
     /// All are full.
     Full,
     /// It would wait too long; there will be room after this time.
@@ -136,7 +149,7 @@
             full = true;
             continue;
         }
-        if let Some(wait) = limit_wait(row, criteria.now) {
+        if let Err(wait) = row.check_rate(criteria.now) {
             limited = Some(limited.map_or(wait, |least| least.min(wait)));
             continue;
         }
@@ -156,9 +169,31 @@
             }
         }
         None if full => Err(SelectError::Full),
-        None => Err(limited.map_or(SelectError::None, |wait| {
-            SelectError::Busy(wait.min(MAX_RETRY_AFTER))
-        })),
+        None => Err(match limited {
+            Some(wait) => SelectError::Busy(wait.min(MAX_RETRY_AFTER)),
+            None => no_endpoint(table, criteria),
+        }),
+    }
+}
+
+/// Why no endpoint may get the request, whatever their load.
+fn no_endpoint(table: &EndpointTable, criteria: &Criteria<'_>) -> SelectError {
+    let is_running = |row: &&Endpoint| {
+        row.listing.service == criteria.service.name && row.state.is_in_use(criteria.now)
+    };
+    let mut running = table.rows().iter().filter(is_running).peekable();
+    if running.peek().is_none() {
+        return SelectError::None;
+    }
+    let mut homes = running
+        .filter(|row| criteria.is_home(&row.listing.zone))
+        .peekable();
+    if homes.peek().is_none() {
+        SelectError::NoHome
+    } else if homes.all(|row| row.is_evacuated) {
+        SelectError::Evacuated
+    } else {
+        SelectError::None
     }
 }
 
@@ -168,7 +203,7 @@
     let rows = rows.filter(|row| {
         is_eligible(row, criteria)
             && !is_full(row, criteria)
-            && limit_wait(row, criteria.now).is_none()
+            && row.check_rate(criteria.now).is_ok()
     });
     let rank = |row: &&Endpoint| xxh3_64_with_seed(row.listing.id.as_bytes(), criteria.seed);
     let mut rows: Vec<&Endpoint> = rows.collect();
@@ -223,6 +258,7 @@
     row.listing.service == criteria.service.name
         && row.is_usable(criteria.now)
         && criteria.versions.allow(&row.listing.version)
+        && criteria.is_home(&row.listing.zone)
         && !criteria.avoid.contains(&row.listing.id)
 }
 
@@ -253,12 +289,6 @@
     }
 }
 
-/// Time for which the limit that an endpoint announced keeps this daemon from sending to it;
-/// `None` if it does not.
-fn limit_wait(row: &Endpoint, now: Instant) -> Option<Duration> {
-    row.limit.as_ref()?.check(now).err()
-}
-
 /// Id of the endpoint that all daemons prefer for a session's requests; `None` if the prompt
 /// shares no prefix.
 fn preferred<'b>(
@@ -271,7 +301,9 @@
         .rows()
         .iter()
         .filter(|row| row.listing.service == criteria.service.name && row.is_usable(criteria.now));
-    let rows = rows.filter(|row| criteria.versions.allow(&row.listing.version));
+    let rows = rows.filter(|row| {
+        criteria.versions.allow(&row.listing.version) && criteria.is_home(&row.listing.zone)
+    });
     let rank = |row: &&Endpoint| xxh3_64_with_seed(row.listing.id.as_bytes(), *session);
     rows.max_by_key(rank).map(|row| row.listing.id.as_str())
 }
--- a/lib/src/relay/settings.rs
+++ b/lib/src/relay/settings.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 
 use super::quota::Tolerance;
-use crate::ZoneId;
+use crate::{RegionId, ZoneId};
 
 /// Where a daemon runs, which addresses it uses and which bounds it keeps.
 #[derive(Clone, Debug, PartialEq)]
@@ -17,6 +17,8 @@
     pub zone: ZoneId,
     /// All availability zones, sorted.
     pub zones: Vec<ZoneId>,
+    /// Region of each availability zone, sorted by zone.
+    pub regions: Vec<(ZoneId, RegionId)>,
     /// Address at which callers connect.
     pub callers: SocketAddr,
     /// Address at which the load balancer probes readiness.
@@ -62,6 +64,8 @@
     pub usage_window: Duration,
     /// How long after its end a usage window may be reported.
     pub report_deadline: Duration,
+    /// How far the rate of a cold endpoint may be exceeded within a second.
+    pub cold_tolerance: Tolerance,
     /// Share of a service's requests that may go to a version that is still under test.
     pub exposure: f64,
 }
--- /dev/null
+++ b/lib/src/relay/sharers.rs
@@ -0,0 +1,41 @@
+//! Which daemons share the rate that an endpoint takes from all of them together.
+//!
+//! Daemons choose the sharers of an endpoint without coordination, by rendezvous hashing over
+//! the daemons that they know.
+
+use std::net::Ipv4Addr;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Daemons among which sharers are chosen, as this one knows them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sharers {
+    /// This daemon.
+    pub me: Ipv4Addr,
+    /// Other daemons.
+    pub others: Vec<Ipv4Addr>,
+}
+
+impl Default for Sharers {
+    fn default() -> Self {
+        Self {
+            me: Ipv4Addr::UNSPECIFIED,
+            others: Vec::new(),
+        }
+    }
+}
+
+impl Sharers {
+    /// Whether this daemon is one of the `count` sharers of an endpoint.
+    pub(crate) fn is_sharer(&self, endpoint: u32, count: usize) -> bool {
+        let rank = |daemon: Ipv4Addr| (rank(endpoint, daemon), daemon);
+        let own_rank = rank(self.me);
+        let before = self.others.iter().filter(|other| rank(**other) < own_rank);
+        before.count() < count
+    }
+}
+
+/// Rank of a daemon for an endpoint; the lowest ranks share its rate.
+pub(crate) fn rank(endpoint: u32, daemon: Ipv4Addr) -> u64 {
+    xxh3_64_with_seed(&daemon.octets(), u64::from(endpoint))
+}
--- a/lib/tests/relay_engines.rs
+++ b/lib/tests/relay_engines.rs
@@ -18,6 +18,7 @@
             spot: false,
             born: None,
             count: 1,
+            cold: None,
         });
     }
     table
--- a/lib/tests/test_relay_admit.rs
+++ b/lib/tests/test_relay_admit.rs
@@ -81,6 +81,7 @@
             zone: "hanko",
             avoid: &[],
             versions: &Versions::Any,
+            homes: None,
             limits: limited.then(|| Limits::new(TARGET, rank, DEADLINE)),
             seed: 0,
             now,
--- a/lib/tests/test_relay_change_feed.rs
+++ b/lib/tests/test_relay_change_feed.rs
@@ -26,7 +26,9 @@
 }
 
 fn feed(watcher: &StoreProgress, now: Instant) -> ChangeFeed {
-    watcher.feed(0, now).expect("the store answered recently")
+    watcher
+        .feed(0, &[], now)
+        .expect("the store answered recently")
 }
 
 /// A feed of a watcher is lost. The next one has the same changes again, and they are applied
@@ -41,10 +43,19 @@
     watcher.record_change(14, RegistryChange::Removed("a".into()), now);
     watcher.record_watch(15, now);
     let next = feed(&watcher, now);
-    let both = FeedAction::Apply(vec![put("a"), RegistryChange::Removed("a".into())]);
+    let both = FeedAction::Apply(
+        vec![put("a"), RegistryChange::Removed("a".into())],
+        Some(vec![]),
+    );
     assert_eq!(other.merge(next.clone(), TIMEOUT, now), both);
-    assert_eq!(other.merge(next, TIMEOUT, now), FeedAction::Apply(vec![]));
-    assert_eq!(other.merge(lost, TIMEOUT, now), FeedAction::Apply(vec![]));
+    assert_eq!(
+        other.merge(next, TIMEOUT, now),
+        FeedAction::Apply(vec![], None)
+    );
+    assert_eq!(
+        other.merge(lost, TIMEOUT, now),
+        FeedAction::Apply(vec![], None)
+    );
     assert_eq!(other.revision(), Some(15));
 }
 
@@ -66,7 +77,7 @@
     let now = Instant::now();
     let (watcher, mut other) = pair(now);
     let mut at = now;
-    while let Some(next) = watcher.feed(0, at) {
+    while let Some(next) = watcher.feed(0, &[], at) {
         other.merge(next, TIMEOUT, at);
         at += PERIOD;
         assert!(
@@ -123,7 +134,10 @@
     assert_eq!(other.merge(next.clone(), TIMEOUT, now), FeedAction::Ignore);
     other.record_watch(12, now);
     other.end_read();
-    assert_eq!(other.merge(next, TIMEOUT, now), FeedAction::Apply(vec![]));
+    assert_eq!(
+        other.merge(next, TIMEOUT, now),
+        FeedAction::Apply(vec![], None)
+    );
     assert!(other.fed_until(now).is_some());
 }
 
--- a/lib/tests/test_relay_endpoint_table.rs
+++ b/lib/tests/test_relay_endpoint_table.rs
@@ -3,9 +3,10 @@
 use std::time::{Duration, Instant};
 
 use poplarvale_lib::relay::endpoint_table::{
-    Changed, EndpointState, EndpointTable, Load, REREGISTER_GRACE, Reporter,
+    Changed, EndpointState, EndpointTable, REREGISTER_GRACE,
 };
 use poplarvale_lib::relay::listing::Listing;
+use poplarvale_lib::relay::load_reports::{Load, Reporter};
 use poplarvale_lib::relay::quota::name_hash;
 
 pub(crate) fn listing(id: &str) -> Listing {
@@ -20,6 +21,7 @@
         spot: false,
         born: Some(1),
         count: 1,
+        cold: None,
     }
 }
 
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -34,6 +34,7 @@
             ],
         }),
         target: None,
+        cold: None,
     }
 }
 
@@ -52,6 +53,7 @@
                 spot: number >= on_demand,
                 born: None,
                 count: 1,
+                cold: None,
             });
         }
     }
--- a/lib/tests/test_relay_limit.rs
+++ b/lib/tests/test_relay_limit.rs
@@ -3,7 +3,8 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use poplarvale_lib::relay::limit::{AnnouncedLimit, Limit, Sharers};
+use poplarvale_lib::relay::limit::{AnnouncedLimit, Limit};
+use poplarvale_lib::relay::sharers::Sharers;
 use proptest::prelude::*;
 
 const ENDPOINT: u32 = 77;
--- a/lib/tests/test_relay_selection.rs
+++ b/lib/tests/test_relay_selection.rs
@@ -4,8 +4,9 @@
 
 use poplarvale_lib::relay::breaker::CircuitBreaker;
 use poplarvale_lib::relay::catalog::{Engine, Service};
-use poplarvale_lib::relay::endpoint_table::{EndpointTable, InFlight, Load, Reporter};
+use poplarvale_lib::relay::endpoint_table::{EndpointTable, InFlight};
 use poplarvale_lib::relay::listing::Listing;
+use poplarvale_lib::relay::load_reports::{Load, Reporter};
 use poplarvale_lib::relay::quota::name_hash;
 use poplarvale_lib::relay::request::Prompt;
 use poplarvale_lib::relay::rollout::Versions;
@@ -63,6 +64,7 @@
             target: Duration::from_secs(1),
             zone: "hanko",
             avoid: &[],
+            homes: None,
             limits: None,
             seed: 0,
             now: self.now,
@@ -80,6 +82,7 @@
             target: Duration::from_secs(1),
             zone: "hanko",
             avoid: &[],
+            homes: None,
             limits: None,
             seed: 0,
             now: self.now,
@@ -268,6 +271,7 @@
                 spot: false,
                 born: None,
                 count: 1,
+                cold: None,
             });
         }
         Self {
@@ -320,6 +324,7 @@
             target: Duration::from_millis(300),
             zone: &zone,
             avoid: &[],
+            homes: None,
             limits: None,
             seed: self.random.u64(..),
             now,
--- a/lib/tests/test_relay_shared.rs
+++ b/lib/tests/test_relay_shared.rs
@@ -287,6 +287,73 @@
     );
 }
 
+/// Most units of a flooding team in any window, in parts of what the rule allows, while `isolated`
+/// of the daemons are cut off, each from all others, for longer than a window.
+fn flood_with_isolated(daemons: usize, isolated: usize, lead: Duration, flood: f64) -> f64 {
+    const PERIOD: Duration = Duration::from_millis(250);
+    const RATE: f64 = 242_000.0;
+    const UNITS: f64 = 2700.0;
+    const STEP: Duration = Duration::from_millis(5);
+    let tolerance = Tolerance {
+        share: 0.1,
+        units: 140_000.0,
+    };
+    let start = Instant::now();
+    let flood_at = start + Duration::from_secs(14);
+    let cut = flood_at + lead;
+    let healed = cut + Duration::from_secs(12);
+    let team = team(RATE);
+    let mut quotas: Vec<Quota> = (0..daemons)
+        .map(|at| Quota::new(WINDOW, tolerance, start).with_phase(at as f64 / daemons as f64))
+        .collect();
+    let names: Vec<String> = (0..daemons).map(|at| format!("d{at:02}")).collect();
+    let mut random = fastrand::Rng::with_seed(daemons as u64 * 100 + isolated as u64);
+    let mut admitted = Vec::new();
+    let rounds_per_period = (PERIOD.as_millis() / STEP.as_millis()) as usize;
+    for round in 0..7000_usize {
+        let now = start + STEP * round as u32;
+        let is_isolated = |at: usize| at < isolated && now >= cut && now < healed;
+        for from in 0..daemons {
+            let is_due = round % rounds_per_period == from * rounds_per_period / daemons;
+            if !is_due || is_isolated(from) {
+                continue;
+            }
+            let uses = quotas[from].team_uses(now);
+            for to in (0..daemons).filter(|to| *to != from && !is_isolated(*to)) {
+                quotas[to].merge_report(&report(&names[from], now, uses.clone()), PERIOD * 4);
+            }
+        }
+        let demand = if now < flood_at { 0.55 } else { flood };
+        let chance = RATE * demand * STEP.as_secs_f64() / UNITS / daemons as f64;
+        for quota in &mut quotas {
+            if random.f64() < chance && quota.admit(&team, UNITS, now).is_ok() {
+                admitted.push((now, UNITS));
+            }
+        }
+    }
+    let allowed = 9.0 * RATE * (1.0 + tolerance.share) + tolerance.units;
+    most_in_a_window_sorted(&admitted) / allowed
+}
+
+/// One team floods while single hosts are cut off, each from all others. Those go on admitting
+/// their own shares, and the rest must leave them as much as they use: whatever part of the daemons
+/// is isolated, and whenever the flood began before, the sum stays in the allowance.
+#[test]
+fn a_flood_with_any_part_of_the_daemons_isolated_stays_in_the_allowance() {
+    for isolated in [4, 6, 8, 9, 10, 12, 14] {
+        for lead_ms in [0, 500, 3000] {
+            for flood in [2.0, 6.0] {
+                let lead = Duration::from_millis(lead_ms);
+                let most = flood_with_isolated(24, isolated, lead, flood);
+                assert!(
+                    most <= 1.0,
+                    "{most} with {isolated} of 24 isolated, {lead_ms} ms after a flood of {flood}"
+                );
+            }
+        }
+    }
+}
+
 /// A team well within its allowance sends prompts at random that are long compared to a
 /// second of its rate. Several may come close together by chance; rejecting those would hurt
 /// callers who bought twice as much as they use.
