quota: a rejection by a team's allowance logs what it is based on

Nearly all refusals of the shifted deployment's floods have code 2003, and the line named neither the team nor the level of its bucket, so that hypotheses could not be told apart. The line is sampled, as a flood is refused request by request. The allotment of a daemon, and what the limiter knows of a team, leave quota.rs for a module of their own; nothing else changes.

--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use poplarvale_lib::http1::{Framing, Request, Response};
-use poplarvale_lib::relay::catalog::{Backend, Catalog, Route};
+use poplarvale_lib::relay::catalog::{Backend, Catalog, Route, Team};
 use poplarvale_lib::relay::demand;
 use poplarvale_lib::relay::homes::home_zones;
 use poplarvale_lib::relay::quota;
@@ -127,6 +127,9 @@
     let units = team.map_or(0.0, |team| quota::units(team, head));
     let admission = team.map(|team| state.quota.borrow_mut().admit(team, units, Std::now()));
     if let Some(Err(retry_after)) = admission {
+        if let Some(team) = team {
+            log_standing(state, head, team, units);
+        }
         let rejection = Rejection::retry_later(Code::TokenRate, retry_after);
         return reject(state, write, head, rejection, keep).await;
     }
@@ -157,6 +160,25 @@
     dispatch(state, &job, write, keep).await
 }
 
+/// Logs what a rejection by a team's allowance is based on; a few times a second, as a flood is
+/// rejected request by request.
+fn log_standing(state: &State, head: &RequestHead, team: &Team, units: f64) {
+    let now = Std::now();
+    if !state.sampler.allows(now) {
+        return;
+    }
+    if let Some(known) = state.quota.borrow().standing(team, now) {
+        log::info!(
+            request = head.id.as_str(), team = team.name.as_str(), units = units as u64,
+            available = known.available as i64, depth = known.depth as u64,
+            rate = known.rate as u64, demand = known.demand as u64,
+            own_demand = known.own_demand as u64, isolated = known.isolated,
+            peers = known.peers, silent = known.unresponsive;
+            "quota: the team's allowance does not cover the request."
+        );
+    }
+}
+
 /// Versions of a service that a new request may be sent to.
 fn versions(state: &State, service: &str) -> Versions {
     let old_endpoints = |version: &str| {
--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -33,6 +33,7 @@
 //! on admitting requests. It is assumed to use most of an even share, so that the two
 //! sides of a partition together stay near the allowance.
 
+mod allotment;
 mod checkpoint;
 mod peers;
 mod steps;
@@ -40,6 +41,8 @@
 
 use std::time::{Duration, Instant};
 
+use self::allotment::Allotment;
+pub use self::allotment::Standing;
 use self::checkpoint::Restored;
 pub use self::checkpoint::Spent;
 use self::peers::{Peer, PeerTeam};
@@ -54,15 +57,6 @@
 /// Steps into which the sliding window is divided. A step counts until all of it has left
 /// the window.
 const STEPS: u32 = 40;
-/// Depth of the bucket beyond the burst, in seconds of its rate: how much of what a team
-/// left unused within the window it may use at once. As the bucket starts empty after a
-/// restart of all daemons, a flood across the restart gets this, the burst and the rate,
-/// which is within what a window allows.
-const EXTRA_DEPTH_SECS: f64 = 0.5;
-/// Part of the tolerance that deepens the bucket. Prompts are long compared to a second
-/// of a team's rate, so without it teams well within their allowance would be rejected by
-/// chance. The rest of the tolerance covers what peers admit before they report it.
-const DEPTH_TOLERANCE: f64 = 0.4;
 /// Digest periods without a digest after which a daemon counts as unresponsive. Peers may
 /// admit a whole period's worth before this daemon learns of it, so when the bucket holds
 /// less than that, daemons take from their own shares.
@@ -84,17 +78,6 @@
 /// Span over which the current rate is computed. A flood starts within a tenth of a
 /// second; over a longer span its rate is underestimated while it grows.
 const RATE_SPAN: Duration = Duration::from_millis(600);
-/// Share of the allowance that is held back for each second of the timeout after which a
-/// peer counts as unresponsive, as no daemon knows what the others admit between two
-/// digests.
-const RESERVE_PER_SEC: f64 = 0.04;
-/// Largest share of the allowance that is held back.
-const MAX_RESERVE: f64 = 0.3;
-/// Part of an even share that an unresponsive daemon is assumed to use at least. Daemons
-/// use about 55 % of the allowance on an ordinary day. Where more than half of the peers are
-/// unresponsive, this daemon is probably the one that is partitioned, perhaps with many
-/// others that are each isolated, and assumes that they use their whole share.
-const UNRESPONSIVE_SHARE: f64 = 0.75;
 /// Shortest and longest time after which a rejected team is told to retry, in seconds.
 const MIN_RETRY_SECS: f64 = 0.3;
 const MAX_RETRY_SECS: f64 = 8.0;
@@ -113,18 +96,6 @@
     credit: f64,
 }
 
-/// What this daemon and its responsive peers may grant of an allowance.
-struct Allotment {
-    /// Units a second.
-    rate: f64,
-    /// Depth of the bucket, in units.
-    depth: f64,
-    /// Most units within a window.
-    window_max: f64,
-    /// Whether most peers are unresponsive, so that this daemon is probably partitioned.
-    isolated: bool,
-}
-
 /// How far a team may exceed its allowance within a window.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Tolerance {
@@ -434,24 +405,6 @@
         self.started + self.window.mul_f64(step.max(0) as f64 / f64::from(STEPS))
     }
 
-    /// What of an allowance is left to this daemon and its responsive peers.
-    fn allotment(&self, rate: f64, burst: f64, now: Instant) -> Allotment {
-        let unresponsive = self.unresponsive(now);
-        let isolated = unresponsive * 2 > self.peers.len();
-        let each = if isolated { 1.0 } else { UNRESPONSIVE_SHARE };
-        let daemons = (self.peers.len() + 1) as f64;
-        let left = self.usable_share(now) * (1.0 - unresponsive as f64 * each / daemons);
-        let whole = rate * self.window.as_secs_f64() + burst;
-        let tolerated = whole * self.tolerance.share + self.tolerance.units;
-        let tolerated = tolerated * DEPTH_TOLERANCE;
-        Allotment {
-            rate: rate * left,
-            depth: (burst + rate * EXTRA_DEPTH_SECS + tolerated) * left,
-            window_max: (whole + tolerated) * left,
-            isolated,
-        }
-    }
-
     /// Units that peers may admit before this daemon learns of it.
     fn unreported(&self, rate: f64, now: Instant) -> f64 {
         rate * self.longest_timeout(now).as_secs_f64() / TIMEOUT_PERIODS
@@ -500,55 +453,6 @@
         self.peers.iter().map(timeout_of).max().unwrap_or_default()
     }
 
-    /// Whether nobody knows what was admitted before this daemon started: it has run for
-    /// less than a window, and at its start so had most peers.
-    fn lacks_history(&self, now: Instant) -> bool {
-        let older = |peer: &&Peer| peer.started + self.window <= self.started;
-        let older = self.peers.iter().filter(older).count();
-        self.first_step(now) < 0 && older * 2 <= self.peers.len()
-    }
-
-    /// Share of the allowance that is granted; the rest is held back.
-    fn usable_share(&self, now: Instant) -> f64 {
-        1.0 - (self.longest_timeout(now).as_secs_f64() * RESERVE_PER_SEC).min(MAX_RESERVE)
-    }
-
-    /// Units in the fleet's bucket, after all that was admitted within the window.
-    fn available(&self, team: &str, allotment: &Allotment, now: Instant) -> f64 {
-        let (first, last) = (self.first_step(now), self.step(now));
-        let mut spent = [0.0; STEPS as usize + 1];
-        let restored = self.restored_steps(name_hash(team), now);
-        let restored = restored.since(first).iter().copied();
-        for (step, units) in self.admitted(name_hash(team), first, now).chain(restored) {
-            spent[(step - first) as usize] += units;
-        }
-        let length = self.window.as_secs_f64() / f64::from(STEPS);
-        let elapsed = now.saturating_duration_since(self.step_start(last));
-        // The bucket of a daemon that has just started is empty at its start.
-        let starts_empty = self.lacks_history(now) && self.restored.is_none();
-        let mut level = if starts_empty { 0.0 } else { allotment.depth };
-        let steps = (first..=last).zip(spent);
-        for (step, units) in steps.filter(|row| !starts_empty || row.0 >= 0) {
-            let time = match step {
-                // The oldest step lies partly outside of the window.
-                step if step == first => 0.0,
-                step if step == last => elapsed.as_secs_f64(),
-                _ => length,
-            };
-            level = (level + allotment.rate * time).min(allotment.depth) - units;
-        }
-        level.min(allotment.window_max - spent.iter().sum::<f64>())
-    }
-
-    /// Units that an isolated daemon may still admit: an even share of what a window
-    /// allows, whatever the unresponsive daemons use.
-    fn available_isolated(&self, team: &str, allotment: &Allotment, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.started);
-        let accrued = allotment.rate * age.as_secs_f64();
-        let spent = self.admitted(name_hash(team), self.first_step(now), now);
-        allotment.window_max.min(accrued) - spent.map(|row| row.1).sum::<f64>()
-    }
-
     /// What this daemon and all responsive peers admitted, by step. The estimate of what
     /// the peers admitted since their last report is counted in the current step.
     fn admitted(
