--- a/daemon/src/relay/status.rs
+++ b/daemon/src/relay/status.rs
@@ -71,6 +71,7 @@
         "holder": state.duty_holder.borrow().as_deref(),
         "log_lines_dropped": super::logging::dropped_lines(),
         "quarantined": quarantined,
+        "evacuated": table.evacuated(),
         "endpoints": endpoints,
         "daemons": peers,
     })
@@ -99,6 +100,10 @@
         "requests": row.in_flight.len(),
         "others": row.remote_load.requests,
         "backlog_tokens": row.backlog() as u64,
+        "evacuated": row.is_evacuated,
+        "cold_ms": row.cold.as_ref().map(|cold| {
+            cold.warm_at().saturating_duration_since(now).as_millis() as u64
+        }),
         "limit": row.limit.as_ref().and_then(Limit::rate),
         "speed_factor": row.speed.factor(),
     })
--- a/lib/benches/decisions.rs
+++ b/lib/benches/decisions.rs
@@ -7,6 +7,11 @@
 use compact_str::format_compact;
 use criterion::{BenchmarkId, Criterion};
 use poplarvale_lib::moves::Filter;
+use poplarvale_lib::relay;
+use poplarvale_lib::relay::endpoint_table::EndpointTable;
+use poplarvale_lib::relay::listing::{ColdTime, Listing};
+use poplarvale_lib::relay::sharers::Sharers;
+use poplarvale_lib::relay::slow_start::SlowStart;
 use poplarvale_lib::routing::{CacheEvent, Criteria, Policy, PrefixCache, pick};
 use poplarvale_lib::{
     Accepted, Command, Customer, Input, ListedEndpoint, Lists, Order, Outcome, Plan, Send, Service,
@@ -30,9 +35,82 @@
     ticks(&mut criterion);
     reclaims(&mut criterion);
     caches(&mut criterion);
+    relay(&mut criterion);
     criterion.final_summary();
 }
 
+/// One decision of the relay over 140 engines, of which none or a quarter is cold.
+fn relay(criterion: &mut Criterion) {
+    const ENGINES: u32 = 140;
+    let mut group = criterion.benchmark_group("relay decision");
+    let service = relay::catalog::Service {
+        name: "pool".into(),
+        engine: Some(relay::catalog::Engine {
+            slots: 12,
+            kv_tokens: 400_000,
+            event_tokens: 9,
+        }),
+        ..relay::catalog::Service::default()
+    };
+    let prompt = relay::request::Prompt {
+        input: 12_000,
+        output: 400,
+        guess: None,
+        parts: vec![(1, 500), (2, 4_900), (3, 6_600)],
+    };
+    for cold in [0, ENGINES / 4] {
+        let now = Instant::now();
+        let table = engines(ENGINES, cold, now);
+        let criteria = relay::selection::Criteria {
+            service: &service,
+            prompt: Some(&prompt),
+            target: Duration::from_secs(1),
+            zone: "z0",
+            avoid: &[],
+            versions: &relay::rollout::Versions::Any,
+            homes: None,
+            limits: None,
+            seed: 1,
+            now,
+        };
+        group.bench_function(format!("{cold} of {ENGINES} cold"), |b| {
+            b.iter(|| black_box(relay::selection::choose(&table, &criteria)));
+        });
+    }
+    group.finish();
+}
+
+/// A table of engines, of which the first are cold.
+fn engines(count: u32, cold: u32, now: Instant) -> EndpointTable {
+    let mut table = EndpointTable::default();
+    let time = Duration::from_secs(3);
+    let tolerance = relay::quota::Tolerance {
+        share: 0.5,
+        units: 5.0,
+    };
+    table.set_slow_starts(vec![("pool".into(), SlowStart::new(time, 6.9, tolerance))]);
+    table.set_daemons(Sharers {
+        me: [10, 0, 0, 0].into(),
+        others: (1..82).map(|host| [10, 0, 0, host].into()).collect(),
+    });
+    for number in 0..count {
+        table.put(Listing {
+            id: format_compact!("i-{number:03}"),
+            service: "pool".into(),
+            address: ([10, 128, 0, number as u8], 8080).into(),
+            zone: format_compact!("z{}", number % 4),
+            version: "v1".into(),
+            slots: 12,
+            leaving: false,
+            spot: false,
+            born: Some(1),
+            count: 1,
+            cold: ColdTime::after(time, now).filter(|_| number < cold),
+        });
+    }
+    table
+}
+
 /// One decision by the cost policy over all endpoints, with filled caches.
 fn decisions(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("decision");
