--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -11,28 +11,30 @@
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
-use poplarvale_lib::protos::relay::UsageRecord;
 use poplarvale_lib::relay::duty::DutyLease;
-use poplarvale_lib::relay::fleet::{DesiredCount, Orders};
+use poplarvale_lib::relay::fleet::Orders;
 use poplarvale_lib::relay::rollout::Status;
-use poplarvale_lib::relay::usage::{Counts, Report, WindowId};
+use poplarvale_lib::relay::usage::WindowId;
 use poplarvale_lib::{Era, era_of};
 use poplarvale_platform::{
-    Duty, Item, Order, STATUS_PREFIX, Txn, get, grant_lease, order_call, read_item, read_lease,
-    read_txn, renew_lease, status_value, txn, usage_call,
+    Duty, Item, STATUS_PREFIX, Txn, get, grant_lease, read_item, read_lease, read_txn, renew_lease,
+    status_value, txn,
 };
 use prost::Message as _;
 
+use self::orders::order_endpoints;
+use self::usage_report::{USAGE_KEY, last_report, read_record, report_usage};
 use super::checkpoint::{self, CHECKPOINT_KEY, DIGESTS_PER_CHECKPOINT};
 use super::client::{Client, WriteError};
 use super::state::State;
 
+mod orders;
+mod usage_report;
+
 /// Prefix of the store keys that only daemons write.
 pub(crate) const OWN_PREFIX: &str = "poplarvale/";
 /// Key that the duty holder creates.
 pub(crate) const LEADER_KEY: &str = "poplarvale/leader";
-/// Key of the last usage report.
-const USAGE_KEY: &str = "poplarvale/usage";
 /// How often the duty holder checks what is due.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// How long no duty holder must be known before the first daemon by address tries to acquire the
@@ -46,11 +48,6 @@
 const ACQUIRE_BACKOFF: Duration = Duration::from_millis(1500);
 /// Timeout of a call; well below what must be left of the lease for a call to be sent.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
-/// How long after the end of a window its usage is reported: first events that were in transit and
-/// the digests of other daemons must have arrived.
-const SETTLE_TIME: Duration = Duration::from_secs(2);
-/// Pause after a report that was not accepted.
-const RETRY_PAUSE: Duration = Duration::from_millis(600);
 
 /// Acquires and performs the duties whenever no daemon holds them, until the process ends.
 pub(crate) async fn serve_duties(state: Rc<State>) {
@@ -258,17 +255,6 @@
     Ok((record, saved))
 }
 
-/// Decodes a usage record; an invalid one is treated as missing.
-fn read_record(value: Bytes) -> Option<UsageRecord> {
-    match UsageRecord::decode(value) {
-        Ok(record) => Some(record),
-        Err(error) => {
-            log::warn!("duty: the record of the last report is invalid and ignored, {error}.");
-            None
-        }
-    }
-}
-
 /// Renews the lease; `false` if it no longer exists. Other failures are retried.
 async fn renew(store: &mut Client, holder: &mut Holder) -> bool {
     let since = Instant::now();
@@ -399,227 +385,7 @@
     Ok(read_txn(&store.call(&call, CALL_TIMEOUT).await?)?)
 }
 
-/// Reports the usage of the next window that is due.
-async fn report_usage(state: &State, store: &mut Client, cloud: &mut Client, holder: &mut Holder) {
-    let now = Instant::now();
-    if holder.retry_at.is_some_and(|retry| now < retry) {
-        return;
-    }
-    if holder.unsent.is_none() {
-        let length = state.settings.bounds.usage_window.as_millis() as u64;
-        let unix_now = state.unix_ms();
-        let deadline = state.settings.bounds.report_deadline.as_millis() as u64;
-        // Skips windows whose deadline has passed.
-        while (holder.next_window + 1) * length + deadline < unix_now {
-            holder.next_window += 1;
-        }
-        if (holder.next_window + 1) * length + SETTLE_TIME.as_millis() as u64 > unix_now {
-            return;
-        }
-        if let Err(error) = finalize_window(state, store, holder).await {
-            log::info!(
-                "duty: counts of window {} not finalized, {error}; trying again.",
-                holder.next_window
-            );
-            holder.retry_at = Some(Instant::now() + RETRY_PAUSE);
-            return;
-        }
-    }
-    let Some((window, counts)) = holder.unsent.clone() else {
-        return;
-    };
-    if !holder.lease.may_act(Instant::now()) {
-        return;
-    }
-    match send_usage(cloud, holder, window, &counts).await {
-        Ok(200) => {
-            log::info!("duty: usage of window {window} reported, {counts}.");
-            holder.unsent = None;
-        }
-        Ok(status) => {
-            log::info!(
-                "duty: usage of window {window} not accepted (status {status}); trying again."
-            );
-            holder.retry_at = Some(Instant::now() + RETRY_PAUSE);
-        }
-        Err(error) => {
-            log::info!("duty: usage report of window {window} failed, {error}; trying again.");
-            holder.retry_at = Some(Instant::now() + RETRY_PAUSE);
-        }
-    }
-}
-
-/// Writes the final counts of the next window to the store. Any daemon that reports the window
-/// sends exactly these bytes: two different counts for one window would charge customers wrongly.
-async fn finalize_window(
-    state: &State,
-    store: &mut Client,
-    holder: &mut Holder,
-) -> Result<(), WriteError> {
-    let window = holder.next_window;
-    let counts = counts_text(&state.usage.borrow().total(window))?;
-    let record = UsageRecord {
-        number: window,
-        counts: counts.to_string(),
-    };
-    let call = txn(&Txn {
-        expect: vec![
-            (USAGE_KEY.into(), holder.usage_revision),
-            (LEADER_KEY.into(), holder.duty.fence),
-        ],
-        puts: vec![(USAGE_KEY.into(), record.encode_to_vec().into(), 0)],
-        removes: Vec::new(),
-    })?;
-    let written = match store.call(&call, CALL_TIMEOUT).await {
-        Ok(reply) => read_txn(&reply)?,
-        Err(error) => {
-            // The write may have been applied, or may still be. The read below, or that of the
-            // next attempt, then finds the record, and reporting continues from it.
-            log::info!("duty: no response to the record of window {window}, {error}; reading it.");
-            None
-        }
-    };
-    if let Some(revision) = written {
-        record_finalized(state, window, &counts);
-        holder.usage_revision = revision;
-        holder.next_window = window + 1;
-        holder.unsent = Some((window, counts));
-        return Ok(());
-    }
-    let reply = store.call(&get(USAGE_KEY), CALL_TIMEOUT).await?;
-    if let Some(item) = read_item(&reply)? {
-        holder.usage_revision = item.revision;
-        if let Some(record) = read_record(item.value)
-            && record.number >= window
-        {
-            let counts = CompactString::from(record.counts);
-            record_finalized(state, record.number, &counts);
-            holder.next_window = record.number + 1;
-            holder.unsent = Some((record.number, counts));
-            return Ok(());
-        }
-    }
-    Err(WriteError::Conflict)
-}
-
-/// Remembers a report that was written to the store, in case the store comes back from an
-/// older copy.
-fn record_finalized(state: &State, window: WindowId, counts: &CompactString) {
-    let report = Report {
-        window,
-        counts: counts.clone(),
-    };
-    state.usage.borrow_mut().finalize(report, Instant::now());
-}
-
-/// The last finalized report: the record in the store, or a newer one that is known to have been
-/// there.
-fn last_report(state: &State, record: Option<UsageRecord>) -> Option<Report> {
-    let mut usage = state.usage.borrow_mut();
-    if let Some(record) = record {
-        let report = Report {
-            window: record.number,
-            counts: record.counts.into(),
-        };
-        if !usage.merge_finalized(report.clone()) && usage.finalized() != Some(&report) {
-            log::info!(
-                "duty: the record in the store is of window {}; going on from a newer known one.",
-                report.window
-            );
-        }
-    }
-    usage.finalized().cloned()
-}
-
-/// Counts as a JSON object of runs by team.
-fn counts_text(counts: &Counts) -> Result<CompactString, serde_json::Error> {
-    let map: std::collections::BTreeMap<&str, u32> = counts
-        .iter()
-        .map(|(team, runs)| (team.as_str(), *runs))
-        .collect();
-    serde_json::to_string(&map).map(CompactString::from)
-}
-
-/// Sends a usage report and returns the response status.
-async fn send_usage(
-    cloud: &mut Client,
-    holder: &Holder,
-    window: WindowId,
-    counts: &str,
-) -> Result<u16, WriteError> {
-    let call = usage_call(&holder.duty, window, counts)?;
-    Ok(cloud.call(&call, call_timeout(holder)).await?.status)
-}
-
 /// Timeout of a call to the cloud service, which must end before the lease does.
 fn call_timeout(holder: &Holder) -> Duration {
     CALL_TIMEOUT.min(holder.lease.left(Instant::now()))
 }
-
-/// Orders the desired number of endpoints of each service.
-async fn order_endpoints(state: &State, cloud: &mut Client, holder: &mut Holder) {
-    let Some(catalog) = state.catalog.borrow().clone() else {
-        return;
-    };
-    for service in &catalog.services {
-        let boot = service.scaling.as_ref().map(|scaling| scaling.boot_time);
-        let now = Instant::now();
-        let work = state.demand.borrow().total(&service.name, now);
-        let zones = &state.settings.zones;
-        let orders = &mut holder.orders;
-        let desired_counts =
-            orders.desired_counts(&state.endpoints.borrow(), service, zones, work, now);
-        for desired in desired_counts {
-            let now = Instant::now();
-            if !holder.lease.may_act(now) {
-                return;
-            }
-            if holder.orders.is_due(&desired, now) {
-                let accepted = send_order(cloud, holder, &desired).await;
-                let boot = boot.unwrap_or_default();
-                holder
-                    .orders
-                    .record(&desired, accepted, boot, Instant::now());
-            }
-        }
-    }
-}
-
-/// Sends an order; returns whether it was accepted.
-async fn send_order(cloud: &mut Client, holder: &Holder, desired: &DesiredCount) -> bool {
-    let order = Order {
-        service: desired.service.clone(),
-        zone: desired.zone.clone(),
-        desired: desired.count,
-        spot: desired.spot,
-    };
-    let kind = if desired.spot {
-        "reclaimable"
-    } else {
-        "on demand"
-    };
-    let call = match order_call(&holder.duty, &order) {
-        Ok(call) => call,
-        Err(error) => {
-            log::warn!("duty: an order could not be encoded and is not sent, {error}.");
-            return false;
-        }
-    };
-    let response = cloud.call(&call, call_timeout(holder)).await;
-    let (count, zone) = (desired.count, &desired.zone);
-    match response {
-        Ok(reply) => {
-            log::info!(
-                "duty: {count} {kind} endpoints in {zone} ordered (status {}).",
-                reply.status
-            );
-            reply.status == 200
-        }
-        Err(error) => {
-            log::info!(
-                "duty: {count} {kind} endpoints in {zone} not ordered, {error}; trying again."
-            );
-            false
-        }
-    }
-}
