--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -180,7 +180,8 @@
     } else {
         read_response(&mut conn, &response, &mut stall).await
     };
-    if !is_stream {
+    // A stream begins to run with its first event; an error in its place is no run.
+    if !job.route.retry_policy.is_stream() {
         state.count_run(team, sent_at);
     }
     let events = forwarded.events.count().saturating_sub(events).max(1);
