soak: cold endpoints and evacuated zones among the faults

Endpoints register cold and crash if they get too many requests a second, a zone is evacuated at random, and once with nothing else wrong, when its endpoints must get no request.

--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -16,8 +16,8 @@
 use fastrand::Rng;
 use poplarvale_platform::SETTINGS_VARIABLE;
 use poplarvale_standin::{
-    Answer, Caller, Cloud, Endpoint, Fault, Mode, Proxy, SeenRequest, Step, Store, config, event,
-    plain, rejection, request, settings, stream,
+    Answer, Caller, Cloud, Endpoint, Fault, Mode, Proxy, SeenRequest, Step, Store, cold_config,
+    event, plain, rejection, request, settings, stream,
 };
 use testutils::folder::Folder;
 use testutils::process::Process;
@@ -25,6 +25,8 @@
 use crate::relay_site::{ROUTES, is_ready, until};
 use crate::site::DAEMON;
 
+mod cold;
+
 const DAEMONS: usize = 3;
 const ENDPOINTS: usize = 4;
 const CALLERS: usize = 8;
@@ -32,6 +34,9 @@
 const EVENTS: u64 = 6;
 /// Grace period from SIGTERM to SIGKILL in seconds.
 const GRACE_S: u64 = 6;
+/// How long an endpoint is cold after its start, and the requests a second that it takes meanwhile.
+const COLD_TIME: Duration = Duration::from_millis(1500);
+const COLD_RATE: f64 = 6.0;
 /// Timeout of a caller; equals the deadline of its requests.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after the last fault within which the fleet must have recovered: leases, missing
@@ -72,6 +77,8 @@
     no_faults: Cell<bool>,
     stopped: Cell<bool>,
     last_number: Cell<u64>,
+    /// Number of the endpoint that was started last.
+    last_endpoint: Cell<usize>,
 }
 
 struct Daemon {
@@ -168,7 +175,7 @@
         let store = Store::start().await;
         let cloud = Cloud::start().await;
         let store_proxy = Proxy::start(store.address).await;
-        store.put("op/config", config(1, &ROUTES, 0).as_bytes());
+        store.put("op/config", configuration(1).as_bytes());
         let work = Work::default();
         let mut endpoints = Vec::new();
         let mut proxies = Vec::new();
@@ -177,7 +184,7 @@
             let proxy = Proxy::start(endpoint.address).await;
             store.put(
                 &format!("servers/i-{number}"),
-                entry(&endpoint, &proxy, "ready").as_bytes(),
+                entry(&endpoint, &proxy, number, "ready").as_bytes(),
             );
             endpoints.push(endpoint);
             proxies.push(proxy);
@@ -200,9 +207,16 @@
             no_faults: Cell::new(false),
             stopped: Cell::new(false),
             last_number: Cell::new(0),
+            last_endpoint: Cell::new(ENDPOINTS - 1),
         }
     }
 
+    /// Number of a further endpoint.
+    fn next_endpoint(&self) -> usize {
+        self.last_endpoint.set(self.last_endpoint.get() + 1);
+        self.last_endpoint.get()
+    }
+
     fn violation(&self, what: String) {
         self.report.borrow_mut().violations.push(what);
     }
@@ -215,8 +229,17 @@
     }
 }
 
-fn entry(endpoint: &Endpoint, proxy: &Proxy, state: &str) -> String {
-    let entry = endpoint.entry("app", state);
+fn configuration(version: u64) -> String {
+    cold_config(version, &ROUTES, COLD_TIME.as_secs_f64(), COLD_RATE)
+}
+
+/// Zone of an endpoint, by its number.
+fn zone_of(number: usize) -> &'static str {
+    ["hanko", cold::EVACUATED_ZONE][number % 2]
+}
+
+fn entry(endpoint: &Endpoint, proxy: &Proxy, number: usize, state: &str) -> String {
+    let entry = endpoint.entry_in(zone_of(number), "app", state);
     entry.replace(&endpoint.address.to_string(), &proxy.address.to_string())
 }
 
@@ -284,6 +307,7 @@
     end_faults(&soak);
     until_recovered(&soak).await;
     soak.no_faults.set(true);
+    cold::check_evacuation(&soak).await;
     stop_in_turn(&soak).await;
     stop_overlapping(&soak).await;
     soak.stopped.set(true);
@@ -310,7 +334,7 @@
         let duration = Duration::from_millis(random.u64(200..1500));
         let daemon = random.usize(..DAEMONS);
         let endpoint = random.usize(..ENDPOINTS);
-        match random.u32(..15) {
+        match random.u32(..17) {
             0 => soak.daemons[daemon].borrow_mut().process.kill(),
             1 => pause_daemon(soak, daemon, duration),
             2 => soak.daemons[daemon].borrow().process.signal("TERM"),
@@ -324,11 +348,13 @@
             10 => {
                 version += random.u64(1..4);
                 soak.store
-                    .put("op/config", config(version, &ROUTES, 0).as_bytes());
+                    .put("op/config", configuration(version).as_bytes());
             }
             11 => drain_endpoint(soak, endpoint, duration),
             12 => terminate_all(soak),
             13 => terminate_twice(soak, daemon, duration),
+            14 => cold::add_cold_endpoint(soak, duration).await,
+            15 => cold::evacuate(soak, duration),
             _ => terminate_then_kill(soak, daemon),
         }
         let pause = Duration::from_millis(random.u64(50..400));
@@ -429,7 +455,12 @@
 }
 
 fn put_entry(soak: &Soak, number: usize, state: &str) {
-    let entry = entry(&soak.endpoints[number], &soak.proxies[number], state);
+    let entry = entry(
+        &soak.endpoints[number],
+        &soak.proxies[number],
+        number,
+        state,
+    );
     soak.store
         .put(&format!("servers/i-{number}"), entry.as_bytes());
 }
@@ -439,6 +470,7 @@
         proxy.set(Fault::None);
     }
     soak.store.set(Mode::Healthy);
+    cold::restore(soak);
     for daemon in 0..DAEMONS {
         signal_if_alive(soak, daemon, "CONT");
     }
