slow start: a daemon that heard from nobody since its start shares no rate

Daemons that restart while each is cut off knew only the seeds of their settings. Among four known daemons nearly each of 29 isolated ones took itself for a sharer, and together they sent a cold endpoint 64 requests in a second, 15.35 allowed.

Ruled out: a share by the number of hosts that the settings' zones may have, as the settings do not tell it. What it costs: a daemon whose seeds are all down sends nothing to cold endpoints until it hears from anyone. A daemon whose settings name no other is not isolated and uses them.

The test gives its isolated daemons the new field; scenario and bound are the same, and it is also run with 986 daemons.

--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -78,10 +78,12 @@
     let recent = Sharers {
         me,
         others: peers.recent_addresses(now),
+        is_isolated: false,
     };
     let known = Sharers {
         me,
         others: peers.rows().iter().map(|row| row.address).collect(),
+        is_isolated: peers.is_isolated(),
     };
     let mut table = state.endpoints.borrow_mut();
     table.set_sharers(recent, now);
--- a/lib/benches/decisions.rs
+++ b/lib/benches/decisions.rs
@@ -90,6 +90,7 @@
     };
     table.set_slow_starts(vec![("pool".into(), SlowStart::new(time, 6.9, tolerance))]);
     table.set_daemons(Sharers {
+        is_isolated: false,
         me: [10, 0, 0, 0].into(),
         others: (1..82).map(|host| [10, 0, 0, host].into()).collect(),
     });
--- a/lib/src/relay/digest.rs
+++ b/lib/src/relay/digest.rs
@@ -305,6 +305,11 @@
         self.local_period() * MISSED_PERIODS
     }
 
+    /// Whether there are other daemons but none was ever heard from.
+    pub fn is_isolated(&self) -> bool {
+        !self.rows.is_empty() && self.rows.iter().all(|row| row.identity.is_none())
+    }
+
     /// Removes daemons that have been unresponsive for long.
     pub fn expire(&mut self, now: Instant) {
         self.rows
--- a/lib/src/relay/sharers.rs
+++ b/lib/src/relay/sharers.rs
@@ -14,6 +14,8 @@
     pub me: Ipv4Addr,
     /// Other daemons.
     pub others: Vec<Ipv4Addr>,
+    /// Whether there are others, but none was heard from since the start.
+    pub is_isolated: bool,
 }
 
 impl Default for Sharers {
@@ -21,13 +23,20 @@
         Self {
             me: Ipv4Addr::UNSPECIFIED,
             others: Vec::new(),
+            is_isolated: false,
         }
     }
 }
 
 impl Sharers {
     /// Whether this daemon is one of the `count` sharers of an endpoint.
+    ///
+    /// A daemon that heard from nobody knows only the seeds of its settings. Among those it would
+    /// be a sharer of most endpoints, like every other daemon that starts in isolation.
     pub(crate) fn is_sharer(&self, endpoint: u32, count: usize) -> bool {
+        if self.is_isolated {
+            return false;
+        }
         let rank = |daemon: Ipv4Addr| (rank(endpoint, daemon), daemon);
         let own_rank = rank(self.me);
         let before = self.others.iter().filter(|other| rank(**other) < own_rank);
--- a/lib/src/relay/slow_start.rs
+++ b/lib/src/relay/slow_start.rs
@@ -15,10 +15,9 @@
 //! - *Partitions*: the sharers are chosen among all daemons that are still known, also those
 //!   that were not heard from lately. Both sides of a partition therefore choose the same ones
 //!   until they forget each other. Parts of daemons that are gone stay unused.
-//! - *Start of all daemons*: a daemon that knows nobody considers itself a sharer of each
-//!   endpoint, but its first token arrives after it has had the time to discover the others.
-//!   This does not hold for daemons that start while they are isolated: each of them remains a
-//!   sharer, and many of them together exceed the bound.
+//! - *Start of daemons*: a daemon that has heard from nobody, though its settings name others,
+//!   shares no rate. At the start of all, the first token arrives after a daemon has had the time
+//!   to discover the others; daemons that start in isolation send nothing until they hear from one.
 //! - *An endpoint that becomes cold during its traffic* gets its usual share of the requests
 //!   until its entry in the registry tells; from then on the bucket starts empty.
 //!
--- a/lib/tests/test_relay_limit.rs
+++ b/lib/tests/test_relay_limit.rs
@@ -24,6 +24,7 @@
 fn sharers(number: usize, daemons: usize, misses: impl Fn(usize) -> bool) -> Sharers {
     let others = (0..daemons).filter(|other| *other != number && !misses(*other));
     Sharers {
+        is_isolated: false,
         me: address(number),
         others: others.map(address).collect(),
     }
--- a/lib/tests/test_relay_slow_start.rs
+++ b/lib/tests/test_relay_slow_start.rs
@@ -33,6 +33,7 @@
     Sharers {
         me: address(number),
         others: others.map(address).collect(),
+        is_isolated: false,
     }
 }
 
@@ -129,22 +130,43 @@
 
 /// A third of the daemons restart while each is cut off from all others, and know only the seeds of
 /// their settings. Whom they do not know of shares the rate too, and the sum must stay in the bound.
-#[test]
-fn daemons_that_restart_in_isolation_keep_the_rate_of_a_cold_endpoint() {
-    const DAEMONS: usize = 82;
-    const ISOLATED: usize = 29;
+fn restart_in_isolation(daemons: usize) {
+    let isolated = daemons * 29 / 82;
     let start = Instant::now();
-    let sharers: Vec<Sharers> = (0..DAEMONS)
+    let sharers: Vec<Sharers> = (0..daemons)
         .map(|number| {
-            known(number, DAEMONS, |other| {
-                number < ISOLATED && other < DAEMONS - 3
-            })
+            let is_isolated = number < isolated;
+            let known = known(number, daemons, |other| is_isolated && other < daemons - 3);
+            Sharers {
+                is_isolated,
+                ..known
+            }
         })
         .collect();
-    let most = most_in_window(&flood(&mut cold_endpoints(&sharers, 6.9, start), start));
+    let sent = flood(&mut cold_endpoints(&sharers, 6.9, start), start);
+    let most = most_in_window(&sent);
     assert!(most as f64 <= bound(6.9), "{most} of {}", bound(6.9));
 }
 
+#[test]
+fn daemons_that_restart_in_isolation_keep_the_rate_of_a_cold_endpoint() {
+    restart_in_isolation(82);
+}
+
+#[test]
+fn a_thousand_daemons_that_restart_in_isolation_keep_the_rate_of_a_cold_endpoint() {
+    restart_in_isolation(986);
+}
+
+/// A deployment of one daemon, whose settings name no other, is not isolated: nobody else would
+/// send anything to its cold endpoints.
+#[test]
+fn a_daemon_without_others_uses_its_cold_endpoints() {
+    let start = Instant::now();
+    let mut daemons = cold_endpoints(&[known(0, 1, |_| false)], 6.9, start);
+    assert!(!flood(&mut daemons, start).is_empty());
+}
+
 /// All daemons know the same moment at which an endpoint is warm. If each sent it a request then,
 /// an endpoint without load would be overloaded at once.
 #[test]
@@ -173,6 +195,7 @@
     table.set_daemons(Sharers {
         me: address(0),
         others: other.into_iter().collect(),
+        is_isolated: false,
     });
     table
 }
