fleet: no more endpoints before the first request than teams could keep busy

Before any work is requested, as many reclaimable endpoints were ordered as the operators run on demand.

Now the allowances of all teams bound what is ordered and what is kept until the need is known. Ruled out: a fixed number, and fewer in proportion, which a small deployment would pay with refused callers in a wave.

--- a/daemon/src/relay/duties/orders.rs
+++ b/daemon/src/relay/duties/orders.rs
@@ -14,6 +14,7 @@
     let Some(catalog) = state.catalog.borrow().clone() else {
         return;
     };
+    holder.orders.set_allowed(catalog.allowed_tokens());
     for service in &catalog.services {
         let boot = service.scaling.as_ref().map(|scaling| scaling.boot_time);
         let now = Instant::now();
--- a/lib/src/relay/catalog.rs
+++ b/lib/src/relay/catalog.rs
@@ -207,6 +207,15 @@
 }
 
 impl Catalog {
+    /// Tokens a second that all teams together may use; `None` if any has no limit in tokens.
+    pub fn allowed_tokens(&self) -> Option<f64> {
+        let rate = |team: &Team| team.rate.filter(|_| matches!(team.unit, Unit::Tokens(_)));
+        let rates: Option<Vec<f64>> = self.teams.iter().map(rate).collect();
+        rates
+            .filter(|rates| !rates.is_empty())
+            .map(|rates| rates.iter().sum())
+    }
+
     /// Sorts the tables and sets the latency target of each service from its routes. Must be
     /// called once after decoding.
     pub fn sort(&mut self) {
--- a/lib/src/relay/fleet.rs
+++ b/lib/src/relay/fleet.rs
@@ -120,15 +120,25 @@
     /// Number of on-demand endpoints of a zone that are kept before the need is known. All are kept
     /// if work was requested, while the registry's list may still be incomplete, and until as many
     /// reclaimable ones are in use.
-    fn kept(&self, zone: &str, serving: &Serving, requested: bool, now: Instant) -> u32 {
+    ///
+    /// `useful` is the number of endpoints of all zones that teams could keep busy.
+    fn kept(
+        &self,
+        zone: &str,
+        serving: &Serving,
+        useful: u32,
+        requested: bool,
+        now: Instant,
+    ) -> u32 {
         let held = serving.in_zone(zone).0;
         let settled = now.duration_since(self.grew) >= LIST_SETTLE_TIME;
-        if requested || !settled || serving.reclaimable() < self.total() {
+        if requested || !settled || serving.reclaimable() < useful {
             return held;
         }
         let row = self.zones.iter().find(|row| row.0 == zone);
         let most = row.map_or(held, |row| row.1);
-        held.min((f64::from(most) * IDLE_ON_DEMAND_SHARE).ceil() as u32)
+        let share = f64::from(useful) / f64::from(self.total().max(1));
+        held.min((f64::from(most) * share * IDLE_ON_DEMAND_SHARE).ceil() as u32)
     }
 }
 
@@ -141,6 +151,8 @@
     levels: Vec<Level>,
     /// When work was first requested, if that was before this daemon took over the duty.
     first_work: Option<Instant>,
+    /// Tokens a second that all teams together may use; `None` if there is no limit.
+    allowed: Option<f64>,
 }
 
 /// Number of endpoints of the learned speed that one second's work keeps fully busy.
@@ -310,6 +322,22 @@
         }
     }
 
+    /// Sets how many tokens a second all teams together may use; `None` if there is no limit.
+    pub fn set_allowed(&mut self, tokens: Option<f64>) {
+        self.allowed = tokens;
+    }
+
+    /// Endpoints that teams could keep busy, of `most`. A large deployment may run many times what
+    /// its teams are allowed to use; before their need is known, it is not worth twice that.
+    fn useful(&self, most: u32, slots: u32, speed: &ServiceSpeed) -> u32 {
+        let Some(read) = self.allowed else {
+            return most;
+        };
+        let need = endpoints_needed(Work { read, write: 0.0 }, slots, speed);
+        let useful = (need * RECLAIMABLE_FACTOR).max(MIN_ENDPOINTS).round();
+        most.min(useful as u32)
+    }
+
     /// Needed endpoints of each service, for a checkpoint.
     pub fn needs(&self) -> impl Iterator<Item = (&ServiceId, f64)> {
         let rows = self.levels.iter();
@@ -365,7 +393,8 @@
     /// Desired endpoints of a service, where their number differs from those in use.
     ///
     /// Until the need is known, the on-demand endpoints stay as the operators set them up and as
-    /// many reclaimable ones are ordered, since a wave of reclaims may follow at once. While there
+    /// many reclaimable ones are ordered, but not more than teams could keep busy, since a wave of
+    /// reclaims may follow at once. While there
     /// is no work at all, some of the on-demand ones are given up once these are in use.
     ///
     /// Evacuated zones count as if they had no endpoints, so that others are ordered in the other
@@ -404,7 +433,9 @@
             )
         };
         let baseline = self.baseline(&service.name, &serving, now);
-        let total = totals(scaling, level, &serving, baseline.total());
+        let speed = table.service_speed(&service.name);
+        let useful = self.useful(baseline.total(), engine.slots, speed);
+        let total = totals(scaling, level, &serving, useful);
         // On-demand endpoints that replace reclaimed ones go to the zones of these. Giving up
         // reclaimable ones elsewhere to make room for them would only raise the price.
         let room = |zone: &str| scaling.max.saturating_sub(serving.in_zone(zone).1);
@@ -415,7 +446,7 @@
         for ((zone, on_demand), (_, reclaimable)) in on_demand.into_iter().zip(reclaimable) {
             let (held_on_demand, held_reclaimable) = serving.in_zone(&zone);
             let on_demand = if level.is_none() {
-                baseline.kept(&zone, &serving, work != Work::default(), now)
+                baseline.kept(&zone, &serving, useful, work != Work::default(), now)
             } else {
                 on_demand
             };
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -80,6 +80,28 @@
     assert!(counts.is_empty(), "{counts:?}");
 }
 
+/// Operators run many times the endpoints that their teams could keep busy, as in a fleet of
+/// thousands. If as many reclaimable ones were ordered before the first request, they would pay
+/// for twice that, and thousands of endpoints would start and leave again.
+#[test]
+fn no_more_endpoints_are_ordered_than_teams_could_keep_busy() {
+    let mut orders = Orders::default();
+    orders.set_allowed(Some(work().read / 2.0));
+    let start = Instant::now();
+    let none = Work::default();
+    let counts = run(&mut orders, &table(3, 0), none, start, 1);
+    let reclaimable = total(&counts, true);
+    assert!((2..=6).contains(&reclaimable), "{counts:?}");
+    // They serve: the operators' endpoints beyond what the teams could use are given up.
+    let later = start + Duration::from_secs(5);
+    let counts = run(&mut orders, &table(3, 2), none, later, 1);
+    assert!(total(&counts, false) <= 4, "{counts:?}");
+    // Without a limit for every team nothing tells what they could use.
+    let mut orders = Orders::default();
+    let counts = run(&mut orders, &table(3, 0), none, start, 1);
+    assert_eq!(total(&counts, true), 12);
+}
+
 /// The duty holder is killed in the middle of the day, and the next one does not know the need
 /// yet. Reclaimable endpoints that it gave up would be missing for seconds.
 #[test]
