--- a/daemon/src/relay/checkpoint.rs
+++ b/daemon/src/relay/checkpoint.rs
@@ -20,9 +20,9 @@
 
 /// Store key of the checkpoint.
 pub(crate) const CHECKPOINT_KEY: &str = "poplarvale/checkpoint";
-/// Number of digests a daemon sends within its zone between two checkpoints, which takes half a
-/// second. Requests that are admitted after the last checkpoint are estimated from the last rate.
-pub(crate) const DIGESTS_PER_CHECKPOINT: u32 = 2;
+/// Time between two checkpoints. Requests that are admitted after the last one are estimated from
+/// the last rate.
+pub(crate) const CHECKPOINT_PERIOD: Duration = Duration::from_millis(500);
 /// Maximum age of a checkpoint from which a starting daemon restores what teams used. It covers
 /// the restart of all daemons. An older checkpoint says nothing about the last seconds, so the
 /// allowances then start empty, as they do if the clock of this host has jumped.
--- a/daemon/src/relay/crash.rs
+++ b/daemon/src/relay/crash.rs
@@ -176,9 +176,15 @@
     }
 }
 
-/// Clears a request that another daemon reports as served.
-pub(crate) fn merge_cleared(state: &State, name: &str, fingerprint: Fingerprint) {
-    if state.crashes.borrow_mut().merge_cleared(fingerprint) {
+/// Clears a request that another daemon reports as served; a daemon that `relays` reports that too.
+pub(crate) fn merge_cleared(state: &State, name: &str, fingerprint: Fingerprint, relays: bool) {
+    let mut crashes = state.crashes.borrow_mut();
+    let was_suspected = if relays {
+        crashes.clear(fingerprint, Instant::now())
+    } else {
+        crashes.merge_cleared(fingerprint)
+    };
+    if was_suspected {
         log::info!(
             content:% = format_args!("{fingerprint:016x}");
             "crash: request cleared (source: {name})."
--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -24,7 +24,7 @@
 
 use self::orders::order_endpoints;
 use self::usage_report::{USAGE_KEY, last_report, read_record, report_usage};
-use super::checkpoint::{self, CHECKPOINT_KEY, DIGESTS_PER_CHECKPOINT};
+use super::checkpoint::{self, CHECKPOINT_KEY, CHECKPOINT_PERIOD};
 use super::client::{Client, WriteError};
 use super::state::State;
 
@@ -46,6 +46,9 @@
 /// attempt that another daemon won. All daemons know the duty holder by then; with attempts until
 /// it is known, hundreds of daemons would make thousands of calls.
 const ACQUIRE_BACKOFF: Duration = Duration::from_millis(1500);
+/// How long a new duty holder waits before it reports usage. By then all daemons have learned of it
+/// through two watchers, and have sent it their counts.
+const REPORT_DELAY: Duration = Duration::from_secs(1);
 /// Timeout of a call; well below what must be left of the lease for a call to be sent.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -64,6 +67,9 @@
                     "duty: lease acquired with fencing token {}.",
                     lease.fencing_token
                 );
+                let own_address = state.peers.borrow().own_address();
+                state.holder.set(Some((own_address, lease.fencing_token)));
+                state.digest_due.notify_one();
                 perform_duties(&state, &mut store, cloud.as_mut(), lease).await;
                 log::info!("duty: this daemon is no longer the duty holder.");
             }
@@ -87,7 +93,9 @@
     let is_over = !state
         .eras
         .old_lease_valid(state.settings.bounds.lease, Instant::now());
-    state.listed.get() && state.phase().is_serving() && is_free && is_over
+    // The others do not watch the key of the leader.
+    let is_watcher = state.peers.borrow().is_watcher();
+    state.listed.get() && state.phase().is_serving() && is_watcher && is_free && is_over
 }
 
 /// Delay before an attempt to acquire the duties, longer for daemons of a higher rank by
@@ -241,7 +249,7 @@
             usage_revision: revision,
             next_window: next,
             unsent: last.map(|last| (last.window, last.counts)),
-            retry_at: None,
+            retry_at: Some(Instant::now() + REPORT_DELAY),
             orders,
             next_save: Instant::now(),
         });
@@ -310,7 +318,7 @@
 /// retried: the next checkpoint replaces it.
 async fn save_checkpoint(state: &State, store: &mut Client, holder: &mut Holder) {
     let now = Instant::now();
-    holder.next_save = now + state.peers.borrow().local_period() * DIGESTS_PER_CHECKPOINT;
+    holder.next_save = now + CHECKPOINT_PERIOD;
     if state.catalog.borrow().is_none() || !holder.lease.may_act(now) {
         return;
     }
--- /dev/null
+++ b/daemon/src/relay/peers/encode.rs
@@ -0,0 +1,257 @@
+//! Parts of digests.
+
+use std::time::Instant;
+
+use compact_str::CompactString;
+use poplarvale_lib::protos::relay::{Digest, UsageRecord, digest};
+use poplarvale_lib::relay::connectivity::ReachableSpan;
+use poplarvale_lib::relay::demand::Work;
+use poplarvale_lib::relay::limit::{AnnouncedLimit, Source};
+use poplarvale_lib::relay::load_reports::Load;
+use poplarvale_lib::relay::membership::{Candidate, PERIOD, ZoneRoster};
+use poplarvale_lib::relay::quota::{Sum, TeamUse};
+use poplarvale_lib::relay::rollout::evidence::{Comparison, Key, VersionCounts};
+use poplarvale_lib::relay::rollout::{MoveReport, Outcome};
+use poplarvale_lib::relay::sent_uses::SentUse;
+
+use crate::relay::crash;
+use crate::relay::state::State;
+
+/// One in so many digests lists all quarantined requests, not only the latest.
+const FULL_EVERY: u64 = 4;
+
+/// Whose observations a digest has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Scope {
+    /// Those of the sender.
+    Own,
+    /// Also those that the sender learned from others.
+    Relayed,
+}
+
+/// What each digest tells of its sender.
+pub(super) fn header(state: &State, now: Instant) -> Digest {
+    let peers = state.peers.borrow();
+    let location = peers.own_location();
+    let span = state.connectivity.get().span();
+    Digest {
+        name: state.settings.name.to_string(),
+        incarnation: state.incarnation,
+        sequence: state.next_digest(),
+        wall_ms: State::wall_ms(),
+        uptime_ms: state.started.elapsed().as_millis() as u64,
+        zone: location.zone,
+        memory: location.memory_mb,
+        contact: span.map(|span| encode_contact(span, now)),
+        period_ms: PERIOD.as_millis() as u32,
+        watcher: peers.is_watcher(),
+        closing: peers.is_closing(),
+        blind: peers.is_blind(now),
+        follows: peers.followed(now).map_or(0, u32::from),
+        holder: state.holder.get().map(|(address, token)| digest::Holder {
+            address: address.into(),
+            token,
+        }),
+        ..Digest::default()
+    }
+}
+
+/// Adds what concerns all daemons: crashes, limits, states of version moves and the last report of
+/// usage.
+pub(super) fn shared(
+    state: &State,
+    message: &mut Digest,
+    limits: Source,
+    scope: Scope,
+    now: Instant,
+) {
+    let relays = scope == Scope::Relayed;
+    let full = message.sequence.is_multiple_of(FULL_EVERY);
+    let crashes = state.crashes.borrow();
+    let reported = crashes.report(full, relays, now).into_iter();
+    message.crashes = reported.map(crash::to_digest).collect();
+    message.cleared = crashes.report_cleared(now);
+    let table = state.endpoints.borrow();
+    let limits = table.advertised_limits(limits, now).into_iter();
+    message.limits = limits.map(|row| encode_limit(row, now)).collect();
+    let rollouts = state.rollouts.borrow();
+    let moves = rollouts.reports().map(|mut report| {
+        if relays {
+            // Evidence counts for the daemon that saw it, which sends it itself.
+            report.comparisons.clear();
+        }
+        encode_move(report)
+    });
+    message.moves = moves.collect();
+    let usage = state.usage.borrow();
+    message.fixed = usage.advertised(now).map(|report| UsageRecord {
+        number: report.window,
+        counts: report.counts.to_string(),
+    });
+}
+
+/// Adds the counts of runs and the evidence of version moves. Counts of all windows that are kept
+/// if `all` is set, otherwise of the last two.
+pub(super) fn runs(state: &State, message: &mut Digest, all: bool, now: Instant) {
+    let usage = state.usage.borrow();
+    let current = state.usage_window(now);
+    let windows = usage.mine();
+    let windows = windows.filter(|(number, _)| all || number + 1 >= current);
+    let windows = windows.map(|(number, counts)| digest::Window {
+        number,
+        counts: counts.iter().map(encode_count).collect(),
+    });
+    message.windows = windows.collect();
+    message.moves = state.rollouts.borrow().reports().map(encode_move).collect();
+}
+
+/// What this daemon admitted and has in progress, and remembers it under the digest's number.
+pub(super) fn own_use(state: &State, sequence: u64, now: Instant) -> digest::Use {
+    let quota = state.quota.borrow();
+    let loads = state.endpoints.borrow().local_load();
+    let message = digest::Use {
+        daemons: 1,
+        teams: encode_teams(quota.team_uses(now)),
+        endpoints: loads.iter().copied().map(encode_load).collect(),
+        period_ms: PERIOD.as_millis() as u32,
+        services: encode_work(state.demand.borrow().local_rates(now)),
+        ..digest::Use::default()
+    };
+    state.sent_uses.borrow_mut().push(SentUse {
+        sequence,
+        teams: quota.all_uses(now),
+        loads,
+    });
+    message
+}
+
+/// Sums of this daemon's zone.
+pub(super) fn zone_use(state: &State, now: Instant) -> digest::Use {
+    let zone = state.peers.borrow().own_location().zone;
+    let sum = state.quota.borrow().zone_sum(zone, now);
+    let services = encode_work(state.demand.borrow().zone_rates(zone, now));
+    digest::Use {
+        services,
+        ..encode_sum(sum, state.endpoints.borrow().zone_load(zone))
+    }
+}
+
+/// Sums of all daemons.
+pub(super) fn fleet_use(state: &State, now: Instant) -> digest::Use {
+    let sum = state.quota.borrow().fleet_sum(now);
+    encode_sum(sum, state.endpoints.borrow().fleet_load())
+}
+
+fn encode_sum(sum: Sum, loads: Vec<(u32, Load)>) -> digest::Use {
+    digest::Use {
+        daemons: sum.coverage.daemons,
+        silent: sum.coverage.unresponsive,
+        age_ms: sum.coverage.age.as_millis() as u32,
+        uptime_ms: sum.uptime.as_millis() as u64,
+        teams: encode_teams(sum.uses),
+        endpoints: loads.into_iter().map(encode_load).collect(),
+        period_ms: PERIOD.as_millis() as u32,
+        services: Vec::new(),
+    }
+}
+
+fn encode_work(rates: Vec<(u32, Work)>) -> Vec<digest::ServiceWork> {
+    let rows = rates
+        .into_iter()
+        .map(|(service, work)| digest::ServiceWork {
+            service,
+            read: work.read as u32,
+            write: work.write as u32,
+        });
+    rows.collect()
+}
+
+fn encode_teams(uses: Vec<TeamUse>) -> Vec<digest::TeamUse> {
+    let rows = uses.into_iter().map(|row| digest::TeamUse {
+        team: row.team,
+        units: row.units as u32,
+        rate: row.rate as u32,
+        total: row.total,
+        asked: row.demand as u32,
+    });
+    rows.collect()
+}
+
+fn encode_load((endpoint, load): (u32, Load)) -> digest::EndpointUse {
+    digest::EndpointUse {
+        endpoint,
+        requests: load.requests,
+        tokens: load.tokens as u32,
+    }
+}
+
+/// Daemons that run, and watchers.
+pub(super) fn roster(zones: ZoneRoster, candidates: Vec<Candidate>) -> digest::Roster {
+    let zones = zones.into_iter().map(|(zone, daemons)| digest::ZoneRoster {
+        zone,
+        daemons: daemons.into_iter().map(u32::from).collect(),
+    });
+    let candidates = candidates.into_iter().map(|row| digest::Candidate {
+        address: row.address.into(),
+        zone: row.location.zone,
+        memory: row.location.memory_mb,
+        watcher: row.is_watcher,
+    });
+    digest::Roster {
+        zones: zones.collect(),
+        candidates: candidates.collect(),
+    }
+}
+
+fn encode_limit((endpoint, limit): (u32, AnnouncedLimit), now: Instant) -> digest::EndpointLimit {
+    let age = now.saturating_duration_since(limit.at).as_millis();
+    digest::EndpointLimit {
+        endpoint,
+        rate: limit.rate.map(|rate| rate as f32),
+        age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+    }
+}
+
+fn encode_contact(span: ReachableSpan, now: Instant) -> digest::Contact {
+    let age = |at: Instant| now.saturating_duration_since(at).as_millis();
+    let age = |at| u32::try_from(age(at)).unwrap_or(u32::MAX);
+    digest::Contact {
+        since_ms: age(span.since),
+        heard_ms: age(span.last_answer),
+    }
+}
+
+fn encode_move(report: MoveReport) -> digest::Move {
+    let side = |side: VersionCounts| digest::Side {
+        all: side.requests,
+        bad: side.failures,
+        time: side.time_s as f32,
+    };
+    let seen = |((route, slot), comparison): (Key, Comparison)| digest::Seen {
+        route,
+        slot,
+        old: Some(side(comparison.old)),
+        new: Some(side(comparison.new)),
+    };
+    let outcome = match report.outcome {
+        Outcome::Running => digest::Outcome::Running,
+        Outcome::Completed => digest::Outcome::Completed,
+        Outcome::RolledBack => digest::Outcome::RolledBack,
+    };
+    digest::Move {
+        service: report.order.service.to_string(),
+        target: report.order.target.to_string(),
+        revision: report.order.revision,
+        begin_ms: report.begin,
+        finish_ms: report.finish,
+        outcome: outcome.into(),
+        seen: report.comparisons.into_iter().map(seen).collect(),
+    }
+}
+
+fn encode_count((team, runs): &(CompactString, u32)) -> digest::Count {
+    digest::Count {
+        team: team.to_string(),
+        runs: *runs,
+    }
+}
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -13,14 +13,15 @@
 use poplarvale_lib::relay::connectivity::Connectivity;
 use poplarvale_lib::relay::crash::Crashes;
 use poplarvale_lib::relay::demand::Demand;
-use poplarvale_lib::relay::digest::{Location, Peers};
 use poplarvale_lib::relay::endpoint_table::EndpointTable;
+use poplarvale_lib::relay::membership::{Location, Peers};
 use poplarvale_lib::relay::quota::{Quota, name_hash};
 use poplarvale_lib::relay::rollout::Rollouts;
+use poplarvale_lib::relay::sent_uses::SentUses;
 use poplarvale_lib::relay::settings::RelaySettings;
 use poplarvale_lib::relay::shutdown::Phase;
 use poplarvale_lib::relay::usage::{Usage, WindowId};
-use poplarvale_lib::{CustomerId, Incarnation};
+use poplarvale_lib::{CustomerId, Incarnation, Revision};
 use tokio::sync::Notify;
 
 use super::crash::CrashCheck;
@@ -52,8 +53,14 @@
     pub(crate) peers: RefCell<Peers>,
     /// How far this daemon knows the changes in the store.
     pub(crate) store_progress: RefCell<StoreProgress>,
-    /// Notified when this daemon has to read the store itself.
+    /// Notified when this daemon may have to read the store itself.
     pub(crate) read_store: Notify,
+    /// Whether a watcher has to read everything again, as it may have missed changes.
+    pub(crate) reads_all: Cell<bool>,
+    /// What this daemon reported of itself lately.
+    pub(crate) sent_uses: RefCell<SentUses>,
+    /// Address of the duty holder and its fencing token, as digests report it.
+    pub(crate) holder: Cell<Option<(Ipv4Addr, Revision)>>,
     pub(crate) eras: Rc<Eras>,
     /// Daemon that holds the duties according to the store; `None` if none does.
     pub(crate) duty_holder: RefCell<Option<CompactString>>,
@@ -118,6 +125,9 @@
             peers: RefCell::new(Peers::new(own_address, location, &seeds, started)),
             store_progress: RefCell::default(),
             read_store: Notify::new(),
+            reads_all: Cell::new(false),
+            sent_uses: RefCell::default(),
+            holder: Cell::new(None),
             eras: Rc::default(),
             duty_holder: RefCell::new(None),
             incarnation,
@@ -181,7 +191,7 @@
         let now = Instant::now();
         let mut peers = self.peers.borrow_mut();
         for seed in settings.seeds.iter().filter_map(v4) {
-            peers.add(seed, now);
+            peers.add_seed(seed, now);
         }
     }
 
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -1,7 +1,7 @@
-//! Watches the configuration and the registry of endpoints in the store.
+//! Reads the configuration and the registry of endpoints from the store.
 //!
-//! The watchers of a zone always watch both themselves; the other daemons do so only while they
-//! receive no sufficient change feed from a watcher. The store answers a watch as soon as
+//! Each daemon reads the configuration when it is new. Only the watchers of a zone read the
+//! registry, and send it to the others as a feed of changes. The store answers a watch as soon as
 //! something changes, and each call is paid for, so the next watch starts after a pause and
 //! returns all changes since the last one in a single answer.
 
@@ -10,13 +10,13 @@
 
 use poplarvale_lib::relay::catalog::{Catalog, Service};
 use poplarvale_lib::relay::change_feed::{ChangeFeed, FeedAction, RegistryChange};
-use poplarvale_lib::relay::digest::WATCHERS;
 use poplarvale_lib::relay::endpoint_table::Changed;
 use poplarvale_lib::relay::listing::Listing;
+use poplarvale_lib::relay::membership::WATCHERS;
 use poplarvale_lib::relay::quota::name_hash;
 use poplarvale_lib::relay::rollout::Order;
 use poplarvale_lib::relay::slow_start::SlowStart;
-use poplarvale_lib::{EndpointId, era_of};
+use poplarvale_lib::{EndpointId, Revision, era_of};
 use poplarvale_platform::{
     CONFIG_KEY, Change, EVACUATION_PREFIX, Item, OPERATOR_PREFIX, REGISTRY_PREFIX, ROLLOUT_PREFIX,
     Reply, STATUS_PREFIX, StoreError, range, read_config, read_listing, read_range, read_rollout,
@@ -33,7 +33,7 @@
 /// How long the store may hold a watch open. A connection on which the store stopped answering
 /// stays unanswered after the store's return, so this bounds how long a daemon does not know
 /// that endpoints left.
-const WATCH_TIME: Duration = Duration::from_secs(1);
+const WATCH_TIME: Duration = Duration::from_millis(800);
 /// How much longer than [`WATCH_TIME`] an answer may take, for the network and a slow store.
 const WATCH_SLACK: Duration = Duration::from_millis(600);
 /// Timeout for reading one page of a list. A call that an unresponsive store does not answer
@@ -52,6 +52,14 @@
 /// Delay after a failed call, doubled after each further failure up to [`MAX_RETRY_DELAY`].
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(700);
+/// Longest time until a daemon checks again whether it has to read anything; it is notified before
+/// that if so.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+/// How long a daemon that has just started and knows of others waits before it reads the registry:
+/// by then it knows whether others rank before it, and gets the registry from them.
+const DISCOVERY_TIME: Duration = Duration::from_millis(400);
+/// Most changes at once that are logged one by one.
+const MAX_LOGGED: usize = 16;
 /// Prefix of all watched keys; empty, as all keys are watched.
 const WATCH_PREFIX: &str = "";
 
@@ -63,20 +71,39 @@
     Store(#[from] StoreError),
 }
 
-/// Watches the store, or waits while the change feed of a watcher suffices, until the process
-/// ends.
+/// What a daemon reads next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Task {
+    /// The operators' keys.
+    Config,
+    /// The operators' keys and the whole registry.
+    All,
+    /// The changes after a revision.
+    Watch(Revision),
+    /// Nothing until this moment.
+    Wait(Instant),
+}
+
+/// Reads what is due until the process ends.
 pub(crate) async fn watch_store(state: Rc<State>) {
     let mut client = Client::of_store(&state);
     let mut delay = RETRY_DELAY;
     let mut failing = false;
+    let mut next_watch = Instant::now();
     loop {
         let began = Instant::now();
-        let revision = state.store_progress.borrow_mut().begin_read();
-        let result = match revision {
-            None => read_all(&state, &mut client).await,
-            Some(after) => watch_once(&state, &mut client, after).await,
+        let result = match next_task(&state, next_watch, began) {
+            Task::Config => read_operators(&state, &mut client).await,
+            Task::All => read_all(&state, &mut client).await,
+            Task::Watch(after) => watch_once(&state, &mut client, after).await,
+            Task::Wait(until) => {
+                tokio::select! {
+                    () = tokio::time::sleep_until(until.into()) => {}
+                    () = state.read_store.notified() => {}
+                }
+                continue;
+            }
         };
-        state.store_progress.borrow_mut().end_read();
         match result {
             Ok(()) => {
                 let now = Instant::now();
@@ -88,7 +115,7 @@
                 state.store_answered(now);
                 state.measure(|metrics| metrics.record_call("store", "done"));
                 delay = RETRY_DELAY;
-                wait_until_due(&state, now + watch_pause(&state)).await;
+                next_watch = now + watch_pause(&state);
             }
             Err(error) => {
                 state.measure(|metrics| metrics.record_call("store", "failed"));
@@ -98,20 +125,19 @@
                 }
                 if matches!(error, WatchError::Store(StoreError::Compacted)) {
                     log::info!("store: its history was compacted; reading everything again.");
-                    state.store_progress.borrow_mut().invalidate();
+                    state.reads_all.set(true);
                     continue;
                 }
                 if matches!(error, WatchError::Store(StoreError::Restored)) {
                     log::info!("store: restored from an older copy; reading everything again.");
-                    state.store_progress.borrow_mut().invalidate();
-                    state.crashes.borrow_mut().mark_unsaved();
-                    state.quarantined.notify_one();
+                    state.reads_all.set(true);
+                    note_restore(&state);
                     continue;
                 }
                 // After an outage the whole list is read again, as a removal may have been missed.
                 state.store_failed(began);
                 if !state.connectivity.get().is_reachable() {
-                    state.store_progress.borrow_mut().invalidate();
+                    state.reads_all.set(true);
                 }
                 tokio::time::sleep(delay).await;
                 delay = (delay * 2).min(MAX_RETRY_DELAY);
@@ -120,36 +146,47 @@
     }
 }
 
-/// Pause until the next watch of a daemon that watches the store itself.
-fn watch_pause(state: &State) -> Duration {
+/// What this daemon has to read next, where a watcher's next watch is due at `next_watch`.
+fn next_task(state: &State, next_watch: Instant, now: Instant) -> Task {
+    let progress = state.store_progress.borrow();
+    if progress.needs_config() {
+        return Task::Config;
+    }
     let peers = state.peers.borrow();
-    let mut others = peers.rows().len();
-    if peers.is_watcher(Instant::now()) {
-        others = others.min(WATCHERS * state.settings.zones.len());
+    if !peers.is_watcher() {
+        return Task::Wait(now + MAX_WAIT);
+    }
+    // A daemon that has just started does not know yet which daemons rank before it.
+    let discovered = state.started + DISCOVERY_TIME;
+    if !peers.rows().is_empty() && now < discovered {
+        return Task::Wait(discovered);
+    }
+    match progress.revision() {
+        Some(_) if now < next_watch => Task::Wait(next_watch),
+        Some(after) if !state.reads_all.get() => Task::Watch(after),
+        Some(_) | None => Task::All,
     }
-    (WATCH_PAUSE + PAUSE_PER_PEER * others as u32).min(MAX_PAUSE)
 }
 
-/// Waits until this daemon has to read the store itself: at `due`, or later if it receives
-/// sufficient change feeds meanwhile.
-async fn wait_until_due(state: &State, due: Instant) {
-    loop {
-        let now = Instant::now();
-        let fed = state.store_progress.borrow().fed_until(now);
-        let fed = fed.filter(|_| !state.peers.borrow().is_watcher(now));
-        let until = fed.map_or(due, |fed| fed.max(due));
-        if now >= until {
-            return;
-        }
-        tokio::select! {
-            () = tokio::time::sleep_until(until.into()) => {}
-            () = state.read_store.notified() => return,
-        }
-    }
+/// Has written again what may have been lost when the store came back from an older copy.
+fn note_restore(state: &State) {
+    state.crashes.borrow_mut().mark_unsaved();
+    state.quarantined.notify_one();
 }
 
-/// Reads the configuration, the version moves, the keys of the daemons and the whole registry.
-async fn read_all(state: &State, client: &mut Client) -> Result<(), WatchError> {
+/// Pause until the next watch of a daemon that watches the store itself.
+fn watch_pause(state: &State) -> Duration {
+    let peers = state.peers.borrow();
+    let others = peers
+        .rows()
+        .len()
+        .min(WATCHERS * state.settings.zones.len());
+    (WATCH_PAUSE + PAUSE_PER_PEER * others as u32).min(MAX_PAUSE)
+}
+
+/// Reads the configuration, the orders of version moves and evacuations, and their states. When
+/// the daemon starts, it also reads what daemons keep in the store.
+async fn read_operators(state: &State, client: &mut Client) -> Result<(), WatchError> {
     let (items, revision) = list(client, OPERATOR_PREFIX).await?;
     for item in &items {
         apply_config_item(state, item);
@@ -162,6 +199,20 @@
             apply_status(state, item);
         }
     }
+    if !state.listed.get() || state.reads_all.get() {
+        read_own(state, client).await?;
+    }
+    let mut progress = state.store_progress.borrow_mut();
+    // Daemons that read before the newest of these was written learn of it from this one's feed.
+    if let Some(newest) = items.iter().map(|item| item.revision).max() {
+        progress.record_config_change(newest);
+    }
+    progress.record_config_read(revision);
+    Ok(())
+}
+
+/// Reads the keys that daemons write.
+async fn read_own(state: &State, client: &mut Client) -> Result<(), WatchError> {
     let (items, _) = list(client, OWN_PREFIX).await?;
     set_duty_holder(state, items.iter().find(|item| item.key == LEADER_KEY));
     for item in items
@@ -177,13 +228,30 @@
             checkpoint::restore_quota(state, &saved);
         }
     }
-    let (items, _) = list(client, REGISTRY_PREFIX).await?;
+    Ok(())
+}
+
+/// Reads everything: the configuration, the keys of the daemons and the whole registry.
+async fn read_all(state: &State, client: &mut Client) -> Result<(), WatchError> {
+    let (items, revision) = list(client, REGISTRY_PREFIX).await?;
+    // After the registry, as the next watch goes on from the registry's revision.
+    read_operators(state, client).await?;
     if era_of(revision) != state.eras.newest() {
         return Err(StoreError::Restored.into());
     }
     let now = Instant::now();
+    state.reads_all.set(false);
+    let known = state.store_progress.borrow().revision();
+    if known.is_some_and(|known| known > revision) {
+        // A feed brought something newer meanwhile.
+        return Ok(());
+    }
     let restored = state.eras.record_read(era_of(revision));
-    let listings = items.iter().filter_map(read_entry).collect();
+    let entries = items
+        .iter()
+        .filter_map(|item| Some((item.revision, read_entry(item)?)));
+    let entries: Vec<(Revision, Listing)> = entries.collect();
+    let listings = entries.iter().map(|row| row.1.clone()).collect();
     let changes = {
         let mut table = state.endpoints.borrow_mut();
         let contact = state.connectivity.get();
@@ -197,14 +265,11 @@
         }
         table.replace(listings, now)
     };
-    for (id, change) in changes {
-        announce(state, &id, change);
-    }
+    let mut progress = state.store_progress.borrow_mut();
+    progress.record_snapshot(revision, entries, now);
+    drop(progress);
     state.listed.set(true);
-    state
-        .store_progress
-        .borrow_mut()
-        .record_snapshot(revision, now);
+    announce(state, &changes);
     Ok(())
 }
 
@@ -232,76 +297,71 @@
     let call = watch(WATCH_PREFIX, after, WATCH_TIME);
     let reply: Reply = client.call(&call, WATCH_TIME + WATCH_SLACK).await?;
     let watched = read_watch(&reply, after)?;
+    let known = state.store_progress.borrow().revision();
+    let mut effects = Vec::new();
     for change in &watched.changes {
-        apply_change(state, change);
+        // Feeds may have brought newer changes of the registry meanwhile.
+        let is_known = known.is_some_and(|known| change.revision() <= known);
+        if !is_known || !change.key().starts_with(REGISTRY_PREFIX) {
+            effects.extend(apply_change(state, change));
+        }
     }
     let mut progress = state.store_progress.borrow_mut();
     progress.record_watch(watched.revision, Instant::now());
+    progress.record_config_read(watched.revision);
+    drop(progress);
+    announce(state, &effects);
     Ok(())
 }
 
-/// Applies a change of any watched key.
-fn apply_change(state: &State, change: &Change) {
+/// Applies a change of any watched key; returns its effect on an endpoint, if it is one of the
+/// registry.
+fn apply_change(state: &State, change: &Change) -> Option<(EndpointId, Changed)> {
+    let note_config = |revision| {
+        let mut progress = state.store_progress.borrow_mut();
+        progress.record_config_change(revision);
+    };
     match change {
+        Change::Put(item) if item.key.starts_with(REGISTRY_PREFIX) => {
+            let change = RegistryChange::Put(read_entry(item)?);
+            return Some(apply_watched(state, item.revision, change));
+        }
+        Change::Removed(key, revision) if key.starts_with(REGISTRY_PREFIX) => {
+            let id = key.strip_prefix(REGISTRY_PREFIX)?;
+            let change = RegistryChange::Removed(id.into());
+            return Some(apply_watched(state, *revision, change));
+        }
         Change::Put(item) if item.key.starts_with(EVACUATION_PREFIX) => {
-            if let Some(zone) = evacuation::zone_of(&item.key) {
-                evacuation::begin(state, zone);
-            }
+            evacuation::begin(state, evacuation::zone_of(&item.key)?);
         }
         Change::Removed(key, _) if key.starts_with(EVACUATION_PREFIX) => {
-            if let Some(zone) = evacuation::zone_of(key) {
-                evacuation::end(state, &zone);
-            }
+            evacuation::end(state, &evacuation::zone_of(key)?);
         }
         Change::Put(item) if item.key.starts_with(OPERATOR_PREFIX) => {
-            state
-                .store_progress
-                .borrow_mut()
-                .record_config_change(item.revision);
+            note_config(item.revision);
             apply_config_item(state, item);
         }
         Change::Put(item) if item.key.starts_with(STATUS_PREFIX) => {
-            state
-                .store_progress
-                .borrow_mut()
-                .record_config_change(item.revision);
+            note_config(item.revision);
             apply_status(state, item);
         }
-        Change::Put(item) if item.key.starts_with(REGISTRY_PREFIX) => {
-            if let Some(listing) = read_entry(item) {
-                let change = RegistryChange::Put(listing);
-                apply_watched(state, item.revision, change);
-            }
-        }
-        Change::Put(item) if item.key == LEADER_KEY => {
-            state
-                .store_progress
-                .borrow_mut()
-                .record_config_change(item.revision);
-            set_duty_holder(state, Some(item));
-        }
-        Change::Removed(key, revision) if key == LEADER_KEY => {
-            state
-                .store_progress
-                .borrow_mut()
-                .record_config_change(*revision);
-            set_duty_holder(state, None);
-        }
-        Change::Removed(key, revision) => {
-            if let Some(id) = key.strip_prefix(REGISTRY_PREFIX) {
-                apply_watched(state, *revision, RegistryChange::Removed(id.into()));
-            }
-        }
+        Change::Put(item) if item.key == LEADER_KEY => set_duty_holder(state, Some(item)),
+        Change::Removed(key, _) if key == LEADER_KEY => set_duty_holder(state, None),
         Change::Put(item) if item.key.starts_with(CRASH_PREFIX) => {
             crash::restore(state, &item.value);
         }
-        Change::Put(_) => {}
+        Change::Put(_) | Change::Removed(..) => {}
     }
+    None
 }
 
 /// Applies a registry change that this daemon read from the store itself, and records it for the
 /// change feed.
-fn apply_watched(state: &State, revision: u64, change: RegistryChange) {
+fn apply_watched(
+    state: &State,
+    revision: Revision,
+    change: RegistryChange,
+) -> (EndpointId, Changed) {
     let now = Instant::now();
     let is_change = match &change {
         RegistryChange::Put(listing) => state.endpoints.borrow().is_change(listing),
@@ -311,8 +371,7 @@
         let mut progress = state.store_progress.borrow_mut();
         progress.record_change(revision, change.clone(), now);
     }
-    let (id, effect) = apply(state, change, now);
-    announce(state, &id, effect);
+    apply(state, change, now)
 }
 
 /// Applies a registry change to the endpoint table.
@@ -327,34 +386,53 @@
     }
 }
 
-/// Applies the change feed of a watcher of this zone.
-pub(crate) fn apply_feed(state: &State, feed: ChangeFeed, now: Instant) {
-    if state.peers.borrow().is_watcher(now) {
-        return;
+/// Applies a feed or a page of a watcher; returns whether this daemon has to pull what it misses.
+pub(crate) fn apply_feed(state: &State, feed: &ChangeFeed, now: Instant) -> bool {
+    let era = era_of(feed.newest);
+    if era > state.eras.newest() {
+        state.eras.record(Ok(Some(era)));
+        note_restore(state);
     }
-    let (answered, checksum) = (now.checked_sub(feed.age), feed.checksum);
-    let timeout = state.peers.borrow().local_timeout();
-    let action = state.store_progress.borrow_mut().merge(feed, timeout, now);
-    let (changes, evacuated) = match action {
-        FeedAction::Apply(changes, evacuated) => (changes, evacuated),
-        FeedAction::Read => return state.read_store.notify_one(),
-        FeedAction::Ignore => return,
-    };
-    if let Some(answered) = answered {
-        state.store_answered(answered);
+    let action = state.store_progress.borrow_mut().merge(feed, now);
+    if state.store_progress.borrow().needs_config() {
+        state.read_store.notify_one();
     }
+    let effects = match action {
+        FeedAction::Ignore => return false,
+        FeedAction::Pull => return true,
+        FeedAction::Apply(changes) => {
+            if !feed.grace.is_zero() && !changes.is_empty() {
+                state.endpoints.borrow_mut().set_grace(now + feed.grace);
+            }
+            let effects = changes.into_iter().map(|change| apply(state, change, now));
+            effects.collect()
+        }
+        FeedAction::Replace(listings) => {
+            let mut table = state.endpoints.borrow_mut();
+            if !feed.grace.is_zero() {
+                table.set_grace(now + feed.grace);
+            }
+            state.listed.set(true);
+            table.replace(listings, now)
+        }
+    };
+    log_changes(state, &effects);
+    let evacuated = state
+        .store_progress
+        .borrow()
+        .evacuated(feed)
+        .map(<[_]>::to_vec);
     if let Some(zones) = evacuated {
         evacuation::replace(state, zones);
-    }
-    for change in changes {
-        let (id, effect) = apply(state, change, now);
-        log_change(state, &id, effect);
+        if let Some(answered) = now.checked_sub(feed.age) {
+            state.store_answered(answered);
+        }
     }
     let own = state.endpoints.borrow().checksum();
-    if !state.store_progress.borrow_mut().compare(checksum, own) {
-        log::warn!("store: endpoints differ from the change feed; reading everything again.");
-        state.read_store.notify_one();
+    if !state.store_progress.borrow_mut().compare(feed, own) {
+        log::warn!("store: endpoints differ from the change feed; pulling all of them again.");
     }
+    false
 }
 
 /// Applies a value that operators wrote: the configuration or the order of a version move.
@@ -412,15 +490,45 @@
     *state.duty_holder.borrow_mut() = name;
 }
 
-/// Logs a change; if an endpoint leaves, has that sent to the other daemons at once.
-fn announce(state: &State, id: &str, change: Changed) {
-    log_change(state, id, change);
-    if change == Changed::Left {
-        state.left_endpoints.borrow_mut().push(name_hash(id));
+/// Logs changes that this daemon read itself, and has those endpoints that leave reported to the
+/// other daemons at once.
+fn announce(state: &State, changes: &[(EndpointId, Changed)]) {
+    log_changes(state, changes);
+    let left = changes.iter().filter(|row| row.1 == Changed::Left);
+    let left: Vec<u32> = left.map(|row| name_hash(&row.0)).collect();
+    let is_urgent = changes.iter().any(|row| row.1 != Changed::Nothing);
+    state.left_endpoints.borrow_mut().extend(left);
+    if is_urgent {
         state.digest_due.notify_one();
     }
 }
 
+/// Logs changes of endpoints. A watcher logs a few at once one by one; the others, which only repeat
+/// what their watcher knows, log those of endpoints that they have requests at. Of the rest there
+/// is one line: thousands of endpoints may join or leave at once, at each of a thousand daemons.
+pub(crate) fn log_changes(state: &State, changes: &[(EndpointId, Changed)]) {
+    let logs_all = changes.len() <= MAX_LOGGED && state.peers.borrow().is_watcher();
+    let is_busy = |id: &EndpointId| {
+        let table = state.endpoints.borrow();
+        table.get(id).is_some_and(|row| !row.in_flight.is_empty())
+    };
+    let (single, rest): (Vec<_>, Vec<_>) =
+        changes.iter().partition(|(id, _)| logs_all || is_busy(id));
+    for (id, change) in single {
+        log_change(state, id, *change);
+    }
+    let count = |is_counted: fn(&Changed) -> bool| {
+        let rows = rest.iter().filter(|row| is_counted(&row.1));
+        rows.count()
+    };
+    let joined = count(|change| *change == Changed::Joined);
+    let left = count(|change| *change == Changed::Left);
+    let doubted = count(|change| matches!(change, Changed::Doubted(_)));
+    if joined + left + doubted > 0 {
+        log::info!(joined, left, doubted; "board: endpoints changed.");
+    }
+}
+
 fn log_change(state: &State, id: &str, change: Changed) {
     match change {
         Changed::Joined => log::info!("board: endpoint {id} joined."),
--- a/daemon/tests/relay_site.rs
+++ b/daemon/tests/relay_site.rs
@@ -118,13 +118,23 @@
     /// Starts the daemons with these duties on addresses `127.0.NUMBER.1` and up, so that zones
     /// with different numbers do not collide.
     pub(crate) async fn start_with(number: usize, store: Store, duties: &[&str]) -> Self {
+        let daemons = Self::start_at(number, store.address, duties).await;
+        Self { store, daemons }
+    }
+
+    /// Starts the daemons on a store at this address, and waits until they are ready.
+    pub(crate) async fn start_at(
+        number: usize,
+        store: SocketAddr,
+        duties: &[&str],
+    ) -> Vec<(Proxy, Relay)> {
         let ip = |host: u8| format!("127.0.{number}.{host}");
         let free = UdpSocket::bind((ip(1).as_str(), 0)).expect("a port is free");
         let port = free.local_addr().expect("the socket is bound").port();
         drop(free);
         let seeds: Vec<String> = (1..=3).map(|host| format!("{}:1", ip(host))).collect();
         let daemons = (1..=DAEMONS).map(|host| {
-            let (ip, seeds, store) = (ip(host), seeds.clone(), store.address);
+            let (ip, seeds) = (ip(host), seeds.clone());
             async move {
                 let proxy = Proxy::start(store).await;
                 let text = settings(proxy.address, Cloud::start().await.address);
@@ -140,8 +150,7 @@
                 (proxy, relay)
             }
         });
-        let daemons = join_all(daemons).await;
-        Self { store, daemons }
+        join_all(daemons).await
     }
 }
 
--- a/daemon/tests/test_relay_watchers.rs
+++ b/daemon/tests/test_relay_watchers.rs
@@ -2,6 +2,7 @@
 //! changes.
 
 use std::ops::Range;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use poplarvale_standin::{Endpoint, Fault, Proxy, ask, config, plain, request};
@@ -141,3 +142,25 @@
         "{bad:?}"
     );
 }
+
+/// The first configuration is written while the daemons start. Some have read the operators' keys
+/// before, and the watchers read them anew with the registry: the others must learn from them that
+/// there is a configuration now, or they are not ready until the next one.
+#[actix_web::test]
+async fn a_configuration_written_during_the_start_reaches_all_daemons() {
+    let zones = [0, 200, 400, 600].map(|delay_ms| async move {
+        let one = endpoint("i-1").await;
+        let store = store_with(&[&one]).await;
+        store.remove("op/config");
+        let store = Arc::new(store);
+        let writer = Arc::clone(&store);
+        let write = async move {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            writer.put("op/config", config(1, &ROUTES, 0).as_bytes());
+        };
+        // Returns as soon as all daemons are ready.
+        let start = Zone::start_at(30 + delay_ms as usize / 200, store.address, &[]);
+        futures::join!(start, write);
+    });
+    futures::future::join_all(zones).await;
+}
--- a/lib/src/relay/crash.rs
+++ b/lib/src/relay/crash.rs
@@ -257,11 +257,13 @@
     /// Crashes for this daemon's digest: the latest changes, and in a full digest also all
     /// quarantined requests, which come first.
     ///
-    /// Only daemons that observed a crash themselves report a suspected request. If all passed
-    /// it on, hundreds of daemons would report each wave of crashes.
-    pub fn report(&self, full: bool, now: Instant) -> Vec<Crash> {
+    /// Only daemons that observed a crash themselves report a suspected request, and watchers,
+    /// which relay what others observed. If all passed it on, hundreds of daemons would report
+    /// each wave of crashes.
+    pub fn report(&self, full: bool, relays: bool, now: Instant) -> Vec<Crash> {
         let is_reported = |row: &&Suspect| {
-            let is_new = now < row.report_until && (row.is_local || row.is_quarantined());
+            let is_reporter = relays || row.is_local || row.is_quarantined();
+            let is_new = now < row.report_until && is_reporter;
             is_new || (full && row.is_quarantined())
         };
         let mut rows: Vec<&Suspect> = self.rows.iter().filter(is_reported).collect();
--- a/lib/src/relay/demand.rs
+++ b/lib/src/relay/demand.rs
@@ -3,14 +3,15 @@
 //! The number of endpoints to order must follow from what callers request, not from what is
 //! served: a fleet that is too small rejects requests, and by its own load would look large
 //! enough. So each daemon counts the work of all requests that a team may make, served or
-//! rejected, and reports its rate.
+//! rejected, and reports its rate. All watchers know the sum, since the one that takes over the
+//! orders has to go on at once.
 
 use std::time::{Duration, Instant};
 
-use compact_str::CompactString;
-
+use super::load_reports::Reporter;
 use super::quota::name_hash;
 use super::request::Prompt;
+use crate::ZoneHash;
 
 /// Span over which rates are computed. Traffic varies over tens of seconds, and an endpoint
 /// takes a few seconds to start.
@@ -40,21 +41,21 @@
     work: Work,
 }
 
-/// Last report of another daemon.
+/// Last report of another daemon or a group.
 #[derive(Clone, Debug)]
-struct PeerRates {
-    name: CompactString,
+struct GroupRates {
+    reporter: Reporter,
     received: Instant,
     /// Work a second by hash of the service's name.
     services: Vec<(u32, Work)>,
 }
 
-/// Work requested at this daemon and its peers.
+/// Work requested at this daemon and all others that it hears of.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
     requests: Vec<Request>,
-    /// Sorted by name.
-    peers: Vec<PeerRates>,
+    /// Sorted by reporter.
+    groups: Vec<GroupRates>,
     /// Time of the first request, here or elsewhere.
     first: Option<Instant>,
 }
@@ -90,8 +91,8 @@
     pub fn expire(&mut self, now: Instant) {
         self.requests
             .retain(|row| now.duration_since(row.at) <= RATE_SPAN);
-        self.peers
-            .retain(|peer| now.duration_since(peer.received) <= REPORT_TTL);
+        self.groups
+            .retain(|group| now.duration_since(group.received) <= REPORT_TTL);
     }
 
     /// Work a second at this daemon, sorted by hash of the service's name.
@@ -113,29 +114,50 @@
         rates
     }
 
-    /// Replaces the rates that another daemon reported.
-    pub fn merge(&mut self, name: &CompactString, services: Vec<(u32, Work)>, now: Instant) {
+    /// Replaces the rates that a daemon or a group reported.
+    pub fn merge(&mut self, reporter: Reporter, services: Vec<(u32, Work)>, now: Instant) {
         if !services.is_empty() {
             self.first.get_or_insert(now);
         }
-        let peer = PeerRates {
-            name: name.clone(),
+        let found = self
+            .groups
+            .binary_search_by(|row| row.reporter.cmp(&reporter));
+        let group = GroupRates {
+            reporter,
             received: now,
             services,
         };
-        match self.peers.binary_search_by(|row| row.name.cmp(name)) {
-            Ok(at) => self.peers[at] = peer,
-            Err(at) => self.peers.insert(at, peer),
+        match found {
+            Ok(at) => self.groups[at] = group,
+            Err(at) => self.groups.insert(at, group),
+        }
+    }
+
+    /// Work a second at this daemon and all others of its zone that it hears, sorted by hash of the
+    /// service's name.
+    pub fn zone_rates(&self, zone: ZoneHash, now: Instant) -> Vec<(u32, Work)> {
+        let mut rates = self.local_rates(now);
+        let is_local = |row: &&GroupRates| row.reporter.is_daemon_of(zone);
+        let groups = self.groups.iter().filter(is_local);
+        for (service, work) in groups.flat_map(|group| &group.services) {
+            match rates.binary_search_by_key(service, |rate| rate.0) {
+                Ok(at) => {
+                    rates[at].1.read += work.read;
+                    rates[at].1.write += work.write;
+                }
+                Err(at) => rates.insert(at, (*service, *work)),
+            }
         }
+        rates
     }
 
     /// Work a second requested of a service at all daemons.
     pub fn total(&self, service: &str, now: Instant) -> Work {
         let service = name_hash(service);
         let local = self.local_rates(now);
-        let peers = self.peers.iter().flat_map(|peer| &peer.services);
+        let groups = self.groups.iter().flat_map(|group| &group.services);
         let mut total = Work::default();
-        for (_, work) in local.iter().chain(peers).filter(|row| row.0 == service) {
+        for (_, work) in local.iter().chain(groups).filter(|row| row.0 == service) {
             total.read += work.read;
             total.write += work.write;
         }
--- a/lib/src/relay/endpoint_table.rs
+++ b/lib/src/relay/endpoint_table.rs
@@ -14,9 +14,9 @@
 use super::breaker::CircuitBreaker;
 use super::engine::{EngineSpeed, ServiceSpeed};
 use super::evacuation::{EvacuationChanges, Evacuations};
-use super::limit::{AnnouncedLimit, Limit};
+use super::limit::{AnnouncedLimit, Limit, Source};
 use super::listing::{ColdTime, Listing};
-use super::load_reports::{Load, LoadReports, Reporter};
+use super::load_reports::{Load, LoadReports, Reporter, sum_loads};
 use super::prefix_cache::PrefixCache;
 use super::quota::name_hash;
 use super::sharers::Sharers;
@@ -107,6 +107,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EndpointTable {
     rows: Vec<Endpoint>,
+    /// Ids by their hash, sorted by it.
+    hashes: Vec<(u32, EndpointId)>,
     /// Learned speed of the engines of each service, sorted by service.
     service_speeds: Vec<(ServiceId, ServiceSpeed)>,
     /// Speed of services for which none was learned yet.
@@ -166,6 +168,20 @@
             .binary_search_by(|row| row.listing.id.as_str().cmp(id))
     }
 
+    /// Index of the endpoint whose id has this hash.
+    fn find_hash(&self, hash: u32) -> Option<usize> {
+        let at = self.hashes.binary_search_by_key(&hash, |row| row.0).ok()?;
+        self.find(&self.hashes[at].1).ok()
+    }
+
+    fn insert_row(&mut self, at: usize, row: Endpoint) {
+        let hash = row.hash;
+        if let Err(at) = self.hashes.binary_search_by_key(&hash, |row| row.0) {
+            self.hashes.insert(at, (hash, row.listing.id.clone()));
+        }
+        self.rows.insert(at, row);
+    }
+
     /// Learned speed of a service's engines.
     pub fn service_speed(&self, service: &str) -> &ServiceSpeed {
         match self.find_service_speed(service) {
@@ -254,7 +270,7 @@
             Err(_) if self.tombstones.is_outdated(&listing) => Changed::Nothing,
             Err(at) => {
                 let row = self.new_row(listing, state);
-                self.rows.insert(at, row);
+                self.insert_row(at, row);
                 joined(state)
             }
             Ok(at) => {
@@ -447,13 +463,32 @@
 
     /// Applies a load report: load by hash of the endpoint's id.
     pub fn apply_report(&mut self, reporter: Reporter, loads: Vec<(u32, Load)>, now: Instant) {
-        self.reports.apply(&mut self.rows, reporter, loads, now);
+        for (endpoint, requests, tokens) in self.reports.apply(reporter, loads, now) {
+            if let Some(at) = self.find_hash(endpoint) {
+                let load = &mut self.rows[at].remote_load;
+                load.requests = load.requests.saturating_add_signed(requests);
+                load.tokens += tokens;
+            }
+        }
+    }
+
+    /// Requests in progress from this daemon, by hash of the endpoint's id, sorted.
+    pub fn local_load(&self) -> Vec<(u32, Load)> {
+        let busy = self.rows.iter().filter(|row| !row.in_flight.is_empty());
+        sum_loads(busy.map(|row| (row.hash, row.local_load())))
     }
 
     /// Load of this daemon and all others of its zone together, by hash of the endpoint's id,
     /// sorted.
     pub fn zone_load(&self, zone: ZoneHash) -> Vec<(u32, Load)> {
-        self.reports.zone_load(&self.rows, zone)
+        let own = self.local_load().into_iter();
+        sum_loads(own.chain(self.reports.loads(Some(zone))))
+    }
+
+    /// Load of all daemons together, by hash of the endpoint's id, sorted.
+    pub fn fleet_load(&self) -> Vec<(u32, Load)> {
+        let own = self.local_load().into_iter();
+        sum_loads(own.chain(self.reports.loads(None)))
     }
 
     /// Marks the endpoints as leaving whose departure another daemon reports, by hash of their
@@ -461,9 +496,12 @@
     /// entry that says so follows from the registry.
     pub fn mark_leaving(&mut self, left: &[u32]) -> Vec<EndpointId> {
         let mut found = Vec::new();
-        for row in &mut self.rows {
-            let reported = left.contains(&row.hash);
-            if reported && row.state != EndpointState::Leaving {
+        for hash in left {
+            let Some(at) = self.find_hash(*hash) else {
+                continue;
+            };
+            let row = &mut self.rows[at];
+            if row.state != EndpointState::Leaving {
                 row.state = EndpointState::Leaving;
                 found.push(row.listing.id.clone());
             }
@@ -478,35 +516,40 @@
             return false;
         };
         let hash = self.rows[at].hash;
-        self.update_limit(hash, announced, true)
+        self.update_limit(hash, announced, Source::Direct)
     }
 
     /// Merges an endpoint's limit that another daemon advertises; returns whether its rate
     /// differs from the one known before.
-    pub fn merge_limit(&mut self, endpoint: u32, announced: AnnouncedLimit) -> bool {
-        self.update_limit(endpoint, announced, false)
+    pub fn merge_limit(
+        &mut self,
+        endpoint: u32,
+        announced: AnnouncedLimit,
+        source: Source,
+    ) -> bool {
+        self.update_limit(endpoint, announced, source)
     }
 
-    fn update_limit(&mut self, endpoint: u32, announced: AnnouncedLimit, is_direct: bool) -> bool {
-        let mut rows = self.rows.iter_mut();
-        let Some(row) = rows.find(|row| row.hash == endpoint) else {
+    fn update_limit(&mut self, endpoint: u32, announced: AnnouncedLimit, source: Source) -> bool {
+        let Some(at) = self.find_hash(endpoint) else {
             return false;
         };
+        let row = &mut self.rows[at];
         let before = row.limit.as_ref().and_then(Limit::rate);
         let known = row.limit.as_ref();
         if known.is_none() && announced.rate.is_none() {
             return false;
         }
-        if let Some(limit) = Limit::merge(known, endpoint, announced, is_direct, &self.sharers) {
+        if let Some(limit) = Limit::merge(known, endpoint, announced, source, &self.sharers) {
             row.limit = Some(limit);
         }
         before != row.limit.as_ref().and_then(Limit::rate)
     }
 
-    /// Limits that endpoints announced to this daemon and that it advertises to the others, by
-    /// hash of the endpoint's id.
-    pub fn advertised_limits(&self, now: Instant) -> Vec<(u32, AnnouncedLimit)> {
-        let advertised = |row: &Endpoint| Some((row.hash, row.limit.as_ref()?.report(now)?));
+    /// Limits that endpoints announced to this daemon, or also to others as far as `scope`, by hash
+    /// of the endpoint's id.
+    pub fn advertised_limits(&self, scope: Source, now: Instant) -> Vec<(u32, AnnouncedLimit)> {
+        let advertised = |row: &Endpoint| Some((row.hash, row.limit.as_ref()?.report(scope, now)?));
         self.rows.iter().filter_map(advertised).collect()
     }
 
@@ -547,6 +590,17 @@
         self.grace_until = Some(now + REREGISTER_GRACE);
     }
 
+    /// For how long endpoints whose entries are missing stay in use.
+    pub fn grace_left(&self, now: Instant) -> Duration {
+        let until = self.grace_until;
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Sets until when missing entries make their endpoints doubtful, as a watcher reports it.
+    pub fn set_grace(&mut self, until: Instant) {
+        self.grace_until = Some(until);
+    }
+
     /// Applies that the registry has been available since a moment, and returns the ids of the
     /// endpoints that are dropped because of it. Running endpoints registered again soon after
     /// that moment, however much later this daemon reconnected. Without this, a daemon that
@@ -591,7 +645,13 @@
         for row in self.rows.iter().filter(|row| is_over(row)) {
             self.tombstones.add(row.listing.clone(), now);
         }
+        let before = self.rows.len();
         self.rows.retain(|row| !is_over(row));
+        if self.rows.len() < before {
+            let rows = self.rows.iter();
+            self.hashes = rows.map(|row| (row.hash, row.listing.id.clone())).collect();
+            self.hashes.sort_unstable();
+        }
         self.tombstones.expire(now);
         dropped
     }
--- a/lib/src/relay/limit.rs
+++ b/lib/src/relay/limit.rs
@@ -40,12 +40,23 @@
     pub at: Instant,
 }
 
+/// From whom a daemon learned of a limit. Daemons pass it on only towards those that are further
+/// away; in a cycle its age would be measured anew on each hop, and it would seem to be newer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    /// From the endpoint.
+    Direct,
+    /// From a daemon of its zone.
+    Zone,
+    /// From a watcher of another zone, or from a watcher as one of its daemons.
+    Fleet,
+}
+
 /// This daemon's share of an endpoint's limit.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limit {
     announced: AnnouncedLimit,
-    /// Whether the endpoint announced it to this daemon.
-    is_direct: bool,
+    source: Source,
     /// Tokens for the requests that this daemon may send.
     bucket: TokenBucket,
 }
@@ -58,7 +69,7 @@
         known: Option<&Self>,
         endpoint: u32,
         announced: AnnouncedLimit,
-        is_direct: bool,
+        source: Source,
         sharers: &Sharers,
     ) -> Option<Self> {
         if known.is_some_and(|known| known.announced.at >= announced.at) {
@@ -67,14 +78,14 @@
         let mut limit = match known {
             Some(known) if known.announced.rate.is_some() => Self {
                 announced,
-                is_direct,
+                source,
                 ..known.clone()
             },
             // What this daemon sent before it learned of the limit is unknown, so it starts
             // without tokens.
             _ => Self {
                 announced,
-                is_direct,
+                source,
                 bucket: TokenBucket::empty(0.0, 0.0, announced.at),
             },
         };
@@ -100,10 +111,12 @@
         self.announced.at
     }
 
-    /// What this daemon reports of the limit to the others; `None` if nothing.
-    pub fn report(&self, now: Instant) -> Option<AnnouncedLimit> {
+    /// What this daemon reports of the limit to the others, if it learned of it from `scope` or
+    /// nearer; `None` if nothing.
+    pub fn report(&self, scope: Source, now: Instant) -> Option<AnnouncedLimit> {
         let is_new = now.saturating_duration_since(self.announced.at) < WITHDRAWAL_TIME;
-        (self.is_direct && (self.announced.rate.is_some() || is_new)).then_some(self.announced)
+        (self.source <= scope && (self.announced.rate.is_some() || is_new))
+            .then_some(self.announced)
     }
 
     /// Whether this daemon may send a request now.
--- /dev/null
+++ b/lib/src/relay/membership.rs
@@ -0,0 +1,643 @@
+//! The other daemons that this one knows, and which of them exchange digests with it.
+//!
+//! Load: a thousand daemons on hosts with a tenth of a core, each of which serves less than one
+//! request a second. What a daemon hears must not grow with their number. So digests follow a
+//! tree: each daemon sends its own state to the watchers of its zone, the watchers of all zones
+//! exchange the sums of their zones, and a watcher sends the sums of the whole fleet to the
+//! daemons of its zone. In a small deployment every daemon is a watcher and the tree is flat.
+//!
+//! The watchers of a zone are the daemons on its largest hosts. Every daemon ranks those that it
+//! knows, without an election. A watcher that becomes silent is passed over, and the next in rank
+//! takes its place as soon as it notices the same. Daemons that disagree do no harm: a daemon may
+//! be sent digests that it does not need.
+//!
+//! Daemons are discovered through the few seeds of the settings. A daemon that knows no watcher of
+//! its zone asks, and whoever is asked answers with the daemons that it knows there. Watchers list
+//! the daemons that they hear themselves; whoever relays such a list does not vouch for it, so a
+//! daemon that has ended is not kept alive by hearsay. A few digests to random daemons join parts
+//! of the fleet that have lost each other.
+
+use std::cmp::Reverse;
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+
+use super::connectivity::ReachableSpan;
+use crate::{Incarnation, ZoneHash};
+
+/// Number of watchers in a zone. With two, the other one covers the time until the loss of
+/// one is detected.
+pub const WATCHERS: usize = 2;
+/// Time between two digests. Requests that are not reported yet may be admitted twice; a quarter
+/// of a second of a flood is well within the slack of an allowance.
+pub const PERIOD: Duration = Duration::from_millis(250);
+/// Bytes a second of sums that a watcher sends to each daemon of its zone; four fifths of what a
+/// daemon may receive for control. Sums of many teams and endpoints are sent less often.
+const SUM_BYTES_PER_S: f64 = 16_000.0;
+/// Digest periods without a digest after which a daemon counts as unresponsive.
+pub const MISSED_PERIODS: u32 = 4;
+/// Time without news of a daemon after which it is removed. It is longer than partitions
+/// usually last, so the two sides find each other again.
+const PEER_TTL: Duration = Duration::from_secs(40);
+/// Age of the last news of a daemon up to which it counts as running.
+const RECENT: Duration = Duration::from_secs(5);
+/// Time in which a watcher lists all daemons that it knows, a part in each digest.
+const ROSTER_TIME: Duration = Duration::from_secs(3);
+/// Age of the store's last answer from which on a watcher is passed over. Answers are further apart
+/// than that only if the store does not answer: a watch and the pause before it take less.
+const BLIND_AFTER: Duration = Duration::from_millis(1650);
+/// How long a watcher that became silent is passed over, unless it is heard from again.
+const FAILED_TIME: Duration = Duration::from_secs(5);
+/// How long a daemon that has just started asks for the watchers of its zone, though it takes
+/// itself for one.
+const DISCOVERY_TIME: Duration = Duration::from_secs(3);
+/// Daemons of a zone that are listed as its next watchers. More of them may end at once, but then
+/// the zone's daemons ask those that are left.
+const LISTED_CANDIDATES: usize = 6;
+
+/// Where a daemon runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Location {
+    /// Its zone.
+    pub zone: ZoneHash,
+    /// Memory of its host, in megabytes; 0 if it is not known.
+    pub memory_mb: u32,
+}
+
+/// What a daemon states of itself in each digest.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Statement {
+    /// Where it runs.
+    pub location: Location,
+    /// Since when the store answers it; `None` while it does not.
+    pub store: Option<ReachableSpan>,
+    /// Time until its next digest.
+    pub period: Duration,
+    /// Whether it is a watcher of its zone.
+    pub is_watcher: bool,
+    /// Whether it is about to end.
+    pub is_closing: bool,
+    /// Whether the store did not answer it while it was a watcher.
+    pub is_blind: bool,
+    /// Watcher whose sums it relies on.
+    pub follows: Option<Ipv4Addr>,
+}
+
+/// Another daemon.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peer {
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// Name, incarnation and sequence number of its last digest; `None` before the first one.
+    pub identity: Option<(CompactString, Incarnation, u64)>,
+    /// When its last digest was received; when it was discovered before the first one.
+    pub received: Instant,
+    /// When another daemon last listed it as running.
+    pub listed: Option<Instant>,
+    /// Where it runs, as far as known.
+    pub location: Option<Location>,
+    /// Since when the store answers it, as last stated; `None` while it does not.
+    pub store: Option<ReachableSpan>,
+    /// Time from its last digest to the next.
+    period: Duration,
+    is_watcher: bool,
+    is_closing: bool,
+    follows: Option<Ipv4Addr>,
+    /// Whether it is a seed of the settings.
+    is_seed: bool,
+    /// Sequence number of the last digest with its own use.
+    use_sequence: u64,
+    /// Since when digests are expected from it as a watcher.
+    expected: Option<Instant>,
+    /// When it was last noticed to be silent as a watcher.
+    failed: Option<Instant>,
+}
+
+/// Daemon that is listed as a watcher, or as one that would be next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// Where it runs.
+    pub location: Location,
+    /// Whether it is a watcher.
+    pub is_watcher: bool,
+}
+
+/// Daemons that run, by zone.
+pub type ZoneRoster = Vec<(ZoneHash, Vec<Ipv4Addr>)>;
+
+/// The other daemons, sorted by address.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    own_address: Ipv4Addr,
+    own_location: Location,
+    started: Instant,
+    is_closing: bool,
+    rows: Vec<Peer>,
+    /// The other watchers of this zone.
+    watchers: Vec<Ipv4Addr>,
+    is_watcher: bool,
+    /// When this daemon became a watcher.
+    watcher_since: Instant,
+    /// When the store was last noticed not to answer this daemon as a watcher.
+    blind_at: Option<Instant>,
+    /// Address after which the next part of the roster begins, of this zone and of all.
+    zone_cursor: Ipv4Addr,
+    fleet_cursor: Ipv4Addr,
+}
+
+/// Rank among the daemons of a zone; the lowest are its watchers.
+fn rank(location: Location, address: Ipv4Addr) -> (Reverse<u32>, Ipv4Addr) {
+    (Reverse(location.memory_mb), address)
+}
+
+/// Time until the next sums to the daemons of a zone, after sums of `bytes` bytes.
+pub fn sums_period(bytes: usize) -> Duration {
+    PERIOD.max(Duration::from_secs_f64(bytes as f64 / SUM_BYTES_PER_S))
+}
+
+impl Peer {
+    fn new(address: Ipv4Addr, now: Instant) -> Self {
+        Self {
+            address,
+            identity: None,
+            received: now,
+            listed: None,
+            location: None,
+            store: None,
+            period: PERIOD,
+            is_watcher: false,
+            is_closing: false,
+            follows: None,
+            is_seed: false,
+            use_sequence: 0,
+            expected: None,
+            failed: None,
+        }
+    }
+
+    /// When a digest of it was last received; `None` before the first one.
+    fn heard(&self) -> Option<Instant> {
+        self.identity.as_ref().map(|_| self.received)
+    }
+
+    /// When it was last known to run.
+    fn seen(&self) -> Option<Instant> {
+        self.heard().max(self.listed)
+    }
+
+    /// Whether a digest of it was received lately.
+    fn is_heard(&self, now: Instant) -> bool {
+        self.heard()
+            .is_some_and(|at| now.saturating_duration_since(at) <= RECENT)
+    }
+
+    fn is_recent(&self, now: Instant) -> bool {
+        self.seen()
+            .is_some_and(|at| now.saturating_duration_since(at) <= RECENT)
+    }
+
+    /// Time without a digest after which it counts as unresponsive.
+    pub fn timeout(&self) -> Duration {
+        self.period * MISSED_PERIODS
+    }
+
+    /// Sequence number of the last digest with its own use.
+    pub fn use_sequence(&self) -> u64 {
+        self.use_sequence
+    }
+
+    /// Watcher whose sums it relies on.
+    pub fn follows(&self) -> Option<Ipv4Addr> {
+        self.follows
+    }
+}
+
+impl Peers {
+    /// Starts with the seeds of the settings.
+    pub fn new(address: Ipv4Addr, location: Location, seeds: &[Ipv4Addr], now: Instant) -> Self {
+        let mut peers = Self {
+            own_address: address,
+            own_location: location,
+            started: now,
+            is_closing: false,
+            rows: Vec::new(),
+            watchers: Vec::new(),
+            is_watcher: true,
+            watcher_since: now,
+            blind_at: None,
+            zone_cursor: Ipv4Addr::UNSPECIFIED,
+            fleet_cursor: Ipv4Addr::UNSPECIFIED,
+        };
+        for seed in seeds {
+            peers.add_seed(*seed, now);
+        }
+        peers
+    }
+
+    /// All other daemons that are known.
+    pub fn rows(&self) -> &[Peer] {
+        &self.rows
+    }
+
+    /// The daemon at an address, if it is known.
+    pub fn get(&self, address: Ipv4Addr) -> Option<&Peer> {
+        let at = self.rows.binary_search_by_key(&address, |row| row.address);
+        at.ok().map(|at| &self.rows[at])
+    }
+
+    /// Adds a seed of the settings.
+    pub fn add_seed(&mut self, address: Ipv4Addr, now: Instant) {
+        if let Some(row) = self.entry(address, now) {
+            row.is_seed = true;
+        }
+    }
+
+    /// Adds the daemon at an address, if it is not known yet.
+    pub fn add(&mut self, address: Ipv4Addr, now: Instant) {
+        self.entry(address, now);
+    }
+
+    /// Row of an address, added if it is missing; `None` for this daemon's own.
+    fn entry(&mut self, address: Ipv4Addr, now: Instant) -> Option<&mut Peer> {
+        if address == self.own_address {
+            return None;
+        }
+        let found = self.rows.binary_search_by_key(&address, |row| row.address);
+        let at = found.unwrap_or_else(|at| {
+            self.rows.insert(at, Peer::new(address, now));
+            at
+        });
+        Some(&mut self.rows[at])
+    }
+
+    /// Records that a digest was received; `false` if it is a duplicate, or older than one
+    /// already received from the same incarnation.
+    pub fn record_digest(
+        &mut self,
+        address: Ipv4Addr,
+        name: &CompactString,
+        incarnation: Incarnation,
+        sequence: u64,
+        now: Instant,
+    ) -> bool {
+        let Some(row) = self.entry(address, now) else {
+            return false;
+        };
+        match &row.identity {
+            Some((_, known, last)) if *known == incarnation => {
+                if *last >= sequence {
+                    return false;
+                }
+            }
+            _ => row.use_sequence = 0,
+        }
+        row.identity = Some((name.clone(), incarnation, sequence));
+        row.received = now;
+        true
+    }
+
+    /// Updates what a daemon states of itself.
+    pub fn update(&mut self, address: Ipv4Addr, statement: Statement, now: Instant) {
+        if let Some(row) = self.entry(address, now) {
+            row.location = Some(statement.location);
+            row.store = statement.store;
+            row.period = statement.period.max(PERIOD);
+            row.is_watcher = statement.is_watcher;
+            row.is_closing = statement.is_closing;
+            row.failed = statement.is_blind.then_some(now);
+            row.follows = statement.follows;
+        }
+    }
+
+    /// Records the sequence number of a digest with the sender's own use.
+    pub fn record_use(&mut self, address: Ipv4Addr, sequence: u64, now: Instant) {
+        if let Some(row) = self.entry(address, now) {
+            row.use_sequence = sequence;
+        }
+    }
+
+    /// Merges a part of a roster.
+    pub fn merge_roster(&mut self, zones: &ZoneRoster, candidates: &[Candidate], now: Instant) {
+        for (zone, addresses) in zones {
+            for address in addresses {
+                if let Some(row) = self.entry(*address, now) {
+                    row.listed = Some(now);
+                    let memory_mb = row.location.map_or(0, |known| known.memory_mb);
+                    let zone = *zone;
+                    row.location = Some(Location { zone, memory_mb });
+                }
+            }
+        }
+        for candidate in candidates {
+            if let Some(row) = self.entry(candidate.address, now) {
+                row.listed = Some(now);
+                row.location = Some(candidate.location);
+                if !row.is_heard(now) {
+                    row.is_watcher = candidate.is_watcher;
+                }
+            }
+        }
+    }
+
+    /// This daemon's address.
+    pub fn own_address(&self) -> Ipv4Addr {
+        self.own_address
+    }
+
+    /// Where this daemon runs.
+    pub fn own_location(&self) -> Location {
+        self.own_location
+    }
+
+    /// Records that this daemon is about to end; another one takes its place as a watcher.
+    pub fn close(&mut self) {
+        self.is_closing = true;
+    }
+
+    /// Records when the store last answered this daemon or the watcher that it is fed by. A watcher
+    /// that the store does not answer is passed over, as one that is silent.
+    pub fn record_store(&mut self, answered: Instant, now: Instant) {
+        let span = now.saturating_duration_since(self.watcher_since.max(answered));
+        if self.is_watcher && span > BLIND_AFTER {
+            self.blind_at = Some(now);
+        }
+    }
+
+    /// Whether the store did not answer this daemon while it was a watcher.
+    pub fn is_blind(&self, now: Instant) -> bool {
+        self.blind_at
+            .is_some_and(|at| now.saturating_duration_since(at) <= FAILED_TIME)
+    }
+
+    /// Whether this daemon is about to end.
+    pub fn is_closing(&self) -> bool {
+        self.is_closing
+    }
+
+    fn is_local(&self, peer: &Peer) -> bool {
+        peer.location
+            .is_some_and(|location| location.zone == self.own_location.zone)
+    }
+
+    /// Whether a daemon is known to run in another zone.
+    fn is_remote(&self, peer: &Peer) -> bool {
+        peer.location
+            .is_some_and(|location| location.zone != self.own_location.zone)
+    }
+
+    /// Determines the watchers of this zone anew. Called before each digest.
+    pub fn update_watchers(&mut self, now: Instant) {
+        for row in &mut self.rows {
+            if self.watchers.binary_search(&row.address).is_err() {
+                row.expected = None;
+                continue;
+            }
+            let since = row.heard().max(row.expected);
+            if since.is_some_and(|at| now.saturating_duration_since(at) > row.timeout()) {
+                row.failed = Some(now);
+            }
+        }
+        let first = self.first_ranked(now, WATCHERS, |row| {
+            let failed = row.failed;
+            failed.is_none_or(|at| now.saturating_duration_since(at) > FAILED_TIME)
+        });
+        // Without any other daemon there is nobody else to read the store.
+        let is_watcher =
+            first.contains(&self.own_address) || (first.is_empty() && !self.is_closing);
+        if is_watcher && !self.is_watcher {
+            self.watcher_since = now;
+        }
+        self.is_watcher = is_watcher;
+        self.watchers = first;
+        self.watchers.retain(|address| *address != self.own_address);
+        self.watchers.sort_unstable();
+        for row in &mut self.rows {
+            if self.watchers.binary_search(&row.address).is_ok() {
+                row.expected.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Addresses of the first running daemons of this zone by rank, this one included.
+    fn first_ranked(
+        &self,
+        now: Instant,
+        count: usize,
+        may: impl Fn(&Peer) -> bool,
+    ) -> Vec<Ipv4Addr> {
+        let local = self.rows.iter().filter(|row| self.is_local(row));
+        let local = local.filter(|row| row.is_recent(now) && !row.is_closing && may(row));
+        let local = local.filter_map(|row| Some(rank(row.location?, row.address)));
+        let own = rank(self.own_location, self.own_address);
+        let own = (!self.is_closing && !self.is_blind(now)).then_some(own);
+        let mut ranks: Vec<_> = local.chain(own).collect();
+        ranks.sort_unstable();
+        ranks.truncate(count);
+        ranks.into_iter().map(|row| row.1).collect()
+    }
+
+    /// Whether this daemon is one of its zone's watchers.
+    pub fn is_watcher(&self) -> bool {
+        self.is_watcher
+    }
+
+    /// The other watchers of this zone, sorted.
+    pub fn watchers(&self) -> &[Ipv4Addr] {
+        &self.watchers
+    }
+
+    /// Daemons to which this one sends its own use: the watchers, and those that would be if they
+    /// were not silent, so that both find each other at the end of a partition.
+    pub fn parents(&self, now: Instant) -> Vec<Ipv4Addr> {
+        let mut parents = self.first_ranked(now, WATCHERS, |_| true);
+        parents.retain(|address| *address != self.own_address);
+        parents.extend(&self.watchers);
+        parents.sort_unstable();
+        parents.dedup();
+        parents
+    }
+
+    /// Watcher whose sums this daemon relies on: of those that are heard from, the first by a hash
+    /// of both addresses, so that the daemons of a zone are spread over its watchers.
+    pub fn followed(&self, now: Instant) -> Option<Ipv4Addr> {
+        let rows = self.watchers.iter().filter_map(|at| self.get(*at));
+        let rows = rows.filter(|row| {
+            let heard = row.heard();
+            heard.is_some_and(|at| now.saturating_duration_since(at) <= row.timeout())
+        });
+        let (own, followed) = (self.own_address, rows.filter(|row| row.is_watcher));
+        let hash = |row: &&Peer| super::sharers::rank(u32::from(row.address), own);
+        followed.min_by_key(hash).map(|row| row.address)
+    }
+
+    /// Daemons of this zone that get digests from this one as their watcher.
+    pub fn members(&self) -> impl Iterator<Item = &Peer> {
+        let rows = self.rows.iter().filter(|row| self.is_local(row));
+        rows.filter(|row| {
+            row.identity.is_some() && self.watchers.binary_search(&row.address).is_err()
+        })
+    }
+
+    /// Watchers of the other zones.
+    pub fn remote_watchers(&self) -> impl Iterator<Item = &Peer> {
+        let rows = self.rows.iter().filter(|row| self.is_remote(row));
+        rows.filter(|row| row.is_watcher && !row.is_closing)
+    }
+
+    /// Daemons that get a digest by which the fleet stays together: one chosen from this zone, one
+    /// from all, and the seeds that were never heard from. `choose` returns a number below the
+    /// given one.
+    pub fn partners(&self, now: Instant, mut choose: impl FnMut(usize) -> usize) -> Vec<Ipv4Addr> {
+        let seeds = self.rows.iter().filter(|row| row.is_seed);
+        let silent = seeds.filter(|row| row.identity.is_none());
+        let mut partners: Vec<Ipv4Addr> = silent.map(|row| row.address).collect();
+        let recent: Vec<&Peer> = self.rows.iter().filter(|row| row.is_recent(now)).collect();
+        let (local, all): (Vec<&&Peer>, _) = (
+            recent.iter().filter(|row| self.is_local(row)).collect(),
+            &recent,
+        );
+        if !local.is_empty() {
+            partners.push(local[choose(local.len())].address);
+        }
+        if !all.is_empty() {
+            partners.push(all[choose(all.len())].address);
+        }
+        // After a partition or a power loss, daemons that were not heard from lately are asked too.
+        let old: Vec<&Peer> = self.rows.iter().filter(|row| !row.is_recent(now)).collect();
+        if !old.is_empty() {
+            partners.push(old[choose(old.len())].address);
+        }
+        partners.sort_unstable();
+        partners.dedup();
+        partners
+    }
+
+    /// Whether this daemon has to ask others for the watchers of its zone: it hears none, and is
+    /// none itself or has only just started, so that it may not know those that rank before it.
+    pub fn must_ask(&self, now: Instant) -> bool {
+        let is_starting = now.saturating_duration_since(self.started) < DISCOVERY_TIME;
+        let is_alone = self.rows.is_empty() || (self.is_watcher && !is_starting);
+        !is_alone && self.followed(now).is_none()
+    }
+
+    /// Whether there are other daemons but none was ever heard from.
+    pub fn is_isolated(&self) -> bool {
+        !self.rows.is_empty() && self.rows.iter().all(|row| row.identity.is_none())
+    }
+
+    /// Next part of the roster of this zone: the daemons that this one hears itself.
+    pub fn zone_roster(&mut self, now: Instant) -> ZoneRoster {
+        let rows = self.rows.iter().filter(|row| self.is_local(row));
+        let all = rows.filter(|row| row.is_heard(now)).map(|row| row.address);
+        let all = all.chain([self.own_address]).collect();
+        let (part, cursor) = next_part(all, self.zone_cursor, PERIOD);
+        self.zone_cursor = cursor;
+        vec![(self.own_location.zone, part)]
+    }
+
+    /// Next part of the roster of all zones, in digests that are sent each `period`.
+    pub fn fleet_roster(&mut self, period: Duration, now: Instant) -> ZoneRoster {
+        let rows = self.rows.iter().filter(|row| row.is_recent(now));
+        let all = rows.map(|row| row.address).chain([self.own_address]);
+        let (part, cursor) = next_part(all.collect(), self.fleet_cursor, period);
+        self.fleet_cursor = cursor;
+        let mut roster = ZoneRoster::new();
+        for address in part {
+            let location = if address == self.own_address {
+                Some(self.own_location)
+            } else {
+                self.get(address).and_then(|row| row.location)
+            };
+            let Some(Location { zone, .. }) = location else {
+                continue;
+            };
+            match roster.binary_search_by_key(&zone, |row| row.0) {
+                Ok(at) => roster[at].1.push(address),
+                Err(at) => roster.insert(at, (zone, vec![address])),
+            }
+        }
+        roster
+    }
+
+    /// The daemons of a zone that would be its watchers first, and all known watchers.
+    pub fn candidates(&self, zone: ZoneHash, now: Instant) -> Vec<Candidate> {
+        let own = Candidate {
+            address: self.own_address,
+            location: self.own_location,
+            is_watcher: self.is_watcher,
+        };
+        let own = (!self.is_closing).then_some(own);
+        let rows = self.rows.iter().filter(|row| row.is_recent(now));
+        let rows = rows.filter(|row| !row.is_closing && row.failed.is_none());
+        let rows = rows.filter_map(|row| {
+            Some(Candidate {
+                address: row.address,
+                location: row.location?,
+                // Hearsay of watchers would go round for ever.
+                is_watcher: row.is_watcher && row.is_heard(now),
+            })
+        });
+        let mut all: Vec<Candidate> = rows.chain(own).collect();
+        all.sort_unstable_by_key(|row| rank(row.location, row.address));
+        let mut listed = 0;
+        all.retain(|row| {
+            let is_next = row.location.zone == zone && listed < LISTED_CANDIDATES;
+            listed += usize::from(is_next);
+            is_next || row.is_watcher
+        });
+        all
+    }
+
+    /// Addresses of the daemons that run.
+    pub fn recent_addresses(&self, now: Instant) -> Vec<Ipv4Addr> {
+        self.recent(now).map(|row| row.address).collect()
+    }
+
+    /// Daemons that run.
+    pub fn recent(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.rows.iter().filter(move |row| row.is_recent(now))
+    }
+
+    /// Number of running daemons that precede this one in taking over a duty: watchers first.
+    pub fn recent_rank(&self, now: Instant) -> usize {
+        let own = (!self.is_watcher, self.own_address);
+        let recent = self.recent(now);
+        recent
+            .filter(|row| (!row.is_watcher, row.address) < own)
+            .count()
+    }
+
+    /// Number of daemons with a lower address, among all that are still known.
+    pub fn known_rank(&self) -> usize {
+        self.rows
+            .partition_point(|row| row.address < self.own_address)
+    }
+
+    /// Removes daemons of which nothing was heard for long.
+    pub fn expire(&mut self, now: Instant) {
+        self.rows.retain(|row| {
+            let last = row.seen().unwrap_or(row.received);
+            now.saturating_duration_since(last) <= PEER_TTL
+        });
+    }
+}
+
+/// The next addresses after `cursor` in a ring of all, so many that a list sent each `period`
+/// has all of them within [`ROSTER_TIME`]; and the new cursor.
+fn next_part(
+    mut all: Vec<Ipv4Addr>,
+    cursor: Ipv4Addr,
+    period: Duration,
+) -> (Vec<Ipv4Addr>, Ipv4Addr) {
+    all.sort_unstable();
+    let share = period.as_secs_f64() / ROSTER_TIME.as_secs_f64();
+    let count = ((all.len() as f64 * share).ceil() as usize).clamp(1, all.len());
+    let from = all.partition_point(|address| *address <= cursor);
+    let ring = all[from..].iter().chain(&all[..from]);
+    let part: Vec<Ipv4Addr> = ring.take(count).copied().collect();
+    let last = part.last().copied().unwrap_or(cursor);
+    (part, last)
+}
--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -15,10 +15,9 @@
 //! hundreds of daemons such a share is less than one long prompt; then each daemon admits
 //! one request out of several, in the ratio of the rate to the demand.
 //!
-//! Daemons of other zones send digests rarely when there are many daemons. Watchers of
-//! each zone report the summed rates of their zone more often. These replace the rates
-//! that its single daemons reported last, and if they stop arriving, the whole zone is
-//! partitioned.
+//! A daemon hears the others only as a sum that its watcher reports, and the watchers hear the
+//! daemons of their zone one by one and the other zones as sums ([`sums`]). If reports stop
+//! arriving, all daemons that they cover are unresponsive.
 //!
 //! A daemon that has just started does not know what was admitted before; its bucket
 //! starts empty. So if the whole fleet restarts in the middle of a flood, the burst is not
@@ -31,13 +30,16 @@
 //!
 //! An unresponsive daemon may be dead or on the other side of a partition, where it goes
 //! on admitting requests. It is assumed to use most of an even share, so that the two
-//! sides of a partition together stay near the allowance.
+//! sides of a partition together stay near the allowance. Among a thousand daemons an even
+//! share is less than one prompt. An isolated daemon then admits one request of a team in a
+//! window, in the ratio of the rate to the demand that was last known: so few requests of a
+//! team reach a single daemon that this is the share that they have of the fleet's.
 
 mod allotment;
 mod checkpoint;
-mod peers;
+mod groups;
 mod steps;
-mod zones;
+mod sums;
 
 use std::time::{Duration, Instant};
 
@@ -45,22 +47,18 @@
 pub use self::allotment::Standing;
 use self::checkpoint::Restored;
 pub use self::checkpoint::Spent;
-use self::peers::{Peer, PeerTeam};
-pub use self::peers::{PeerReport, TeamUse};
+pub use self::groups::{Coverage, PeerReport, TeamUse};
+use self::groups::{Group, GroupTeam};
 use self::steps::{StepId, Steps};
-use self::zones::Zone;
-pub use self::zones::{TeamRates, ZoneSummary};
+pub use self::sums::Sum;
+use self::sums::Totals;
 use super::catalog::{Team, Unit};
 use super::request::RequestHead;
-use crate::{CustomerId, ZoneHash};
+use crate::CustomerId;
 
 /// Steps into which the sliding window is divided. A step counts until all of it has left
 /// the window.
 const STEPS: u32 = 40;
-/// Digest periods without a digest after which a daemon counts as unresponsive. Peers may
-/// admit a whole period's worth before this daemon learns of it, so when the bucket holds
-/// less than that, daemons take from their own shares.
-const TIMEOUT_PERIODS: f64 = 4.0;
 /// Depth of the bucket of a daemon's own share, in seconds of its rate. What builds up in
 /// all shares while the fleet's bucket is empty comes out at once, so it is small.
 const SHARE_BURST_SECS: f64 = 0.25;
@@ -115,10 +113,21 @@
     phase: f64,
     /// Sorted by team.
     local: Vec<LocalUse>,
-    /// Sorted by name.
-    peers: Vec<Peer>,
-    /// Other zones whose watchers sent a summary, sorted.
-    zones: Vec<Zone>,
+    /// Whether this daemon is a watcher, which hears daemons and zones rather than their sum.
+    is_watcher: bool,
+    /// Daemons of this zone, sorted by name.
+    peers: Vec<Group>,
+    /// Other zones, sorted.
+    zones: Vec<Group>,
+    /// All other daemons, as a watcher reports them.
+    fleet: Option<Group>,
+    /// What a former watcher reported of all others before this daemon became one.
+    history: Option<Group>,
+    /// Until when first reports are part of that history.
+    handover_until: Option<Instant>,
+    /// Units of this daemon's zone and of all zones since this daemon began to count.
+    zone_totals: Totals,
+    fleet_totals: Totals,
     /// `None` if no checkpoint was found at the start.
     restored: Option<Restored>,
 }
@@ -146,8 +155,14 @@
             window,
             phase: 0.0,
             local: Vec::new(),
+            is_watcher: false,
             peers: Vec::new(),
             zones: Vec::new(),
+            fleet: None,
+            history: None,
+            handover_until: None,
+            zone_totals: Totals::default(),
+            fleet_totals: Totals::default(),
             restored: None,
         }
     }
@@ -170,7 +185,7 @@
         self.record_demand(&team.name, units, now);
         let age = now.saturating_duration_since(self.started);
         let allotment = self.allotment(rate, team.burst, now);
-        if self.peers.is_empty() && age < STARTUP_WAIT {
+        if self.daemons() == 0 && age < STARTUP_WAIT {
             if !self.fits_even_share(&team.name, units, &allotment, now) {
                 let left = STARTUP_WAIT.saturating_sub(age);
                 return Err(left.max(Duration::from_secs_f64(MIN_RETRY_SECS)));
@@ -191,10 +206,15 @@
             units.min(allotment.depth)
         };
         if available < needed {
+            if allotment.isolated && self.fits_last_demand(&team.name, units, rate, &allotment, now)
+            {
+                self.record_admitted(&team.name, units, now);
+                return Ok(());
+            }
             return Err(retry_after(needed - available, allotment.rate));
         }
         let demand = self.total_demand(&team.name, now);
-        let contended = demand > allotment.rate && available < self.unreported(allotment.rate, now);
+        let contended = demand > allotment.rate && available < self.unreported(allotment.rate);
         if allotment.isolated || contended {
             self.take_from_share(&team.name, units, &allotment, demand, now)?;
         }
@@ -241,6 +261,29 @@
         selected
     }
 
+    /// Whether an isolated daemon may admit a request that is larger than its even share of a
+    /// window, by the demand of all daemons before it was isolated.
+    fn fits_last_demand(
+        &mut self,
+        team: &str,
+        units: f64,
+        rate: f64,
+        allotment: &Allotment,
+        now: Instant,
+    ) -> bool {
+        let first = self.first_step(now);
+        let used = self
+            .find(team)
+            .map(|at| self.local[at].steps.sum_since(first));
+        if allotment.window_max >= units || used.is_ok_and(|used| used > 0.0) {
+            return false;
+        }
+        let hash = name_hash(team);
+        let rows = self.groups().filter_map(|group| group.team(hash));
+        let demand: f64 = rows.map(|row| row.demand).sum();
+        self.sample(team, (rate / demand.max(1.0)).min(1.0))
+    }
+
     /// Whether a daemon that has received no digest yet may admit a request: a checkpoint
     /// says what is left of the allowance and among how many daemons.
     fn fits_even_share(&self, team: &str, units: f64, allotment: &Allotment, now: Instant) -> bool {
@@ -261,89 +304,19 @@
             if let Some(last) = local.steps.last_mut() {
                 *last -= units;
             }
+            self.add_to_totals(&team.name, -units);
         }
     }
 
-    /// Merges a peer's report. Without another one for `report_timeout` the peer counts as
-    /// unresponsive.
-    pub fn merge_report(&mut self, report: &PeerReport, report_timeout: Duration) {
-        let (last, oldest) = (self.step(report.received), self.first_step(report.received));
-        let at = self
-            .peers
-            .binary_search_by(|row| row.name.cmp(&report.name))
-            .unwrap_or_else(|at| {
-                let peer = Peer {
-                    name: report.name.clone(),
-                    zone: report.zone,
-                    incarnation: report.incarnation,
-                    // This is its first report: all that it used in the window is new.
-                    received: report.started,
-                    report_timeout,
-                    started: report.started,
-                    teams: Vec::new(),
-                };
-                self.peers.insert(at, peer);
-                at
-            });
-        let first = self.step(self.peers[at].received).max(oldest);
-        self.peers[at].merge(report, first, last);
-        self.peers[at].report_timeout = report_timeout;
-    }
-
-    /// Merges the summary that a watcher of another zone sent. Without another one for
-    /// `report_timeout` the zone counts as unresponsive.
-    pub fn merge_zone(
-        &mut self,
-        zone: ZoneHash,
-        summary: ZoneSummary,
-        report_timeout: Duration,
-        now: Instant,
-    ) {
-        let row = Zone {
-            id: zone,
-            received: now,
-            report_timeout,
-            summary,
-        };
-        match self.zones.binary_search_by_key(&zone, |row| row.id) {
-            Ok(at) => self.zones[at] = row,
-            Err(at) => self.zones.insert(at, row),
-        }
-    }
-
-    /// Summed rates of this daemon and its peers in `zone`, sorted by team.
-    pub fn zone_summary(&self, zone: ZoneHash, now: Instant) -> ZoneSummary {
-        let mut summary = ZoneSummary::default();
-        let mut add = |team: u32, rate: f64, demand: f64| {
-            let at = summary.teams.binary_search_by_key(&team, |row| row.team);
-            let at = at.unwrap_or_else(|at| {
-                let (rate, demand) = (0.0, 0.0);
-                summary.teams.insert(at, TeamRates { team, rate, demand });
-                at
-            });
-            summary.teams[at].rate += rate;
-            summary.teams[at].demand += demand;
-        };
-        for row in self.team_uses(now) {
-            add(row.team, row.rate, row.demand);
-        }
-        let members = self.peers.iter().filter(|peer| peer.zone == zone);
-        let mut unresponsive = 0;
-        for peer in members {
-            if peer.is_unresponsive(now) {
-                unresponsive += 1;
-                continue;
-            }
-            for row in &peer.teams {
-                add(row.team, row.rate, row.demand);
-            }
-        }
-        summary.unresponsive = unresponsive;
-        summary
+    /// What teams use at this daemon now, sorted by team.
+    pub fn team_uses(&self, now: Instant) -> Vec<TeamUse> {
+        let mut rows = self.all_uses(now);
+        rows.retain(|row| row.units > 0.0 || row.demand > 0.0);
+        rows
     }
 
-    /// This daemon's own use for its digest, sorted by team.
-    pub fn team_uses(&self, now: Instant) -> Vec<TeamUse> {
+    /// What teams used at this daemon since its start, sorted by team.
+    pub fn all_uses(&self, now: Instant) -> Vec<TeamUse> {
         let (first, recent) = (self.first_step(now), self.recent_step(now));
         let span = now.saturating_duration_since(self.step_start(recent));
         let row = |local: &LocalUse| TeamUse {
@@ -354,24 +327,25 @@
             demand: self.mean_rate(&local.demand, now),
         };
         let mut rows: Vec<TeamUse> = self.local.iter().map(row).collect();
-        rows.retain(|row| row.units > 0.0 || row.demand > 0.0);
         rows.sort_by_key(|row| row.team);
         rows
     }
 
-    /// Drops what has left the window, and peers and zones that have sent nothing for
-    /// two windows.
+    /// Drops what has left the window, and groups that were not reported for two windows.
     pub fn expire(&mut self, now: Instant) {
         let (window, first) = (self.window, self.first_step(now));
         for local in &mut self.local {
             local.steps.drop_before(first);
             local.demand.drop_before(first);
         }
-        self.peers
-            .retain(|peer| now.duration_since(peer.received) <= window * 2);
-        self.zones
-            .retain(|zone| now.duration_since(zone.received) <= window * 2);
-        for row in self.peers.iter_mut().flat_map(|peer| &mut peer.teams) {
+        let is_kept = |group: &Group| now.saturating_duration_since(group.received) <= window * 2;
+        self.peers.retain(is_kept);
+        self.zones.retain(is_kept);
+        self.fleet = self.fleet.take().filter(is_kept);
+        self.history = self.history.take().filter(is_kept);
+        let groups = self.peers.iter_mut().chain(&mut self.zones);
+        let groups = groups.chain(&mut self.fleet).chain(&mut self.history);
+        for row in groups.flat_map(|group| &mut group.teams) {
             row.steps.drop_before(first);
         }
         if first >= 0 {
@@ -405,56 +379,44 @@
         self.started + self.window.mul_f64(step.max(0) as f64 / f64::from(STEPS))
     }
 
-    /// Units that peers may admit before this daemon learns of it.
-    fn unreported(&self, rate: f64, now: Instant) -> f64 {
-        rate * self.longest_timeout(now).as_secs_f64() / TIMEOUT_PERIODS
+    /// Steps in which units were admitted that are new in a report, the last one before it having
+    /// been received at `last_report`.
+    fn new_steps(&self, last_report: Instant, received: Instant) -> (StepId, StepId) {
+        let first = self.step(last_report).max(self.first_step(received));
+        (first, self.step(received))
     }
 
-    /// A zone, if its watchers sent a summary.
-    fn zone(&self, zone: ZoneHash) -> Option<&Zone> {
-        let at = self.zones.binary_search_by_key(&zone, |row| row.id);
-        at.ok().map(|at| &self.zones[at])
+    /// Units that other daemons may admit before this one learns of it. When the bucket holds
+    /// less than that, daemons take from their own shares.
+    fn unreported(&self, rate: f64) -> f64 {
+        rate * self.longest_lag().as_secs_f64()
     }
 
-    /// A zone, if its watchers sent a summary lately.
-    fn fresh_zone(&self, zone: ZoneHash, now: Instant) -> Option<&Zone> {
-        self.zone(zone).filter(|zone| !zone.is_unresponsive(now))
+    /// Groups of other daemons that this one hears of, none of which overlap.
+    fn groups(&self) -> impl Iterator<Item = &Group> {
+        self.peers.iter().chain(&self.zones).chain(&self.fleet)
     }
 
-    /// Whether a peer, or all of its zone, is unresponsive.
-    fn is_unresponsive(&self, peer: &Peer, now: Instant) -> bool {
-        peer.is_unresponsive(now)
-            || self
-                .zone(peer.zone)
-                .is_some_and(|row| row.is_unresponsive(now))
+    /// Number of other daemons that this one hears of.
+    fn daemons(&self) -> usize {
+        let counts = self.groups().map(|group| group.coverage.daemons as usize);
+        counts.sum()
     }
 
-    /// Number of unresponsive peers. In zones that send summaries, the watchers detect
-    /// them sooner than this daemon.
+    /// Number of those that are unresponsive.
     fn unresponsive(&self, now: Instant) -> usize {
-        let rows = self.peers.iter();
-        let unresponsive = rows.filter(|peer| self.is_unresponsive(peer, now)).count();
-        let fresh = self.zones.iter().filter(|zone| !zone.is_unresponsive(now));
-        let more = fresh.map(|row| {
-            let members = self.peers.iter().filter(|peer| peer.zone == row.id);
-            let known = members.filter(|peer| peer.is_unresponsive(now)).count();
-            (row.summary.unresponsive as usize).saturating_sub(known)
-        });
-        (unresponsive + more.sum::<usize>()).min(self.peers.len())
+        let counts = self.groups().map(|group| group.unresponsive(now) as usize);
+        counts.sum()
     }
 
-    /// Longest time without a report after which a peer counts as unresponsive; for those
-    /// of zones that send summaries, the shorter timeout of the summary.
-    fn longest_timeout(&self, now: Instant) -> Duration {
-        let timeout_of = |peer: &Peer| match self.fresh_zone(peer.zone, now) {
-            Some(zone) => zone.report_timeout.min(peer.report_timeout),
-            None => peer.report_timeout,
-        };
-        self.peers.iter().map(timeout_of).max().unwrap_or_default()
+    /// Longest age of what is known of others while nothing is lost.
+    fn longest_lag(&self) -> Duration {
+        let lags = self.groups().map(Group::lag);
+        lags.max().unwrap_or_default()
     }
 
-    /// What this daemon and all responsive peers admitted, by step. The estimate of what
-    /// the peers admitted since their last report is counted in the current step.
+    /// What this daemon and all responsive groups admitted, by step. The estimate of what a group
+    /// admitted since its last report is counted in the current step.
     fn admitted(
         &self,
         team: u32,
@@ -467,43 +429,28 @@
             .filter(move |local| name_hash(&local.team) == team);
         let local = local.flat_map(move |local| local.steps.since(first));
         let last = self.step(now);
-        let responsive = move |peer: &&Peer| !self.is_unresponsive(peer, now);
-        let peers = self.peers.iter().filter(responsive);
-        let reported = peers.flat_map(move |peer| {
-            let row = peer.team(team);
+        let responsive = self
+            .groups()
+            .filter(move |group| !group.is_unresponsive(now));
+        let reported = responsive.flat_map(move |group| {
+            let row = group.team(team);
             let steps = row.map_or(&[][..], |row| row.steps.since(first));
-            let summarized = self.fresh_zone(peer.zone, now).is_some();
-            let rate = row.filter(|_| !summarized).map_or(0.0, |row| row.rate);
-            let age = now.saturating_duration_since(peer.received);
-            steps
-                .iter()
-                .copied()
-                .chain([(last, rate * age.as_secs_f64())])
+            let rate = row.map_or(0.0, |row| row.rate);
+            let unreported = rate * group.age(now).as_secs_f64();
+            steps.iter().copied().chain([(last, unreported)])
         });
-        let zones = self
-            .zones
+        let history = self
+            .history
             .iter()
-            .filter(move |row| !row.is_unresponsive(now));
-        let zones = zones.map(move |row| {
-            let rate = row.summary.of(team).map_or(0.0, |rates| rates.rate);
-            (last, rate * self.mean_age(row.id, now))
-        });
-        local.copied().chain(reported).chain(zones)
-    }
-
-    /// Mean age of the last reports of a zone's responsive daemons, in seconds.
-    fn mean_age(&self, zone: ZoneHash, now: Instant) -> f64 {
-        let responsive = |peer: &&Peer| peer.zone == zone && !self.is_unresponsive(peer, now);
-        let ages = self.peers.iter().filter(responsive);
-        let ages = ages.map(|peer| now.saturating_duration_since(peer.received).as_secs_f64());
-        let (sum, count) = ages.fold((0.0, 0.0), |all, age| (all.0 + age, all.1 + 1.0));
-        if count > 0.0 { sum / count } else { 0.0 }
+            .filter_map(move |group| group.team(team));
+        let history = history.flat_map(move |row| row.steps.since(first));
+        local.chain(history).copied().chain(reported)
     }
 
     /// Units a second that callers request for a team at all daemons.
     fn total_demand(&self, team: &str, now: Instant) -> f64 {
         let local = self.local_demand(team, now);
-        local + self.sum_peers(name_hash(team), |row| row.demand, |rates| rates.demand, now)
+        local + self.sum_groups(name_hash(team), |row| row.demand, now)
     }
 
     /// Units a second that all daemons admit for a team lately.
@@ -513,26 +460,16 @@
             .into_iter()
             .filter(|row| row.team == team);
         let local: f64 = local.map(|row| row.rate).sum();
-        local + self.sum_peers(team, |row| row.rate, |rates| rates.rate, now)
+        local + self.sum_groups(team, |row| row.rate, now)
     }
 
-    /// Sums a rate of a team over all responsive peers: from the summary of their zone if
-    /// there is a fresh one, otherwise from their own digests.
-    fn sum_peers(
-        &self,
-        team: u32,
-        of_peer: impl Fn(&PeerTeam) -> f64,
-        of_zone: impl Fn(&TeamRates) -> f64,
-        now: Instant,
-    ) -> f64 {
-        let unsummarized = |peer: &&Peer| {
-            !self.is_unresponsive(peer, now) && self.fresh_zone(peer.zone, now).is_none()
-        };
-        let peers = self.peers.iter().filter(unsummarized);
-        let peers = peers.filter_map(|peer| peer.team(team)).map(of_peer);
-        let zones = self.zones.iter().filter(|row| !row.is_unresponsive(now));
-        let zones = zones.filter_map(|row| row.summary.of(team)).map(of_zone);
-        peers.sum::<f64>() + zones.sum::<f64>()
+    /// Sums a rate of a team over all responsive groups.
+    fn sum_groups(&self, team: u32, rate: impl Fn(&GroupTeam) -> f64, now: Instant) -> f64 {
+        let responsive = self.groups().filter(|group| !group.is_unresponsive(now));
+        responsive
+            .filter_map(|group| group.team(team))
+            .map(rate)
+            .sum()
     }
 
     /// Units a second that callers request for a team at this daemon.
@@ -599,6 +536,7 @@
             let local = &mut self.local[at];
             local.total = local.total.wrapping_add(units as u64);
             local.steps.add(step, units);
+            self.add_to_totals(team, units);
         }
     }
 
--- a/lib/src/relay/quota/allotment.rs
+++ b/lib/src/relay/quota/allotment.rs
@@ -2,7 +2,6 @@
 
 use std::time::Instant;
 
-use super::peers::Peer;
 use super::{Quota, STEPS, name_hash};
 use crate::relay::catalog::Team;
 
@@ -15,10 +14,9 @@
 /// of a team's rate, so without it teams well within their allowance would be rejected by
 /// chance. The rest of the tolerance covers what peers admit before they report it.
 const DEPTH_TOLERANCE: f64 = 0.4;
-/// Share of the allowance that is held back for each second of the timeout after which a
-/// peer counts as unresponsive, as no daemon knows what the others admit between two
-/// digests.
-const RESERVE_PER_SEC: f64 = 0.04;
+/// Share of the allowance that is held back for each second by which reports lag behind, as no
+/// daemon knows what the others admit meanwhile.
+const RESERVE_PER_SEC: f64 = 0.16;
 /// Largest share of the allowance that is held back.
 const MAX_RESERVE: f64 = 0.3;
 /// Part of an even share that an unresponsive daemon is assumed to use at least. Daemons
@@ -76,7 +74,7 @@
             demand: self.total_demand(&team.name, now),
             own_demand: self.local_demand(&team.name, now),
             isolated: allotment.isolated,
-            peers: self.peers.len(),
+            peers: self.daemons(),
             unresponsive: self.unresponsive(now),
         })
     }
@@ -84,10 +82,10 @@
     /// What of an allowance is left to this daemon and its responsive peers.
     pub(super) fn allotment(&self, rate: f64, burst: f64, now: Instant) -> Allotment {
         let unresponsive = self.unresponsive(now);
-        let isolated = unresponsive * 2 > self.peers.len();
+        let isolated = unresponsive * 2 > self.daemons();
         let each = if isolated { 1.0 } else { UNRESPONSIVE_SHARE };
-        let daemons = (self.peers.len() + 1) as f64;
-        let left = self.usable_share(now) * (1.0 - unresponsive as f64 * each / daemons);
+        let daemons = (self.daemons() + 1) as f64;
+        let left = self.usable_share() * (1.0 - unresponsive as f64 * each / daemons);
         let whole = rate * self.window.as_secs_f64() + burst;
         let tolerated = whole * self.tolerance.share + self.tolerance.units;
         let tolerated = tolerated * DEPTH_TOLERANCE;
@@ -102,14 +100,15 @@
     /// Whether nobody knows what was admitted before this daemon started: it has run for
     /// less than a window, and at its start so had most peers.
     pub(super) fn lacks_history(&self, now: Instant) -> bool {
-        let older = |peer: &&Peer| peer.started + self.window <= self.started;
-        let older = self.peers.iter().filter(older).count();
-        self.first_step(now) < 0 && older * 2 <= self.peers.len()
+        let groups = self.groups();
+        let older = groups.filter(|group| group.started + self.window <= self.started);
+        let older: u32 = older.map(|group| group.coverage.daemons).sum();
+        self.first_step(now) < 0 && older as usize * 2 <= self.daemons()
     }
 
     /// Share of the allowance that is granted; the rest is held back.
-    fn usable_share(&self, now: Instant) -> f64 {
-        1.0 - (self.longest_timeout(now).as_secs_f64() * RESERVE_PER_SEC).min(MAX_RESERVE)
+    fn usable_share(&self) -> f64 {
+        1.0 - (self.longest_lag().as_secs_f64() * RESERVE_PER_SEC).min(MAX_RESERVE)
     }
 
     /// Units in the fleet's bucket, after all that was admitted within the window.
--- a/lib/src/relay/quota/checkpoint.rs
+++ b/lib/src/relay/quota/checkpoint.rs
@@ -34,7 +34,8 @@
     /// What all daemons admitted within the window, for a checkpoint; sorted by team.
     pub fn checkpoint(&self, now: Instant) -> Vec<Spent> {
         let first = self.first_step(now);
-        let reported = self.peers.iter().flat_map(|peer| &peer.teams);
+        let groups = self.groups().chain(&self.history);
+        let reported = groups.flat_map(|group| &group.teams);
         let mut teams: Vec<u32> = reported.map(|row| row.team).collect();
         teams.extend(self.local.iter().map(|local| name_hash(&local.team)));
         teams.sort_unstable();
@@ -82,7 +83,7 @@
         let Some(restored) = &self.restored else {
             return Steps::default();
         };
-        if !self.peers.is_empty() && !self.lacks_history(now) {
+        if self.daemons() > 0 && !self.lacks_history(now) {
             return Steps::default();
         }
         let at = restored.teams.binary_search_by_key(&team, |row| row.0);
--- a/lib/src/relay/usage.rs
+++ b/lib/src/relay/usage.rs
@@ -1,8 +1,8 @@
 //! How many requests of each team started to run, by window of the wall clock.
 //!
-//! Each daemon counts its own and several times a second sends its peers its counts of the
-//! last windows. So the daemon that reports usage has all counts, also those of a daemon
-//! that was killed meanwhile, up to its last digest.
+//! Each daemon counts its own and sends its counts of the last windows to the daemon that reports
+//! usage, right after they change. So that one has all counts, also those of a daemon that was
+//! killed meanwhile, up to its last digest.
 
 use std::time::{Duration, Instant};
 
@@ -53,6 +53,8 @@
     finalized: Option<Report>,
     /// Until when this daemon sends it to its peers.
     advertise_until: Option<Instant>,
+    /// Requests that this daemon counted.
+    counted: u64,
 }
 
 impl Usage {
@@ -63,9 +65,15 @@
             rows: Vec::new(),
             finalized: None,
             advertise_until: None,
+            counted: 0,
         }
     }
 
+    /// Number of requests that this daemon counted; it tells whether its counts changed.
+    pub fn counted(&self) -> u64 {
+        self.counted
+    }
+
     /// Notes a report that this daemon finalized, to be sent to its peers.
     pub fn finalize(&mut self, report: Report, now: Instant) {
         if self.merge_finalized(report) {
@@ -97,6 +105,7 @@
 
     /// Counts a request that started to run at this daemon.
     pub fn count(&mut self, window: WindowId, team: &CustomerId) {
+        self.counted += 1;
         let me = self.me.clone();
         let at = self.row(window, me);
         let counts = &mut self.rows[at].counts;
--- a/lib/tests/test_relay_crash.rs
+++ b/lib/tests/test_relay_crash.rs
@@ -14,7 +14,7 @@
 
 /// Sends one daemon's digest to another.
 fn digest(from: &Crashes, to: &mut Crashes, whole: bool, now: Instant) {
-    for crash in from.report(whole, now) {
+    for crash in from.report(whole, false, now) {
         to.merge(&crash, now);
     }
     for fingerprint in from.report_cleared(now) {
@@ -106,7 +106,7 @@
         crashes.record(fingerprint, 99, now + PERIOD);
     }
     assert!(crashes.quarantine_left(FATAL, now + PERIOD).is_some());
-    let report = crashes.report(false, now + PERIOD);
+    let report = crashes.report(false, false, now + PERIOD);
     assert_eq!(report[0].fingerprint, FATAL);
     assert!(report.len() < 100);
 }
@@ -117,7 +117,7 @@
     let now = Instant::now();
     let mut crashes = Crashes::default();
     crashes.record(OTHER, 1, now);
-    let mut crash = crashes.report(false, now).remove(0);
+    let mut crash = crashes.report(false, false, now).remove(0);
     let mut other = Crashes::default();
     crash.left = Duration::ZERO;
     assert_eq!(other.merge(&crash, now), CrashUpdate::Unchanged);
--- a/lib/tests/test_relay_evacuation.rs
+++ b/lib/tests/test_relay_evacuation.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use poplarvale_lib::relay::catalog::{Engine, Scaling, Service};
-use poplarvale_lib::relay::change_feed::{FeedAction, StoreProgress};
+use poplarvale_lib::relay::change_feed::{ChangeFeed, FeedAction, StoreProgress};
 use poplarvale_lib::relay::demand::Work;
 use poplarvale_lib::relay::endpoint_table::EndpointTable;
 use poplarvale_lib::relay::fleet::{DesiredCount, Orders};
@@ -221,26 +221,32 @@
     assert!(fewer(&counts(&mut orders, start + COLD_TIME)));
 }
 
+fn feed(watcher: &StoreProgress, zones: &[ZoneId], now: Instant) -> ChangeFeed {
+    ChangeFeed {
+        evacuated: Some(zones.to_vec()),
+        ..watcher.feed(now).expect("a recent answer")
+    }
+}
+
 /// A daemon gets the change feed of a watcher. It must learn of the beginning and of the end of an
 /// evacuation by it, without a call to the store.
 #[test]
 fn the_change_feed_carries_the_evacuated_zones() {
     let now = Instant::now();
-    let timeout = Duration::from_secs(1);
     let mut watcher = StoreProgress::default();
-    watcher.record_snapshot(10, now);
+    watcher.record_snapshot(10, Vec::new(), now);
     let mut other = watcher.clone();
     watcher.record_watch(11, now);
     let hanko = zones(&["hanko"]);
-    let begun = watcher.feed(0, &hanko, now).expect("a recent answer");
-    let applied = other.merge(begun.clone(), timeout, now);
-    assert_eq!(applied, FeedAction::Apply(vec![], Some(hanko)));
+    let begun = feed(&watcher, &hanko, now);
+    assert_eq!(other.merge(&begun, now), FeedAction::Apply(vec![]));
+    assert_eq!(other.evacuated(&begun), Some(hanko.as_slice()));
     watcher.record_watch(12, now);
-    let ended = watcher.feed(0, &[], now).expect("a recent answer");
-    let applied = other.merge(ended, timeout, now);
-    assert_eq!(applied, FeedAction::Apply(vec![], Some(vec![])));
-    let applied = other.merge(begun, timeout, now);
-    assert_eq!(applied, FeedAction::Apply(vec![], None), "a delayed feed");
+    let ended = feed(&watcher, &[], now);
+    assert_eq!(other.merge(&ended, now), FeedAction::Apply(vec![]));
+    assert_eq!(other.evacuated(&ended), Some([].as_slice()));
+    assert_eq!(other.merge(&begun, now), FeedAction::Apply(vec![]));
+    assert_eq!(other.evacuated(&begun), None, "a delayed feed");
 }
 
 /// The watchers of a zone run an older build, which does not know of evacuations. A daemon that
@@ -249,13 +255,14 @@
 fn the_feed_of_a_watcher_that_knows_no_evacuations_does_not_suffice() {
     let now = Instant::now();
     let mut watcher = StoreProgress::default();
-    watcher.record_snapshot(10, now);
+    watcher.record_snapshot(10, Vec::new(), now);
     let mut other = watcher.clone();
-    let mut feed = watcher.feed(0, &[], now).expect("a recent answer");
+    watcher.record_watch(11, now);
+    let mut feed = feed(&watcher, &[], now);
     feed.evacuated = None;
-    let action = other.merge(feed, Duration::from_secs(1), now);
-    assert_eq!(action, FeedAction::Ignore);
-    assert!(other.fed_until(now).is_none());
+    assert_eq!(other.merge(&feed, now), FeedAction::Ignore);
+    assert_eq!(other.revision(), Some(10));
+    assert!(!other.is_fresh(now + Duration::from_secs(2)));
 }
 
 /// The store comes back from an older copy, in which a zone is still evacuated or not yet. A feed
@@ -264,14 +271,12 @@
 fn a_feed_of_a_former_era_does_not_change_the_evacuated_zones() {
     let now = Instant::now();
     let mut watcher = StoreProgress::default();
-    watcher.record_snapshot(revision_in(1, 20), now);
+    watcher.record_snapshot(revision_in(1, 20), Vec::new(), now);
     let mut other = StoreProgress::default();
-    other.record_snapshot(revision_in(2, 15), now);
-    let feed = watcher.feed(0, &zones(&["hanko"]), now).expect("recent");
-    assert_eq!(
-        other.merge(feed, Duration::from_secs(1), now),
-        FeedAction::Ignore
-    );
+    other.record_snapshot(revision_in(2, 15), Vec::new(), now);
+    let feed = feed(&watcher, &zones(&["hanko"]), now);
+    assert_eq!(other.merge(&feed, now), FeedAction::Ignore);
+    assert_eq!(other.evacuated(&feed), None);
 }
 
 /// Zones of three regions.
--- a/lib/tests/test_relay_limit.rs
+++ b/lib/tests/test_relay_limit.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use poplarvale_lib::relay::limit::{AnnouncedLimit, Limit};
+use poplarvale_lib::relay::limit::{AnnouncedLimit, Limit, Source};
 use poplarvale_lib::relay::sharers::Sharers;
 use proptest::prelude::*;
 
@@ -38,7 +38,7 @@
 }
 
 fn first(announced: AnnouncedLimit, sharers: &Sharers) -> Limit {
-    Limit::merge(None, ENDPOINT, announced, true, sharers).expect("nothing was known")
+    Limit::merge(None, ENDPOINT, announced, Source::Direct, sharers).expect("nothing was known")
 }
 
 /// Runs daemons that all have more requests than they may send; returns the times of those that
@@ -120,26 +120,33 @@
         rate: None,
         at: start + STEP,
     };
-    let limit = Limit::merge(Some(&limit), ENDPOINT, later, false, &single).expect("it is newer");
+    let limit =
+        Limit::merge(Some(&limit), ENDPOINT, later, Source::Zone, &single).expect("it is newer");
     assert_eq!(limit.rate(), None);
     assert!(limit.check(start + STEP).is_ok());
     let late = announce(1.0, start);
     assert_eq!(
-        Limit::merge(Some(&limit), ENDPOINT, late, true, &single),
+        Limit::merge(Some(&limit), ENDPOINT, late, Source::Direct, &single),
         None
     );
 }
 
-/// A daemon reports only what an endpoint announced to itself. If all daemons passed it on, an
-/// old announcement would never disappear.
+/// Announcements are passed on only towards daemons that are further from the endpoint. If all
+/// daemons passed them on, an old one would go round for ever, newer at each hop by the delay.
 #[test]
-fn received_announcements_are_not_passed_on() {
+fn announcements_are_not_passed_back() {
     let start = Instant::now();
     let single = sharers(0, 1, |_| false);
     let own = first(announce(1.0, start), &single);
-    assert_eq!(own.report(start + RUN_TIME), Some(announce(1.0, start)));
-    let received = Limit::merge(None, ENDPOINT, announce(1.0, start), false, &single);
-    assert_eq!(received.expect("nothing was known").report(start), None);
+    let known = Some(announce(1.0, start));
+    assert_eq!(own.report(Source::Direct, start + RUN_TIME), known);
+    let received = |source| Limit::merge(None, ENDPOINT, announce(1.0, start), source, &single);
+    let of_zone = received(Source::Zone).expect("nothing was known");
+    assert_eq!(of_zone.report(Source::Direct, start), None);
+    assert_eq!(of_zone.report(Source::Zone, start), known);
+    let of_fleet = received(Source::Fleet).expect("nothing was known");
+    assert_eq!(of_fleet.report(Source::Zone, start), None);
+    assert_eq!(of_fleet.report(Source::Fleet, start), known);
 }
 
 /// A daemon has sent nothing for a long time when an endpoint starts to announce a limit, and
@@ -153,9 +160,11 @@
         rate: None,
         at: start + RUN_TIME,
     };
-    let limit = Limit::merge(Some(&limit), ENDPOINT, over, true, &single).expect("it is newer");
+    let limit =
+        Limit::merge(Some(&limit), ENDPOINT, over, Source::Direct, &single).expect("it is newer");
     let again = announce(1.0, start + RUN_TIME * 2);
-    let limit = Limit::merge(Some(&limit), ENDPOINT, again, true, &single).expect("it is newer");
+    let limit =
+        Limit::merge(Some(&limit), ENDPOINT, again, Source::Direct, &single).expect("it is newer");
     assert!(limit.check(start + RUN_TIME * 2).is_err());
 }
 
@@ -222,8 +231,14 @@
     let (mut now, mut sent) = (start, 0);
     while now < start + RUN_TIME {
         now += STEP;
-        limit = Limit::merge(Some(&limit), ENDPOINT, announce(1.0, now), true, &single)
-            .expect("it is newer");
+        limit = Limit::merge(
+            Some(&limit),
+            ENDPOINT,
+            announce(1.0, now),
+            Source::Direct,
+            &single,
+        )
+        .expect("it is newer");
         if limit.check(now).is_ok() {
             limit.take(now);
             sent += 1;
--- a/lib/tests/test_relay_shared.rs
+++ b/lib/tests/test_relay_shared.rs
@@ -7,7 +7,7 @@
 use poplarvale_lib::relay::catalog::{Team, Unit};
 use poplarvale_lib::relay::clock::Clock;
 use poplarvale_lib::relay::duty::DutyLease;
-use poplarvale_lib::relay::quota::{PeerReport, Quota, TeamUse, Tolerance, name_hash};
+use poplarvale_lib::relay::quota::{Coverage, PeerReport, Quota, TeamUse, Tolerance, name_hash};
 use poplarvale_lib::relay::usage::Usage;
 use proptest::prelude::*;
 
@@ -37,6 +37,7 @@
         incarnation: 1,
         received,
         started: received.checked_sub(WINDOW * 3).unwrap_or(received),
+        coverage: Coverage::default(),
         uses,
     }
 }
