quota: what a zone admits while its reporter changes is estimated from its rate

A flood begins as one daemon of three zones is cut off. The others rely on its sums until it counts as silent, and went on from the totals of the zone's other watcher: what that one had admitted for 1.25 s was counted nowhere, in three zones at once.

The unit test shows it each time.

--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -91,13 +91,13 @@
     let is_mistaken = !is_watcher && (digest.own.is_some() || digest.zone_use.is_some());
     let is_mistaken = is_mistaken && digest.sequence.is_multiple_of(ANSWER_EVERY);
     if let Some(own) = digest.own.filter(|_| is_local && is_watcher) {
-        merge_own(state, &sender, digest.sequence, own, now);
+        merge_own(state, &sender, digest.sequence, &own, now);
     }
     if let Some(zone_use) = digest.zone_use.filter(|_| !is_local && is_watcher) {
-        merge_zone(state, &sender, zone_use, now);
+        merge_zone(state, &sender, &zone_use, now);
     }
     if let Some(fleet_use) = digest.fleet_use.filter(|_| is_local && !is_watcher) {
-        merge_fleet(state, &sender, digest.seen, fleet_use, now);
+        merge_fleet(state, &sender, digest.seen, &fleet_use, now);
     }
     Replies {
         roster: digest.asks || is_mistaken,
@@ -214,7 +214,7 @@
 }
 
 /// Merges what a daemon of this zone reports of itself.
-fn merge_own(state: &State, sender: &Sender<'_>, sequence: u64, own: digest::Use, now: Instant) {
+fn merge_own(state: &State, sender: &Sender<'_>, sequence: u64, own: &digest::Use, now: Instant) {
     let mut peers = state.peers.borrow_mut();
     peers.record_use(sender.address, sequence, now);
     let report = sender.report(decode_teams(&own.teams), Coverage::default(), now);
@@ -235,10 +235,10 @@
 }
 
 /// Merges the sums of another zone.
-fn merge_zone(state: &State, sender: &Sender<'_>, zone_use: digest::Use, now: Instant) {
+fn merge_zone(state: &State, sender: &Sender<'_>, zone_use: &digest::Use, now: Instant) {
     let mut report = sender.report(
         decode_teams(&zone_use.teams),
-        decode_coverage(&zone_use),
+        decode_coverage(zone_use),
         now,
     );
     report.started = now
@@ -258,7 +258,7 @@
     state: &State,
     sender: &Sender<'_>,
     seen: u64,
-    fleet_use: digest::Use,
+    fleet_use: &digest::Use,
     now: Instant,
 ) {
     if state.peers.borrow().followed(now) != Some(sender.address) {
@@ -270,7 +270,7 @@
         log::debug!("peers: {} has nothing new of this daemon.", sender.name);
         return;
     }
-    let mut coverage = decode_coverage(&fleet_use);
+    let mut coverage = decode_coverage(fleet_use);
     let (mut uses, mut loads) = (
         decode_teams(&fleet_use.teams),
         decode_loads(&fleet_use.endpoints),
--- a/daemon/tests/test_relay_watchers.rs
+++ b/daemon/tests/test_relay_watchers.rs
@@ -2,7 +2,7 @@
 //! changes.
 
 use std::ops::Range;
-use std::sync::Arc;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use poplarvale_standin::{Endpoint, Fault, Proxy, ask, config, plain, request};
@@ -152,8 +152,8 @@
         let one = endpoint("i-1").await;
         let store = store_with(&[&one]).await;
         store.remove("op/config");
-        let store = Arc::new(store);
-        let writer = Arc::clone(&store);
+        let store = Rc::new(store);
+        let writer = Rc::clone(&store);
         let write = async move {
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
             writer.put("op/config", config(1, &ROUTES, 0).as_bytes());
--- a/lib/src/relay/membership.rs
+++ b/lib/src/relay/membership.rs
@@ -66,7 +66,7 @@
 }
 
 /// What a daemon states of itself in each digest.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Statement {
     /// Where it runs.
     pub location: Location,
--- a/lib/src/relay/quota/groups.rs
+++ b/lib/src/relay/quota/groups.rs
@@ -81,10 +81,11 @@
 pub(super) enum Counting {
     /// Those that the last report did not have.
     Units,
-    /// None of teams that are known: another daemon reported them before this one.
-    Baseline,
-    /// None at all: they are part of the history that this daemon already has.
-    Nothing,
+    /// Of known teams only what the rate brings in this time, as another daemon reported them until
+    /// then.
+    Since(Duration),
+    /// Of all teams only that, as the rest is part of the history that this daemon already has.
+    AllSince(Duration),
 }
 
 /// Another daemon or a group of daemons, with all that was reported within the window.
@@ -182,17 +183,17 @@
                 at
             });
             let team = &mut self.teams[at];
-            let is_counted = match counting {
-                Counting::Units => true,
-                Counting::Baseline => !is_known,
-                Counting::Nothing => false,
-            };
-            if is_counted {
+            let estimate = |gap: Duration| (row.rate * gap.as_secs_f64()).min(row.units);
+            let new = match counting {
+                Counting::Since(gap) if is_known => estimate(gap),
+                Counting::AllSince(gap) => estimate(gap),
                 // Refunds can lower the total a little.
-                let new = f64::from(row.total.wrapping_sub(team.total).cast_signed());
-                team.steps.spread(first, last, new);
-                added.push((row.team, new));
-            }
+                Counting::Units | Counting::Since(_) => {
+                    f64::from(row.total.wrapping_sub(team.total).cast_signed())
+                }
+            };
+            team.steps.spread(first, last, new);
+            added.push((row.team, new));
             team.total = row.total;
             team.rate = row.rate;
             team.demand = row.demand;
--- a/lib/src/relay/quota/sums.rs
+++ b/lib/src/relay/quota/sums.rs
@@ -3,10 +3,11 @@
 //! The watchers of a zone hear each of its daemons, and the watchers of the other zones as sums.
 //! They keep totals that only grow with what they learn, so that whoever follows their reports
 //! counts nothing twice and misses nothing when a daemon ends. A daemon whose watcher changes
-//! keeps what it has counted and goes on from the totals of the new one.
+//! keeps what it has counted and goes on from the totals of the new one. What was admitted between
+//! the last report of the one and the first of the other is estimated from the rate.
 //!
 //! A daemon that becomes a watcher knows the fleet from the sums of the former one. That stays as
-//! its history, and what daemons report to it first is part of it.
+//! its history, and what daemons report to it first is part of it, but for what they admitted since.
 
 use std::time::{Duration, Instant};
 
@@ -125,7 +126,7 @@
         let counting = if is_new || !fleet.is_other_reporter(report) {
             Counting::Units
         } else {
-            Counting::Baseline
+            Counting::Since(report.received.saturating_duration_since(fleet.received))
         };
         fleet.merge(report, first, last, counting);
         fleet.report_timeout = report_timeout;
@@ -141,16 +142,18 @@
         if !zone.is_other_reporter(report) {
             return Some(Counting::Units);
         }
+        let gap = report.received.saturating_duration_since(zone.received);
         zone.is_unresponsive(report.received)
-            .then_some(Counting::Baseline)
+            .then_some(Counting::Since(gap))
     }
 
     fn first_counting(&self, is_new: bool, now: Instant) -> Counting {
         let in_handover = self.handover_until.is_some_and(|until| now < until);
-        if is_new && in_handover {
-            Counting::Nothing
-        } else {
-            Counting::Units
+        match &self.history {
+            Some(history) if is_new && in_handover => {
+                Counting::AllSince(now.saturating_duration_since(history.received))
+            }
+            _ => Counting::Units,
         }
     }
 
--- a/lib/tests/test_relay_quota.rs
+++ b/lib/tests/test_relay_quota.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use poplarvale_lib::relay::catalog::{Team, Unit};
-use poplarvale_lib::relay::quota::{Coverage, PeerReport, Quota, Spent, Sum, TeamUse, Tolerance};
+use poplarvale_lib::relay::quota::{
+    Coverage, PeerReport, Quota, Spent, Sum, TeamUse, Tolerance, name_hash,
+};
 
 const WINDOW: Duration = Duration::from_secs(8);
 const DAEMONS: usize = 195;
@@ -325,6 +327,50 @@
     }
 }
 
+/// A flood goes through a zone whose watcher is cut off, and the other watcher of the zone reports
+/// in its place. What the zone admitted in the second until then must not be forgotten, or it is
+/// admitted twice, once for each zone with such a watcher.
+#[test]
+fn what_a_zone_admits_while_its_reporter_changes_is_counted() {
+    let start = Instant::now();
+    let cut = start + WINDOW * 2;
+    let rate = 20_000.0;
+    let mut quota = Quota::new(WINDOW, TOLERANCE, start);
+    quota.set_watcher(true, start);
+    let sum = |name: usize, total: u32, at| PeerReport {
+        coverage: Coverage {
+            daemons: 2,
+            ..Coverage::default()
+        },
+        ..report(
+            name,
+            at,
+            start,
+            vec![TeamUse {
+                team: name_hash("club"),
+                units: rate * 8.0,
+                total,
+                rate,
+                demand: rate,
+            }],
+        )
+    };
+    quota.merge_zone(&sum(1, 1_000_000, cut), PERIOD * 4);
+    let known = |quota: &Quota, at| quota.fleet_sum(at).uses[0].units;
+    let before = known(&quota, cut);
+    let later = cut + PERIOD * 5;
+    quota.merge_zone(&sum(7, 500_000, later), PERIOD * 4);
+    let counted = known(&quota, later) - before;
+    let admitted = rate * (PERIOD * 5).as_secs_f64();
+    // Steps of the window end meanwhile.
+    let left = rate * (PERIOD * 6).as_secs_f64();
+    assert!(
+        counted >= admitted - left - 1.0 && counted <= admitted,
+        "{counted}"
+    );
+    assert!(f64::from(quota.fleet_sum(later).uses[0].total) >= admitted * 0.99);
+}
+
 /// A sixth of 986 daemons is isolated, each from all others. An even share of the allowance is less
 /// than one prompt there, and a team well within its allowance must be served all the same; a team
 /// that floods must stay within its allowance.
@@ -337,7 +383,8 @@
         let now = fleet.start + WINDOW * 2;
         fleet.isolation = Some((now, now + WINDOW, MANY / 6));
         fleet.send(&team, flood * SMALL_RATE, PERIOD * 4);
-        let (all, rejected) = fleet.send(&team, flood * SMALL_RATE, WINDOW - PERIOD * 4);
+        let (all, rejected) =
+            fleet.send(&team, flood * SMALL_RATE, WINDOW.saturating_sub(PERIOD * 4));
         if flood < 1.0 {
             assert!(rejected * 10 <= all, "{rejected} of {all}");
         }
