--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -105,14 +105,26 @@
 /// Sends what the other daemons would not learn otherwise, right before the daemon ends.
 pub(crate) fn send_last_digest(state: &State, socket: &UdpSocket) {
     let now = Instant::now();
-    state.peers.borrow_mut().close();
-    send_own(state, socket, &[], now);
-    let (own_address, others) = {
-        let peers = state.peers.borrow();
+    let (own_address, others, listeners) = {
+        let mut peers = state.peers.borrow_mut();
         let mut others = peers.parents(now);
         others.extend(peers.partners(now, |count| fastrand::usize(..count)));
-        (peers.own_address(), others)
+        let listeners = peers.members().chain(peers.remote_watchers());
+        let listeners: Vec<Ipv4Addr> = listeners.map(|row| row.address).collect();
+        let listeners = if peers.is_watcher() {
+            listeners
+        } else {
+            Vec::new()
+        };
+        peers.close();
+        (peers.own_address(), others, listeners)
     };
+    send_own(state, socket, &[], now);
+    // Who relied on this daemon as a watcher need not wait until its silence is noticed.
+    for listener in listeners {
+        let bytes = header(state, now).encode_to_vec();
+        send_to(state, socket, listener, &bytes);
+    }
     // If nobody holds the duties now, whoever takes them next finds the counts at a few others.
     let receivers = match state.holder.get() {
         Some((holder, _)) if holder == own_address => others,
