metrics: why connections to endpoints were not made, and why none may be used

A refusal with code 2006 looked the same whether the endpoints were gone, leaving, left out after failures, or unreachable from one host only. New connections are counted by outcome, and a line a few times a second tells how many endpoints of the service are known, leaving and left out.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -4,6 +4,7 @@
 //! If the connection breaks, the endpoint may have crashed because of the request, so it is
 //! checked.
 
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant as Std};
@@ -256,8 +257,14 @@
 ) -> Option<(Listing, BufferedStream, bool)> {
     let endpoint = state.endpoints.borrow().get(&choice.id)?.listing.clone();
     match state.upstreams.get(endpoint.address).await {
-        Ok((conn, reused)) => Some((endpoint, conn, reused)),
+        Ok((conn, reused)) => {
+            if !reused {
+                state.measure(|metrics| metrics.record_connect("made"));
+            }
+            Some((endpoint, conn, reused))
+        }
         Err(error) => {
+            state.measure(|metrics| metrics.record_connect(connect_outcome(&error)));
             let mut table = state.endpoints.borrow_mut();
             let row = table.get_mut(&choice.id);
             let opened = row.is_some_and(|row| row.breaker.record_connect_failure(Std::now()));
@@ -271,6 +278,15 @@
     }
 }
 
+/// Why a connection was not made, as the metrics count it.
+fn connect_outcome(error: &io::Error) -> &'static str {
+    match error.kind() {
+        ErrorKind::ConnectionRefused => "refused",
+        ErrorKind::TimedOut => "timed out",
+        _ => "failed",
+    }
+}
+
 /// Whether an endpoint may have crashed because of a request whose attempt failed there.
 /// `first_event` is when the first event of its stream was received.
 fn may_have_crashed(
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use poplarvale_lib::http1::Response;
 use poplarvale_lib::relay::admit::Limits;
+use poplarvale_lib::relay::endpoint_table::EndpointState;
 use poplarvale_lib::relay::quota;
 use poplarvale_lib::relay::selection::{Choice, Criteria, SelectError, choose};
 use poplarvale_lib::{Code, EndpointId};
@@ -184,6 +185,9 @@
             log_response(state, job, "", head.status, self.reached);
             return forward_response(write, &head, &body, self.keep).await;
         }
+        if self.stopped == Some(SelectError::None) {
+            log_unusable(state, job);
+        }
         let late = Instant::now() + MIN_TIME_LEFT >= job.deadline;
         let rejection = match (self.unknown, self.stopped) {
             (true, _) if late => Rejection::unknown_outcome(Code::Overdue),
@@ -285,6 +289,31 @@
     }
 }
 
+/// Logs why no endpoint of a service may be used, a few times a second: whether it has none, they
+/// leave, or they are left out because they failed.
+fn log_unusable(state: &State, job: &Job<'_>) {
+    let now = Std::now();
+    if !state.sampler.allows(now) {
+        return;
+    }
+    let table = state.endpoints.borrow();
+    let service = &job.service.name;
+    let rows = table
+        .rows()
+        .iter()
+        .filter(|row| row.listing.service == *service);
+    let (mut known, mut leaving, mut left_out) = (0, 0, 0);
+    for row in rows {
+        known += 1;
+        leaving += u32::from(row.state == EndpointState::Leaving);
+        left_out += u32::from(row.breaker.is_open());
+    }
+    log::info!(
+        request = job.head.id.as_str(), known, leaving, left_out;
+        "send: no endpoint of {service} may be used."
+    );
+}
+
 /// Logs how a request ended: always if it failed or was late, a few a second otherwise.
 fn log_response(state: &State, job: &Job<'_>, endpoint: &str, status: u16, reached: u32) {
     let took = job.arrived.elapsed();
--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -22,6 +22,7 @@
     registry: Registry,
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    connects: Counter<u64>,
     calls: Counter<u64>,
     quarantined: Counter<u64>,
     first_event: Histogram<f64>,
@@ -65,6 +66,10 @@
                 "poplarvale_relay_sendings",
                 "Sendings to endpoints, by how they ended",
             ),
+            connects: counter(
+                "poplarvale_relay_connects",
+                "New connections to endpoints, by whether they were made or why not",
+            ),
             calls: counter(
                 "poplarvale_relay_calls",
                 "Calls to the platform's services, by service and outcome",
@@ -103,6 +108,11 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records whether a new connection to an endpoint was made.
+    pub(crate) fn record_connect(&self, outcome: &'static str) {
+        self.connects.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records that a request was quarantined.
     pub(crate) fn record_quarantine(&self) {
         self.quarantined.add(1, &[]);
