--- a/daemon/tests/relay_site.rs
+++ b/daemon/tests/relay_site.rs
@@ -128,32 +128,46 @@
         store: SocketAddr,
         duties: &[&str],
     ) -> Vec<(Proxy, Relay)> {
-        let ip = |host: u8| format!("127.0.{number}.{host}");
-        let free = UdpSocket::bind((ip(1).as_str(), 0)).expect("a port is free");
-        let port = free.local_addr().expect("the socket is bound").port();
-        drop(free);
-        let seeds: Vec<String> = (1..=3).map(|host| format!("{}:1", ip(host))).collect();
-        let daemons = (1..=DAEMONS).map(|host| {
-            let (ip, seeds) = (ip(host), seeds.clone());
-            async move {
-                let proxy = Proxy::start(store).await;
-                let text = settings(proxy.address, Cloud::start().await.address);
-                let mut file: Value = serde_json::from_str(&text).expect("the settings are JSON");
-                file["cloud"]["duties"] = json!(duties);
-                file["node"] = json!(format!("front-{ip}"));
-                file["ip"] = json!(ip);
-                file["internalPorts"] = json!([port, port]);
-                file["seeds"] = json!(seeds);
-                let settings = read_settings(&file.to_string()).expect("the settings are valid");
-                let relay = Relay::start(settings).await.expect("the daemon starts");
-                until(READY_TIMEOUT, async || is_ready(relay.ready()).await).await;
-                (proxy, relay)
-            }
+        let port = free_port(number);
+        let daemons = (1..=DAEMONS).map(|host| async move {
+            let proxy = Proxy::start(store).await;
+            let relay = start_daemon(number, host, port, proxy.address, duties).await;
+            (proxy, relay)
         });
         join_all(daemons).await
     }
 }
 
+/// A port that is free at address `127.0.NUMBER.1` now.
+pub(crate) fn free_port(number: usize) -> u16 {
+    let free = UdpSocket::bind((format!("127.0.{number}.1"), 0)).expect("a port is free");
+    free.local_addr().expect("the socket is bound").port()
+}
+
+/// Starts a daemon at address `127.0.NUMBER.HOST`, which knows those at `127.0.NUMBER.1` to `.3` as
+/// its seeds, and waits until it is ready.
+pub(crate) async fn start_daemon(
+    number: usize,
+    host: u8,
+    port: u16,
+    store: SocketAddr,
+    duties: &[&str],
+) -> Relay {
+    let ip = |host: u8| format!("127.0.{number}.{host}");
+    let seeds: Vec<String> = (1..=3).map(|host| format!("{}:1", ip(host))).collect();
+    let text = settings(store, Cloud::start().await.address);
+    let mut file: Value = serde_json::from_str(&text).expect("the settings are JSON");
+    file["cloud"]["duties"] = json!(duties);
+    file["node"] = json!(format!("front-{}", ip(host)));
+    file["ip"] = json!(ip(host));
+    file["internalPorts"] = json!([port, port]);
+    file["seeds"] = json!(seeds);
+    let settings = read_settings(&file.to_string()).expect("the settings are valid");
+    let relay = Relay::start(settings).await.expect("the daemon starts");
+    until(READY_TIMEOUT, async || is_ready(relay.ready()).await).await;
+    relay
+}
+
 /// Starts a store with a configuration and these endpoints of service `app`.
 pub(crate) async fn store_with(endpoints: &[&Endpoint]) -> Store {
     let store = Store::start().await;
