relay: requests are forwarded while a daemon does not reach their service

What callers saw: at hosts that were partitioned from all endpoints, all requests were refused with code 2006 for as long as the partition lasted, 0 of 33 and 0 of 77 first attempts, while other daemons served nearly all.

Cause: the only way of a daemon to endpoints was its own. Its circuit breakers opened one after the other and nothing concluded from that that the fault lay on its own side, nor could it have acted on that. Class: a fault of the own host that is taken for one of the endpoints.

Ruled out: breakers that stay open too long (the refusals begin 2 s after the partition and end with it), and kept connections alone (refused connections are the most, 90 in 12 s at one host).

Now a failed attempt has the daemon check up to three random endpoints of the service by new connections. If none accepts one, requests for the service go to another daemon, which handles them like those of its own callers but does not forward them again. Digests tell which services a daemon does not reach. Checks go on every 400 ms until an endpoint accepts a connection; then the breakers of the service are closed. By service, because links to one service alone can fail too.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -27,18 +27,17 @@
 
 use super::buffered_stream::BufferedStream;
 use super::crash::{LazyFingerprint, check_crash, clear};
-use super::exchange::{EndpointResponse, ExchangeError, SERVER_ERROR, exchange, read_body};
+use super::exchange::{EndpointResponse, ExchangeError, OK, SERVER_ERROR, exchange, read_body};
+use super::reach;
 use super::state::State;
 use super::stream::{Forwarded, StallTimeout, StreamEnd, forward_stream};
 
 /// Longest response that is not a stream. It is buffered completely, so that the request can
 /// still be retried at another endpoint if the response breaks off.
-const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 /// How long an endpoint that reported itself full gets no request; its queue shrinks by a request
 /// every few milliseconds.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
-/// Status of a response whose body is a stream.
-const OK: u16 = 200;
 
 /// An admitted request that is being served.
 #[derive(Debug)]
@@ -59,6 +58,16 @@
     /// Sorted zones that it may be sent to; `None` for all.
     pub(crate) homes: Option<Vec<ZoneId>>,
     pub(crate) fingerprint: LazyFingerprint<'r>,
+    pub(crate) origin: Origin,
+}
+
+/// Who sent a request to this daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// A caller.
+    Caller,
+    /// Another daemon, which does not reach the service. It is not forwarded again.
+    Daemon,
 }
 
 /// How an attempt ended.
@@ -269,6 +278,7 @@
             let row = table.get_mut(&choice.id);
             let opened = row.is_some_and(|row| row.breaker.record_connect_failure(Std::now()));
             state.measure(|metrics| metrics.record_attempt("not connected"));
+            reach::record_failure(state, &job.service.name);
             log::info!(
                 request = job.head.id.as_str(), endpoint = choice.id.as_str(), left_out = opened;
                 "send: could not connect to the endpoint, {error}; another one may be tried."
@@ -424,6 +434,7 @@
     let mut opened = false;
     guard.update(|row| opened = row.breaker.record_failure(Std::now()));
     state.measure(|metrics| metrics.record_attempt("failed"));
+    reach::record_failure(state, &job.service.name);
     log::info!(
         request = job.head.id.as_str(), endpoint = endpoint.id.as_str(), kept = reused,
         left_out = opened, after_ms = job.arrived.elapsed().as_millis() as u64,
@@ -457,7 +468,7 @@
     conn: BufferedStream,
     response: &EndpointResponse,
 ) {
-    if response.head.keep_alive && response.request_sent && conn.buffer.is_empty() {
+    if response.is_reusable(&conn) {
         state.upstreams.put(address, conn, response.meta.idle);
     }
 }
--- a/daemon/src/relay/caller.rs
+++ b/daemon/src/relay/caller.rs
@@ -14,8 +14,9 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::time::{Instant, timeout_at};
 
+use super::attempt::Origin;
 use super::buffered_stream::fill;
-use super::serve::{Connection, RETRY_SOON, serve};
+use super::serve::{Connection, RETRY_SOON, Received, serve};
 use super::state::{ActiveRequest, State};
 
 /// Limit for bytes that are read ahead from a connection while a request is served.
@@ -25,8 +26,17 @@
 /// How long a connection is still read after its last answer, before it is closed.
 const LINGER_TIME: Duration = Duration::from_millis(300);
 
-/// Serves the requests of a connection until it is closed.
-pub(crate) async fn serve_caller(state: Rc<State>, mut stream: TcpStream) {
+/// Serves the requests of a caller's connection until it is closed.
+pub(crate) async fn serve_caller(state: Rc<State>, stream: TcpStream) {
+    serve_connection(state, stream, Origin::Caller).await;
+}
+
+/// Serves the requests that another daemon forwards on a connection, until it is closed.
+pub(crate) async fn serve_daemon(state: Rc<State>, stream: TcpStream) {
+    serve_connection(state, stream, Origin::Daemon).await;
+}
+
+async fn serve_connection(state: Rc<State>, mut stream: TcpStream, origin: Origin) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("caller: setting TCP_NODELAY failed, {error}; serving without it.");
     }
@@ -40,7 +50,7 @@
         // A request counts from its first byte, so a daemon that shuts down also waits for one
         // that is still being read.
         let _active = ActiveRequest::new(&state);
-        match serve_next(&state, &mut read, &mut write, &mut buffer).await {
+        match serve_next(&state, &mut read, &mut write, &mut buffer, origin).await {
             Some(Connection::KeepAlive) => {}
             Some(Connection::Close) => return close(read, write).await,
             None => return,
@@ -78,6 +88,7 @@
     read: &mut ReadHalf<'_>,
     write: &mut WriteHalf<'_>,
     buffer: &mut BytesMut,
+    origin: Origin,
 ) -> Option<Connection> {
     let limits = limits(state);
     let request = match read_head(state, read, buffer, &limits).await? {
@@ -107,9 +118,16 @@
         Ok(body) => body,
         Err(code) => return Some(reject(write, code, Some(&head.id)).await),
     };
+    let received = Received {
+        request: &request,
+        body: &body,
+        head: &head,
+        arrived,
+        origin,
+    };
     tokio::select! {
         biased;
-        connection = serve(state, &request, &body, &head, arrived, write) => Some(connection),
+        connection = serve(state, &received, write) => Some(connection),
         () = until_disconnected(read, buffer) => {
             log::info!(
                 request = head.id.as_str(), after_ms = arrived.elapsed().as_millis() as u64;
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -17,9 +17,11 @@
 use tokio::net::tcp::WriteHalf;
 use tokio::time::Instant;
 
-use super::attempt::{AttemptOutcome, Job, attempt};
+use super::attempt::{AttemptOutcome, Job, Origin, attempt};
 use super::crash::quarantine_left;
 use super::exchange::SERVER_ERROR;
+use super::forward::{Forwarding, forward};
+use super::reach;
 use super::serve::{Connection, RETRY_SOON, Rejection, connection, forward_response, reject};
 use super::state::State;
 use super::stream::{Forwarded, StallTimeout};
@@ -39,7 +41,6 @@
 #[derive(Debug)]
 struct Progress {
     forwarded: Forwarded,
-    keep: bool,
     /// Endpoints of earlier attempts.
     avoid: Vec<EndpointId>,
     /// Number of attempts that ran the request, or may have.
@@ -50,6 +51,8 @@
     reserved: bool,
     /// Whether an attempt failed after which the request may have run.
     unknown: bool,
+    /// Whether its units were returned to its team.
+    refunded: bool,
     /// Why no further attempt is made; `None` while one may be.
     stopped: Option<SelectError>,
     /// Error response of an endpoint; it is forwarded if no later attempt responds.
@@ -70,12 +73,12 @@
         .record_request(&job.service.name, now);
     let mut progress = Progress {
         forwarded: Forwarded::new(job.head.resume, keep),
-        keep,
         avoid: Vec::new(),
         runs: 0,
         reached: 0,
         reserved: false,
         unknown: false,
+        refunded: false,
         stopped: None,
         failure: None,
     };
@@ -91,6 +94,9 @@
 impl Progress {
     /// Chooses the endpoint of the next attempt; `None` if there is to be none.
     fn next_endpoint(&mut self, state: &State, job: &Job<'_>) -> Option<Choice> {
+        if self.may_forward(state, job) {
+            return None;
+        }
         if Instant::now() + MIN_TIME_LEFT >= job.deadline || self.stopped.is_some() {
             return None;
         }
@@ -125,7 +131,9 @@
             && self.reached + 1 < MAX_ENDPOINTS;
         let (avoid, reserved) = (&self.avoid, &mut self.reserved);
         let mut try_move = || {
-            *reserved = may_continue && pick(state, job, avoid).is_ok() && try_retry(state, job);
+            reach::record_failure(state, &job.service.name);
+            let may_move = can_forward(state, job) || pick(state, job, avoid).is_ok();
+            *reserved = may_continue && may_move && try_retry(state, job);
             *reserved
         };
         let stall = stall_timeout(job, choice.wait, &mut try_move);
@@ -148,7 +156,7 @@
         match outcome {
             AttemptOutcome::Streamed => {
                 log_response(state, job, &choice.id, 200, self.reached);
-                Some(connection(self.keep))
+                Some(connection(self.forwarded.keep))
             }
             AttemptOutcome::CallerGone => Some(Connection::Close),
             AttemptOutcome::NotSent | AttemptOutcome::NotRun => None,
@@ -163,7 +171,7 @@
                     return Some(self.cut_off(state, job));
                 }
                 log_response(state, job, &choice.id, head.status, self.reached);
-                Some(forward_response(write, &head, &body, self.keep).await)
+                Some(forward_response(write, &head, &body, self.forwarded.keep).await)
             }
             AttemptOutcome::Failed(_) => {
                 self.runs += 1;
@@ -176,14 +184,70 @@
         }
     }
 
+    /// Whether the request is to be forwarded to another daemon instead of a further attempt.
+    fn may_forward(&self, state: &State, job: &Job<'_>) -> bool {
+        can_forward(state, job) && (!self.unknown || job.route.retry_policy.allows_retry())
+    }
+
+    /// Forwards the request to another daemon, if that is possible and useful; `None` if it is not,
+    /// or if no daemon took the request.
+    async fn forward(
+        &mut self,
+        state: &Rc<State>,
+        job: &Job<'_>,
+        write: &mut WriteHalf<'_>,
+    ) -> Option<Connection> {
+        let is_late = Instant::now() + MIN_TIME_LEFT >= job.deadline;
+        if is_late || self.failure.is_some() || !self.may_forward(state, job) {
+            return None;
+        }
+        let is_first = self.reached == 0 && !self.forwarded.head_sent;
+        if !is_first && !std::mem::take(&mut self.reserved) && !try_retry(state, job) {
+            return None;
+        }
+        if !self.unknown {
+            // The other daemon counts the request against the rate of the team.
+            self.refund(state, job);
+        }
+        let forwarding = Forwarding {
+            request: job.request,
+            body: job.body,
+            head: job.head,
+            route: job.route,
+            service: &job.service.name,
+            homes: job.homes.as_deref(),
+            arrived: job.arrived,
+            deadline: job.deadline,
+        };
+        forward(state, &forwarding, &mut self.forwarded, write).await
+    }
+
+    /// Returns the units of a request that did not run to its team.
+    fn refund(&mut self, state: &State, job: &Job<'_>) {
+        if let Some(team) = job.team
+            && !std::mem::replace(&mut self.refunded, true)
+        {
+            let units = quota::units(team, job.head);
+            state.quota.borrow_mut().refund(team, units);
+        }
+    }
+
     /// Ends a request of which no further attempt is made.
-    async fn finish(self, state: &State, job: &Job<'_>, write: &mut WriteHalf<'_>) -> Connection {
+    async fn finish(
+        mut self,
+        state: &Rc<State>,
+        job: &Job<'_>,
+        write: &mut WriteHalf<'_>,
+    ) -> Connection {
+        if let Some(connection) = self.forward(state, job, write).await {
+            return connection;
+        }
         if self.forwarded.head_sent {
             return self.cut_off(state, job);
         }
         if let Some((head, body)) = self.failure {
             log_response(state, job, "", head.status, self.reached);
-            return forward_response(write, &head, &body, self.keep).await;
+            return forward_response(write, &head, &body, self.forwarded.keep).await;
         }
         if self.stopped == Some(SelectError::None) {
             log_unusable(state, job);
@@ -200,14 +264,11 @@
             }
             (false, _) => Rejection::retry_later(Code::NoEndpoint, RETRY_SOON),
         };
-        if let Some(team) = job.team
-            && !self.unknown
-        {
+        if !self.unknown {
             // A request that did not run does not count against the rate of its team.
-            let units = quota::units(team, job.head);
-            state.quota.borrow_mut().refund(team, units);
+            self.refund(state, job);
         }
-        reject(state, write, job.head, rejection, self.keep).await
+        reject(state, write, job.head, rejection, self.forwarded.keep).await
     }
 
     /// Ends a stream of which the caller has received a part. Only closing the connection before
@@ -224,6 +285,11 @@
     }
 }
 
+/// Whether a request may be forwarded now, as this daemon does not reach its service.
+fn can_forward(state: &State, job: &Job<'_>) -> bool {
+    job.origin == Origin::Caller && state.reach.borrow().is_cut_off(&job.service.name)
+}
+
 /// Takes a retry of the request from the budget of its service; `false` if none is left.
 fn try_retry(state: &State, job: &Job<'_>) -> bool {
     let now = Std::now();
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -12,6 +12,8 @@
 /// Responses to earlier requests that are skipped before the connection is abandoned.
 const MAX_STRAY_RESPONSES: usize = 3;
 
+/// Status of a response whose body is a stream.
+pub(crate) const OK: u16 = 200;
 /// Lowest status of a response that counts as a failure of the endpoint.
 pub(crate) const SERVER_ERROR: u16 = 500;
 
@@ -43,6 +45,13 @@
     pub(crate) request_sent: bool,
 }
 
+impl EndpointResponse {
+    /// Whether its connection can serve a further request, once the body was read.
+    pub(crate) fn is_reusable(&self, conn: &BufferedStream) -> bool {
+        self.head.keep_alive && self.request_sent && conn.buffer.is_empty()
+    }
+}
+
 /// Sends a request and reads the head of its response.
 ///
 /// An endpoint may respond before it has read all of a long request, so writing and reading go
--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -5,6 +5,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use poplarvale_lib::ServiceId;
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
 use super::logging;
@@ -25,6 +26,8 @@
     connects: Counter<u64>,
     calls: Counter<u64>,
     quarantined: Counter<u64>,
+    cut_off: Counter<u64>,
+    forwarded: Counter<u64>,
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
     /// Kept until the instruments are dropped.
@@ -78,6 +81,14 @@
                 "poplarvale_relay_quarantined",
                 "Requests that were quarantined because endpoints ended under them",
             ),
+            cut_off: counter(
+                "poplarvale_relay_cut_off",
+                "Times at which no endpoint of a service accepted a connection any more",
+            ),
+            forwarded: counter(
+                "poplarvale_relay_forwarded",
+                "Requests forwarded to other daemons, by how that ended",
+            ),
             first_event: histogram(
                 "poplarvale_relay_first",
                 "Time from a request's head to its first event or answer",
@@ -118,6 +129,17 @@
         self.quarantined.add(1, &[]);
     }
 
+    /// Records that no endpoint of a service accepts a connection any more.
+    pub(crate) fn record_cut_off(&self, service: &ServiceId) {
+        self.cut_off
+            .add(1, &[KeyValue::new("service", service.to_string())]);
+    }
+
+    /// Records how forwarding a request to another daemon ended.
+    pub(crate) fn record_forwarded(&self, outcome: &'static str) {
+        self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records the time until the first event of a streamed response.
     pub(crate) fn record_first_event(&self, elapsed: Duration) {
         self.first_event.record(elapsed.as_secs_f64(), &[]);
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -134,6 +134,7 @@
         follows: (digest.follows != 0).then(|| Ipv4Addr::from(digest.follows)),
     };
     peers.update(from, statement, now);
+    peers.set_cut_off(from, &digest.cut_off, now);
     if let Some(roster) = &digest.roster {
         let zones = roster.zones.iter().map(|row| {
             let daemons = row.daemons.iter().copied().map(Ipv4Addr::from);
--- a/daemon/src/relay/peers/encode.rs
+++ b/daemon/src/relay/peers/encode.rs
@@ -9,7 +9,7 @@
 use poplarvale_lib::relay::limit::{AnnouncedLimit, Source};
 use poplarvale_lib::relay::load_reports::Load;
 use poplarvale_lib::relay::membership::{Candidate, PERIOD, ZoneRoster};
-use poplarvale_lib::relay::quota::{Sum, TeamUse};
+use poplarvale_lib::relay::quota::{Sum, TeamUse, name_hash};
 use poplarvale_lib::relay::rollout::evidence::{Comparison, Key, VersionCounts};
 use poplarvale_lib::relay::rollout::{MoveReport, Outcome};
 use poplarvale_lib::relay::sent_uses::SentUse;
@@ -47,6 +47,7 @@
         watcher: peers.is_watcher(),
         closing: peers.is_closing(),
         blind: peers.is_blind(now),
+        cut_off: cut_off(state),
         follows: peers.followed(now).map_or(0, u32::from),
         holder: state.holder.get().map(|(address, token)| digest::Holder {
             address: address.into(),
@@ -56,6 +57,11 @@
     }
 }
 
+fn cut_off(state: &State) -> Vec<u32> {
+    let reach = state.reach.borrow();
+    reach.cut_off().map(|service| name_hash(service)).collect()
+}
+
 /// Adds what concerns all daemons: crashes, limits, states of version moves and the last report of
 /// usage.
 pub(super) fn shared(
--- /dev/null
+++ b/daemon/src/relay/reach.rs
@@ -0,0 +1,107 @@
+//! Checks which services this daemon reaches, after attempts at their endpoints have failed.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use futures::future::join_all;
+use poplarvale_lib::ServiceId;
+use poplarvale_lib::relay::reachability::{CHECKED_ENDPOINTS, ReachChange};
+
+use super::state::State;
+use super::upstream;
+
+/// Makes the checks that are due until the process ends.
+pub(crate) async fn check_services(state: Rc<State>) {
+    loop {
+        let next = {
+            let reach = state.reach.borrow();
+            let next = reach.next_check();
+            next.map(|(service, due)| (service.clone(), due))
+        };
+        let Some((service, due)) = next else {
+            state.check_due.notified().await;
+            continue;
+        };
+        tokio::select! {
+            () = tokio::time::sleep_until(due.into()) => check(&state, &service).await,
+            // Another service may be due earlier.
+            () = state.check_due.notified() => {}
+        }
+    }
+}
+
+/// Records that an attempt at an endpoint of a service failed or stalled.
+pub(crate) fn record_failure(state: &State, service: &ServiceId) {
+    let mut reach = state.reach.borrow_mut();
+    reach.record_failure(service, Instant::now());
+    state.check_due.notify_one();
+}
+
+/// Checks whether any of a few endpoints of a service accepts a connection.
+async fn check(state: &State, service: &ServiceId) {
+    let targets = {
+        let table = state.endpoints.borrow();
+        table.check_targets(
+            service,
+            CHECKED_ENDPOINTS,
+            fastrand::u64(..),
+            Instant::now(),
+        )
+    };
+    let reached = match targets.split_first() {
+        None => None,
+        // One connection is enough if it is accepted; the others are only made if not.
+        Some((first, others)) => Some(accepts(state, *first).await || any(state, others).await),
+    };
+    let now = Instant::now();
+    let change = state.reach.borrow_mut().record_check(service, reached, now);
+    match change {
+        ReachChange::Lost => {
+            log::warn!(
+                checked = targets.len();
+                "reach: no endpoint of {service} accepts a connection; other daemons get its requests."
+            );
+            state.measure(|metrics| metrics.record_cut_off(service));
+            // Connections from before hang if the host is partitioned.
+            let addresses = state.endpoints.borrow().addresses(service);
+            state.upstreams.close(&addresses);
+            check_others(state, service);
+            state.digest_due.notify_one();
+        }
+        ReachChange::Regained(outage) => {
+            log::info!("reach: endpoints of {service} accept connections again after {outage:?}.");
+            state.endpoints.borrow_mut().reset_breakers(service);
+            state.digest_due.notify_one();
+        }
+        ReachChange::None => {}
+    }
+}
+
+/// Has the other services checked: what separates this daemon from one may separate it from all.
+fn check_others(state: &State, service: &ServiceId) {
+    let catalog = state.catalog.borrow().clone();
+    let services = catalog.iter().flat_map(|catalog| &catalog.services);
+    for other in services.filter(|other| other.name != *service) {
+        record_failure(state, &other.name);
+    }
+}
+
+async fn any(state: &State, addresses: &[SocketAddr]) -> bool {
+    let checks = addresses.iter().map(|address| accepts(state, *address));
+    join_all(checks).await.contains(&true)
+}
+
+/// Whether an endpoint accepts a connection, which is kept for later requests.
+async fn accepts(state: &State, address: SocketAddr) -> bool {
+    match upstream::connect(address).await {
+        Ok(conn) => {
+            state.upstreams.put(address, conn, None);
+            true
+        }
+        Err(error) => {
+            log::debug!("reach: the endpoint at {address} did not accept a connection, {error}.");
+            false
+        }
+    }
+}
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -12,12 +12,13 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
-use super::caller::serve_caller;
+use super::caller::{serve_caller, serve_daemon};
 use super::crash::save_quarantined;
 use super::duties::serve_duties;
 use super::logging::flush;
 use super::peers::{receive, send, send_last_digest};
 use super::probe::serve_probe;
+use super::reach::check_services;
 use super::state::State;
 use super::status::serve_status;
 use super::watch::watch_store;
@@ -25,6 +26,8 @@
 /// Connections that may wait to be accepted. A burst after a restart must not overflow this
 /// queue, as the kernel of a caller sends a dropped SYN again only after seconds.
 const LISTEN_BACKLOG: u32 = 1024;
+/// Most ports that are tried if any free one may be used for the other daemons.
+const MAX_PORT_TRIES: u32 = 16;
 /// Interval at which the settings file is read again.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval at which expired rows are removed from the tables.
@@ -73,8 +76,8 @@
         let callers = listen(settings.callers)?;
         let ready = listen(settings.ready)?;
         let status = settings.metrics.map(listen).transpose()?;
-        let socket = UdpSocket::bind(settings.peers).await;
-        let socket = Rc::new(socket.change_context(RelayError::Listen)?);
+        let (socket, forwarded) = listen_to_peers(settings.peers).await?;
+        let socket = Rc::new(socket);
         let relay = Self {
             callers: callers.local_addr().change_context(RelayError::Listen)?,
             ready: ready.local_addr().change_context(RelayError::Listen)?,
@@ -85,6 +88,7 @@
         let state = || Rc::clone(&relay.state);
         actix_web::rt::spawn(watch_store(state()));
         actix_web::rt::spawn(accept(state(), callers, serve_caller));
+        actix_web::rt::spawn(accept(state(), forwarded, serve_daemon));
         actix_web::rt::spawn(accept(state(), ready, serve_probe));
         if let Some(status) = status {
             actix_web::rt::spawn(accept(state(), status, serve_status));
@@ -92,6 +96,7 @@
         actix_web::rt::spawn(receive(state(), Rc::clone(&relay.peers)));
         actix_web::rt::spawn(send(state(), Rc::clone(&relay.peers)));
         actix_web::rt::spawn(serve_duties(state()));
+        actix_web::rt::spawn(check_services(state()));
         actix_web::rt::spawn(save_quarantined(state()));
         actix_web::rt::spawn(expire(state()));
         Ok(relay)
@@ -178,6 +183,28 @@
     bound().change_context(RelayError::Listen)
 }
 
+/// Binds the sockets for the digests and the forwarded requests of the other daemons, to the same
+/// port number. If the port is 0, any one is chosen that is free for both.
+async fn listen_to_peers(
+    address: SocketAddr,
+) -> Result<(UdpSocket, TcpListener), Report<RelayError>> {
+    let mut tries = if address.port() == 0 {
+        MAX_PORT_TRIES
+    } else {
+        1
+    };
+    loop {
+        let listener = listen(address)?;
+        let bound = listener.local_addr().change_context(RelayError::Listen)?;
+        tries -= 1;
+        match UdpSocket::bind(bound).await {
+            Ok(socket) => return Ok((socket, listener)),
+            Err(error) if tries == 0 => return Err(error).change_context(RelayError::Listen),
+            Err(error) => log::debug!("daemon: port {} is not free, {error}.", bound.port()),
+        }
+    }
+}
+
 /// Accepts connections and serves each in a task of its own, until the daemon closes.
 async fn accept<F>(state: Rc<State>, listener: TcpListener, serve: fn(Rc<State>, TcpStream) -> F)
 where
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -21,10 +21,12 @@
 use tokio::net::tcp::WriteHalf;
 use tokio::time::Instant;
 
-use super::attempt::Job;
+use super::attempt::{Job, Origin};
 use super::crash::{LazyFingerprint, quarantine_left};
 use super::dispatch::dispatch;
+use super::forward::{Forwarding, forward};
 use super::state::State;
+use super::stream::Forwarded;
 
 /// Rank of a team whose settings give none.
 const DEFAULT_RANK: u8 = 1;
@@ -87,15 +89,30 @@
     }
 }
 
-/// Serves a request whose body was read. Its timeout counts from `arrived`, when its head was read.
+/// A request whose body was read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Received<'r> {
+    pub(crate) request: &'r Request,
+    pub(crate) body: &'r Bytes,
+    pub(crate) head: &'r RequestHead,
+    /// When its head was read; its timeout counts from then.
+    pub(crate) arrived: Instant,
+    pub(crate) origin: Origin,
+}
+
+/// Serves a request.
 pub(crate) async fn serve(
     state: &Rc<State>,
-    request: &Request,
-    body: &Bytes,
-    head: &RequestHead,
-    arrived: Instant,
+    received: &Received<'_>,
     write: &mut WriteHalf<'_>,
 ) -> Connection {
+    let Received {
+        request,
+        body,
+        head,
+        arrived,
+        origin,
+    } = *received;
     let keep = request.keep_alive && state.phase().is_serving();
     let catalog = state.catalog.borrow().clone();
     let Some(catalog) = catalog else {
@@ -113,11 +130,36 @@
         let rejection = Rejection::retry_later(Code::Draining, RETRY_SOON);
         return reject(state, write, head, rejection, keep).await;
     }
+    let homes = home_zones(
+        &state.settings.regions,
+        &route.regions,
+        team.map_or(&[], |team| &team.regions),
+    );
     let Some(service) = pick_backend(route).and_then(|backend| catalog.service(&backend.service))
     else {
         let rejection = Rejection::retry_later(Code::NoEndpoint, RETRY_SOON);
         return reject(state, write, head, rejection, keep).await;
     };
+    if state.reach.borrow().is_cut_off(&service.name) {
+        if origin == Origin::Daemon {
+            let rejection = Rejection::permanent(Code::CutOff);
+            return reject(state, write, head, rejection, keep).await;
+        }
+        let forwarding = Forwarding {
+            request,
+            body,
+            head,
+            route,
+            service: &service.name,
+            homes: homes.as_deref(),
+            arrived,
+            deadline: arrived + timeout,
+        };
+        let mut forwarded = Forwarded::new(head.resume, keep);
+        if let Some(done) = forward(state, &forwarding, &mut forwarded, write).await {
+            return done;
+        }
+    }
     let name = team.map_or("", |team| team.name.as_str());
     let fingerprint = LazyFingerprint::new(name, &head.host, request, body);
     if let Some(left) = quarantine_left(state, &fingerprint) {
@@ -150,12 +192,9 @@
         deadline: arrived + timeout,
         version: catalog.version,
         versions: versions(state, &service.name),
-        homes: home_zones(
-            &state.settings.regions,
-            &route.regions,
-            team.map_or(&[], |team| &team.regions),
-        ),
+        homes,
         fingerprint,
+        origin,
     };
     dispatch(state, &job, write, keep).await
 }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -16,6 +16,7 @@
 use poplarvale_lib::relay::endpoint_table::EndpointTable;
 use poplarvale_lib::relay::membership::{Location, Peers};
 use poplarvale_lib::relay::quota::{Quota, name_hash};
+use poplarvale_lib::relay::reachability::Reachability;
 use poplarvale_lib::relay::rollout::Rollouts;
 use poplarvale_lib::relay::sent_uses::SentUses;
 use poplarvale_lib::relay::settings::RelaySettings;
@@ -70,6 +71,9 @@
     /// Whether the list of endpoints was read from the store at least once.
     pub(crate) listed: Cell<bool>,
     pub(crate) upstreams: Upstreams,
+    pub(crate) reach: RefCell<Reachability>,
+    /// Notified when a check whether a service is reached may be due.
+    pub(crate) check_due: Notify,
     pub(crate) connectivity: Cell<Connectivity>,
     pub(crate) metrics: Option<Metrics>,
     /// Which successful requests are logged.
@@ -135,6 +139,8 @@
             settings,
             listed: Cell::new(false),
             upstreams: Upstreams::default(),
+            reach: RefCell::default(),
+            check_due: Notify::new(),
             connectivity: Cell::new(Connectivity::new(started)),
             metrics: Metrics::new(),
             sampler: Sampler::new(started),
--- a/daemon/src/relay/upstream.rs
+++ b/daemon/src/relay/upstream.rs
@@ -74,6 +74,13 @@
         });
     }
 
+    /// Closes the idle connections to these addresses.
+    pub(crate) fn close(&self, addresses: &[SocketAddr]) {
+        self.idle
+            .borrow_mut()
+            .retain(|idle| !addresses.contains(&idle.address));
+    }
+
     /// Closes connections that were idle for too long.
     pub(crate) fn expire(&self, now: Instant) {
         self.idle.borrow_mut().retain(|idle| now < idle.until);
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -92,6 +92,9 @@
     /// Whether the store did not answer the sender while it was a watcher.
     #[prost(bool, tag = "35")]
     pub blind: bool,
+    /// Hashes of the services of which the sender reaches no endpoint.
+    #[prost(fixed32, repeated, tag = "36")]
+    pub cut_off: ::prost::alloc::vec::Vec<u32>,
 }
 /// Nested message and enum types in `Digest`.
 pub mod digest {
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -26,6 +26,7 @@
 pub mod membership;
 pub mod prefix_cache;
 pub mod quota;
+pub mod reachability;
 pub mod request;
 pub mod rollout;
 pub mod selection;
--- a/lib/src/relay/endpoint_table.rs
+++ b/lib/src/relay/endpoint_table.rs
@@ -9,8 +9,11 @@
 //! the registry, the same holds for missing entries as soon as another daemon advertises that
 //! the registry was available meanwhile.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::breaker::CircuitBreaker;
 use super::engine::{EngineSpeed, ServiceSpeed};
 use super::evacuation::{EvacuationChanges, Evacuations};
@@ -163,6 +166,44 @@
         self.find(id).ok().map(|at| &mut self.rows[at])
     }
 
+    /// Addresses of a few random endpoints of a service that should accept connections.
+    pub fn check_targets(
+        &self,
+        service: &str,
+        count: usize,
+        seed: u64,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let rows = self
+            .rows
+            .iter()
+            .filter(|row| row.listing.service == service);
+        let rows = rows.filter(|row| row.state.is_in_use(now) && !row.is_evacuated);
+        let mut rows: Vec<&Endpoint> = rows.collect();
+        rows.sort_by_cached_key(|row| xxh3_64_with_seed(row.listing.id.as_bytes(), seed));
+        let rows = rows.into_iter().take(count);
+        rows.map(|row| row.listing.address).collect()
+    }
+
+    /// Addresses of all endpoints of a service.
+    pub fn addresses(&self, service: &str) -> Vec<SocketAddr> {
+        let rows = self
+            .rows
+            .iter()
+            .filter(|row| row.listing.service == service);
+        rows.map(|row| row.listing.address).collect()
+    }
+
+    /// Closes the circuit breakers of a service's endpoints, as the failures that opened them were
+    /// not the endpoints'.
+    pub fn reset_breakers(&mut self, service: &str) {
+        for row in &mut self.rows {
+            if row.listing.service == service {
+                row.breaker = CircuitBreaker::default();
+            }
+        }
+    }
+
     fn find(&self, id: &str) -> Result<usize, usize> {
         self.rows
             .binary_search_by(|row| row.listing.id.as_str().cmp(id))
--- a/lib/src/relay/homes.rs
+++ b/lib/src/relay/homes.rs
@@ -1,7 +1,7 @@
 //! Homes: regions that the requests of a route or team must not leave.
 //!
-//! A daemon sends a request to endpoints only, never to another daemon, so its body stays in
-//! the homes if its endpoint does. Where both the route and the team have homes, both bind. A
+//! A daemon that does not reach a service forwards requests for it to daemons of its own region or
+//! of the homes only, so the body of a request stays there if its endpoint does. Where both the route and the team have homes, both bind. A
 //! zone whose region is unknown is a home of nobody who has any.
 
 use crate::{RegionId, ZoneId};
--- a/lib/src/relay/membership.rs
+++ b/lib/src/relay/membership.rs
@@ -50,6 +50,8 @@
 const BLIND_AFTER: Duration = Duration::from_millis(1650);
 /// How long a watcher that became silent is passed over, unless it is heard from again.
 const FAILED_TIME: Duration = Duration::from_secs(5);
+/// How long a daemon gets no forwarded request after it did not take one.
+const CUT_OFF_TIME: Duration = Duration::from_secs(2);
 /// How long a daemon that has just started asks for the watchers of its zone, though it takes
 /// itself for one.
 const DISCOVERY_TIME: Duration = Duration::from_secs(3);
@@ -110,6 +112,8 @@
     expected: Option<Instant>,
     /// When it was last noticed to be silent as a watcher.
     failed: Option<Instant>,
+    /// Hashes of the services that it does not reach, and until when that holds.
+    cut_off: Vec<(u32, Instant)>,
 }
 
 /// The other daemons, sorted by address.
@@ -159,6 +163,7 @@
             use_sequence: 0,
             expected: None,
             failed: None,
+            cut_off: Vec::new(),
         }
     }
 
@@ -291,6 +296,47 @@
         }
     }
 
+    /// Replaces the services that a daemon states not to reach, by the hashes of their names.
+    pub fn set_cut_off(&mut self, address: Ipv4Addr, services: &[u32], now: Instant) {
+        if let Some(row) = self.entry(address, now) {
+            let services = services.iter();
+            row.cut_off = services.map(|service| (*service, now + RECENT)).collect();
+        }
+    }
+
+    /// Records that a daemon did not take a forwarded request, as it does not reach the service.
+    pub fn record_cut_off(&mut self, address: Ipv4Addr, service: u32, now: Instant) {
+        if let Some(row) = self.entry(address, now) {
+            row.cut_off.retain(|known| known.0 != service);
+            row.cut_off.push((service, now + CUT_OFF_TIME));
+        }
+    }
+
+    /// Random daemon to which this one forwards a request for a service that it does not reach
+    /// itself: one of this zone if any may take it, else one of the other `zones`. `None` if there
+    /// is none but those to `avoid`. `choose` returns a number below the given one.
+    pub fn forwarder(
+        &self,
+        service: u32,
+        zones: &[ZoneHash],
+        avoid: &[Ipv4Addr],
+        now: Instant,
+        choose: impl FnOnce(usize) -> usize,
+    ) -> Option<Ipv4Addr> {
+        let may_take = |row: &&Peer| {
+            let mut cut_off = row.cut_off.iter();
+            let is_cut_off = cut_off.any(|(known, until)| *known == service && now < *until);
+            let is_allowed = row.location.is_some_and(|at| zones.contains(&at.zone));
+            is_allowed && !is_cut_off && !row.is_closing && !avoid.contains(&row.address)
+        };
+        let (local, remote): (Vec<&Peer>, Vec<&Peer>) = self
+            .recent(now)
+            .filter(may_take)
+            .partition(|row| self.is_local(row));
+        let rows = if local.is_empty() { remote } else { local };
+        (!rows.is_empty()).then(|| rows[choose(rows.len())].address)
+    }
+
     /// Records the sequence number of a digest with the sender's own use.
     pub fn record_use(&mut self, address: Ipv4Addr, sequence: u64, now: Instant) {
         if let Some(row) = self.entry(address, now) {
--- /dev/null
+++ b/lib/src/relay/reachability.rs
@@ -0,0 +1,121 @@
+//! Which services this daemon reaches.
+//!
+//! A host can be partitioned from all endpoints, or from those of a service, while callers, the
+//! store and the other daemons still reach it. Every attempt then fails, one circuit breaker after
+//! the other opens, and the daemon would reject its callers though the other daemons could serve
+//! them. Failures of single endpoints look the same at first. So a failed attempt only has the
+//! daemon check a few endpoints of the service at random, by new connections to them. If none
+//! accepts one, the fault is most likely on its own side: requests for the service are forwarded to
+//! other daemons until an endpoint accepts a connection again.
+
+use std::time::{Duration, Instant};
+
+use crate::ServiceId;
+
+/// Endpoints of one check. If this many chosen at random fail, one fault on this side is more
+/// likely than several on theirs.
+pub const CHECKED_ENDPOINTS: usize = 3;
+/// Shortest time between two checks of a service, so that crashing endpoints do not cause many.
+const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Whether this daemon reaches a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct ServiceReach {
+    service: ServiceId,
+    cut_off_since: Option<Instant>,
+    last_check: Option<Instant>,
+    /// When the next check is due.
+    due: Option<Instant>,
+}
+
+/// Services at whose endpoints attempts have failed, sorted.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reachability {
+    rows: Vec<ServiceReach>,
+}
+
+/// Effect of a check.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReachChange {
+    /// The service is not reached any more.
+    Lost,
+    /// The service is reached again, after this time.
+    Regained(Duration),
+    /// Nothing changed.
+    None,
+}
+
+impl Reachability {
+    /// Whether no endpoint of a service accepted a connection in its last check.
+    pub fn is_cut_off(&self, service: &str) -> bool {
+        let found = self.find(service);
+        found.is_ok_and(|at| self.rows[at].cut_off_since.is_some())
+    }
+
+    /// Services that are not reached.
+    pub fn cut_off(&self) -> impl Iterator<Item = &ServiceId> {
+        let rows = self.rows.iter();
+        rows.filter(|row| row.cut_off_since.is_some())
+            .map(|row| &row.service)
+    }
+
+    /// The service that is checked next, and when; `None` if no check is due.
+    pub fn next_check(&self) -> Option<(&ServiceId, Instant)> {
+        let rows = self.rows.iter();
+        rows.filter_map(|row| Some((&row.service, row.due?)))
+            .min_by_key(|row| row.1)
+    }
+
+    /// Records that an attempt at an endpoint failed or stalled: a check of its service becomes
+    /// due.
+    pub fn record_failure(&mut self, service: &ServiceId, now: Instant) {
+        let row = self.row_mut(service);
+        let earliest = row.last_check.map_or(now, |at| at + CHECK_INTERVAL);
+        row.due.get_or_insert(earliest.max(now));
+    }
+
+    /// Records whether an endpoint of a service accepted a connection in a check; `None` if there
+    /// was no endpoint to check, which shows nothing.
+    pub fn record_check(
+        &mut self,
+        service: &ServiceId,
+        reached: Option<bool>,
+        now: Instant,
+    ) -> ReachChange {
+        let row = self.row_mut(service);
+        row.last_check = Some(now);
+        let since = row.cut_off_since;
+        if reached == Some(false) {
+            row.due = Some(now + CHECK_INTERVAL);
+            row.cut_off_since = since.or(Some(now));
+            return match since {
+                None => ReachChange::Lost,
+                Some(_) => ReachChange::None,
+            };
+        }
+        row.due = None;
+        row.cut_off_since = None;
+        since.map_or(ReachChange::None, |since| {
+            ReachChange::Regained(now.saturating_duration_since(since))
+        })
+    }
+
+    fn row_mut(&mut self, service: &ServiceId) -> &mut ServiceReach {
+        let at = self.find(service).unwrap_or_else(|at| {
+            let row = ServiceReach {
+                service: service.clone(),
+                cut_off_since: None,
+                last_check: None,
+                due: None,
+            };
+            self.rows.insert(at, row);
+            at
+        });
+        &mut self.rows[at]
+    }
+
+    fn find(&self, service: &str) -> Result<usize, usize> {
+        self.rows
+            .binary_search_by(|row| row.service.as_str().cmp(service))
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -34,6 +34,7 @@
 mod test_relay_limit;
 mod test_relay_membership;
 mod test_relay_quota;
+mod test_relay_reachability;
 mod test_relay_rollout;
 mod test_relay_selection;
 mod test_relay_shared;
--- a/lib/tests/test_relay_membership.rs
+++ b/lib/tests/test_relay_membership.rs
@@ -340,3 +340,46 @@
         assert!(period >= PERIOD);
     }
 }
+
+/// Forwarded requests must go to daemons that run and reach the service, in the own zone first.
+#[test]
+fn requests_are_forwarded_to_daemons_that_reach_the_service() {
+    const SERVICE: u32 = 7;
+    let fleet = Fleet::new(2 * ZONES, 1);
+    let now = fleet.now;
+    let mut peers = fleet.peers[0].clone();
+    let zones: Vec<u32> = (0..ZONES as u32).collect();
+    for at in 1..2 * ZONES {
+        let statement = Statement {
+            location: location(at),
+            store: None,
+            period: PERIOD,
+            is_watcher: true,
+            is_closing: at == 2,
+            is_blind: false,
+            follows: None,
+        };
+        peers.record_digest(address(at), &format_compact!("d{at}"), 1, 1, now);
+        peers.update(address(at), statement, now);
+    }
+    let chosen = |peers: &Peers, zones: &[u32], avoid: &[Ipv4Addr]| -> Vec<usize> {
+        let choose =
+            |wanted| peers.forwarder(SERVICE, zones, avoid, now, |count: usize| wanted % count);
+        let mut chosen: Vec<usize> = (0..20).filter_map(choose).map(index).collect();
+        chosen.sort_unstable();
+        chosen.dedup();
+        chosen
+    };
+    assert_eq!(chosen(&peers, &zones, &[]), [ZONES]);
+    assert_eq!(chosen(&peers, &[0, 1], &[address(ZONES)]), [1, 1 + ZONES]);
+    peers.set_cut_off(address(ZONES), &[SERVICE], now);
+    peers.record_cut_off(address(1), SERVICE, now);
+    assert_eq!(chosen(&peers, &[0, 1], &[]), [1 + ZONES]);
+    assert_eq!(
+        chosen(&peers, &[2], &[]),
+        [2 + ZONES],
+        "one of them is closing"
+    );
+    peers.set_cut_off(address(ZONES), &[], now);
+    assert_eq!(chosen(&peers, &zones, &[]), [ZONES]);
+}
