crash: a host that is cut off from all endpoints suspects no request

Found in the timeline of the hosts cut off from all endpoints: eight endpoints were recorded as crashed by a host whose links had failed. A crash is recorded when the endpoint refuses a new connection, and behind such a partition all endpoints do. Three of them quarantine a request, and digests carry that to all daemons.

Now a refused connection is evidence only while another endpoint accepts one.

--- a/daemon/src/relay/crash.rs
+++ b/daemon/src/relay/crash.rs
@@ -3,7 +3,7 @@
 //!
 //! A broken connection does not prove that its endpoint crashed: links are reset, and faulty
 //! endpoints close connections early. So the daemon connects to the endpoint again: one that
-//! crashed refuses the connection.
+//! crashed refuses the connection, while other endpoints accept one.
 
 use std::cell::OnceCell;
 use std::io::ErrorKind;
@@ -23,6 +23,7 @@
 
 use super::client::{Client, WriteError};
 use super::metrics::Metrics;
+use super::reach;
 use super::state::State;
 use super::upstream;
 
@@ -105,13 +106,24 @@
     actix_web::rt::spawn(probe(Rc::clone(state), endpoint.clone(), incarnation));
 }
 
-/// Connects to an endpoint, and records a crash if it refuses the connection.
+/// Connects to an endpoint, and records a crash if it refuses the connection while others accept
+/// one.
 async fn probe(state: Rc<State>, endpoint: Listing, incarnation: IncarnationHash) {
     let connected = upstream::connect(endpoint.address).await;
+    let is_refused = connected
+        .as_ref()
+        .is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused);
+    // Behind a partition of this host all endpoints refuse connections, as crashed ones do.
+    let is_own_fault = is_refused && !reach::reaches_others(&state, &endpoint.id).await;
     let fingerprints = take_check(&state, incarnation);
     match connected {
         Ok(conn) => state.upstreams.put(endpoint.address, conn, None),
-        Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+        Err(_) if is_own_fault => log::info!(
+            requests = fingerprints.len();
+            "crash: endpoint {} refuses connections as others do, no crash is recorded.",
+            endpoint.id
+        ),
+        Err(_) if is_refused => {
             log::info!(
                 requests = fingerprints.len();
                 "crash: endpoint {} crashed while it ran requests.", endpoint.id
--- a/daemon/src/relay/reach.rs
+++ b/daemon/src/relay/reach.rs
@@ -5,8 +5,9 @@
 use std::time::Instant;
 
 use futures::future::join_all;
-use poplarvale_lib::ServiceId;
+use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::reachability::{CHECKED_ENDPOINTS, ReachChange};
+use poplarvale_lib::{EndpointId, ServiceId};
 
 use super::state::State;
 use super::upstream;
@@ -40,19 +41,11 @@
 
 /// Checks whether any of a few endpoints of a service accepts a connection.
 async fn check(state: &State, service: &ServiceId) {
-    let targets = {
-        let table = state.endpoints.borrow();
-        table.check_targets(
-            service,
-            CHECKED_ENDPOINTS,
-            fastrand::u64(..),
-            Instant::now(),
-        )
-    };
-    let reached = match targets.split_first() {
-        None => None,
-        // One connection is enough if it is accepted; the others are only made if not.
-        Some((first, others)) => Some(accepts(state, *first).await || any(state, others).await),
+    let targets = check_targets(state, |row| row.service == *service);
+    let reached = if targets.is_empty() {
+        None
+    } else {
+        Some(any_accepts(state, &targets).await)
     };
     let now = Instant::now();
     let change = state.reach.borrow_mut().record_check(service, reached, now);
@@ -87,8 +80,26 @@
     }
 }
 
-async fn any(state: &State, addresses: &[SocketAddr]) -> bool {
-    let checks = addresses.iter().map(|address| accepts(state, *address));
+/// Whether any endpoint other than this one accepts a connection; `true` if there is no other.
+pub(crate) async fn reaches_others(state: &State, endpoint: &EndpointId) -> bool {
+    let targets = check_targets(state, |row| row.id != *endpoint);
+    targets.is_empty() || any_accepts(state, &targets).await
+}
+
+fn check_targets(state: &State, may: impl Fn(&Listing) -> bool) -> Vec<SocketAddr> {
+    let table = state.endpoints.borrow();
+    table.check_targets(CHECKED_ENDPOINTS, fastrand::u64(..), Instant::now(), may)
+}
+
+/// Whether any endpoint accepts a connection. The others are only tried if the first does not.
+async fn any_accepts(state: &State, addresses: &[SocketAddr]) -> bool {
+    let Some((first, others)) = addresses.split_first() else {
+        return false;
+    };
+    if accepts(state, *first).await {
+        return true;
+    }
+    let checks = others.iter().map(|address| accepts(state, *address));
     join_all(checks).await.contains(&true)
 }
 
--- a/lib/src/relay/endpoint_table.rs
+++ b/lib/src/relay/endpoint_table.rs
@@ -166,23 +166,26 @@
         self.find(id).ok().map(|at| &mut self.rows[at])
     }
 
-    /// Addresses of a few random endpoints of a service that should accept connections.
+    /// Addresses of a few random endpoints that should accept connections, of those for which
+    /// `may` holds.
     pub fn check_targets(
         &self,
-        service: &str,
         count: usize,
         seed: u64,
         now: Instant,
+        may: impl Fn(&Listing) -> bool,
     ) -> Vec<SocketAddr> {
-        let rows = self
-            .rows
-            .iter()
-            .filter(|row| row.listing.service == service);
+        let rows = self.rows.iter();
         let rows = rows.filter(|row| row.state.is_in_use(now) && !row.is_evacuated);
-        let mut rows: Vec<&Endpoint> = rows.collect();
-        rows.sort_by_cached_key(|row| xxh3_64_with_seed(row.listing.id.as_bytes(), seed));
-        let rows = rows.into_iter().take(count);
-        rows.map(|row| row.listing.address).collect()
+        let mut rows: Vec<&Listing> = rows
+            .map(|row| &row.listing)
+            .filter(|row| may(row))
+            .collect();
+        rows.sort_by_cached_key(|row| xxh3_64_with_seed(row.id.as_bytes(), seed));
+        rows.into_iter()
+            .take(count)
+            .map(|row| row.address)
+            .collect()
     }
 
     /// Addresses of all endpoints of a service.
