relay: brittle endpoints get no more requests to reject than they tolerate

What callers would see: endpoints that fall over when they turn away too much, one after the other, with all that runs there.

Cause: each daemon sends to an endpoint while its load report, a fraction of a second old, shows room, and comes back 60 ms after a rejection.

Now each daemon has a limit of its own for its requests in progress at such an endpoint, which starts at an even share of the slots, falls with each rejection and rises slowly enough that all daemons together cause less than half of what is tolerated.

The field of an endpoint's limit becomes a general type for what endpoints announce, as a malformed number must not count as none here either.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -21,7 +21,7 @@
 use poplarvale_lib::relay::rollout::evidence::Sample;
 use poplarvale_lib::relay::selection::{self, Choice, Criteria};
 use poplarvale_lib::{EndpointId, ZoneId};
-use poplarvale_platform::{LimitField, Outbound, request_head};
+use poplarvale_platform::{Announced, Outbound, request_head};
 use tokio::net::tcp::WriteHalf;
 use tokio::time::{Instant, timeout_at};
 
@@ -39,6 +39,9 @@
 /// every few milliseconds.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
+/// Status with which an endpoint rejects a request for want of room.
+const UNAVAILABLE: u16 = 503;
+
 /// An admitted request that is being served.
 #[derive(Debug)]
 pub(crate) struct Job<'r> {
@@ -145,13 +148,9 @@
         }
     };
     record_limit(state, &endpoint, &response, sent_at);
+    record_brittle(state, &endpoint, &response, sent_at);
     if response.meta.not_run {
-        guard.update(|row| row.full_until = Some(Std::now() + FULL_PAUSE));
-        state.measure(|metrics| metrics.record_attempt("not run"));
-        log::info!(
-            request = job.head.id.as_str(), endpoint = choice.id.as_str(),
-            status = response.head.status; "send: the endpoint did not run the request."
-        );
+        record_not_run(state, job, choice, &response);
         drain_rejection(state, address, conn, &response).await;
         return AttemptOutcome::NotRun;
     }
@@ -224,14 +223,14 @@
 fn record_limit(state: &State, endpoint: &Listing, response: &EndpointResponse, sent_at: Std) {
     let now = Std::now();
     let rate = match response.meta.limit {
-        LimitField::Rate(rate) => Some(rate),
+        Announced::Value(rate) => Some(rate),
         // Responses overtake one another, and only one to a request that ran shows that the
         // endpoint needs no limit any more.
-        LimitField::Absent if response.meta.sealed && is_after_limit(state, endpoint, sent_at) => {
+        Announced::Absent if response.meta.sealed && is_after_limit(state, endpoint, sent_at) => {
             None
         }
-        LimitField::Absent => return,
-        LimitField::Invalid => {
+        Announced::Absent => return,
+        Announced::Invalid => {
             log::warn!(
                 "limit: the limit that endpoint {} announced is not a valid rate and is ignored.",
                 endpoint.id
@@ -250,6 +249,50 @@
     }
 }
 
+/// Records that an endpoint did not run a request.
+fn record_not_run(state: &State, job: &Job<'_>, choice: &Choice, response: &EndpointResponse) {
+    let now = Std::now();
+    let status = response.head.status;
+    let mut table = state.endpoints.borrow_mut();
+    if let Some(row) = table.get_mut(&choice.id) {
+        row.full_until = Some(now + FULL_PAUSE);
+    }
+    if status == UNAVAILABLE {
+        table.record_rejection(&choice.id, now);
+    }
+    drop(table);
+    state.measure(|metrics| metrics.record_attempt("not run"));
+    log::info!(
+        request = job.head.id.as_str(), endpoint = choice.id.as_str(), status;
+        "send: the endpoint did not run the request."
+    );
+}
+
+/// Records whether an endpoint announced that it is brittle, in its response to a request that was
+/// sent at `sent_at`.
+fn record_brittle(state: &State, endpoint: &Listing, response: &EndpointResponse, sent_at: Std) {
+    let tolerated = match response.meta.brittle {
+        Announced::Value(tolerated) => Some(tolerated),
+        // Only answers of the endpoint itself show that it is not brittle any more.
+        Announced::Absent if response.meta.sealed => None,
+        Announced::Absent => return,
+        Announced::Invalid => {
+            log::warn!(
+                "limit: the rejections that endpoint {} tolerates are not a number; ignored.",
+                endpoint.id
+            );
+            return;
+        }
+    };
+    let mut table = state.endpoints.borrow_mut();
+    if table.record_brittle(&endpoint.id, tolerated, sent_at, Std::now()) {
+        log::info!(
+            tolerated:? = tolerated;
+            "limit: endpoint {} announced how many rejections its service tolerates.", endpoint.id
+        );
+    }
+}
+
 /// Whether a request was sent after the endpoint last announced its limit.
 fn is_after_limit(state: &State, endpoint: &Listing, sent_at: Std) -> bool {
     let table = state.endpoints.borrow();
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -16,6 +16,7 @@
 mod test_platform;
 mod test_probe;
 mod test_relay_answers;
+mod test_relay_brittle;
 mod test_relay_callers;
 mod test_relay_closing;
 mod test_relay_cold;
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -7,6 +7,7 @@
 
 pub mod admit;
 pub mod breaker;
+pub mod brittle;
 pub mod budget;
 pub mod catalog;
 pub mod change_feed;
--- a/lib/src/relay/endpoint_table.rs
+++ b/lib/src/relay/endpoint_table.rs
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::breaker::CircuitBreaker;
+use super::brittle::{ConcurrencyLimit, RejectionRate, step};
 use super::engine::{EngineSpeed, ServiceSpeed};
 use super::evacuation::{EvacuationChanges, Evacuations};
 use super::limit::{AnnouncedLimit, Limit, Source};
@@ -104,6 +105,17 @@
     pub cold: Option<ColdEndpoint>,
     /// Whether its zone is evacuated, so that it gets no new request.
     pub is_evacuated: bool,
+    /// Limit for this daemon's requests in progress there, while its service is brittle.
+    pub concurrency: Option<ConcurrencyLimit>,
+}
+
+/// A service whose endpoints fail if they have to reject too much.
+#[derive(Clone, Debug, PartialEq)]
+struct BrittleService {
+    name: ServiceId,
+    tolerated: RejectionRate,
+    /// When an endpoint last announced it.
+    announced: Instant,
 }
 
 /// All endpoints, sorted by id.
@@ -130,6 +142,8 @@
     slow_starts: Vec<(ServiceId, SlowStart)>,
     /// Evacuated zones.
     evacuations: Evacuations,
+    /// Services whose endpoints are brittle, sorted by name.
+    brittle: Vec<BrittleService>,
 }
 
 /// Effect of a registry change on an endpoint.
@@ -361,6 +375,7 @@
             limit: None,
             cold: None,
             is_evacuated: self.evacuations.contains(&listing.zone),
+            concurrency: None,
             listing,
         };
         if let (Some(cold), Some(limit)) = (cold, self.slow_start(&row.listing.service)) {
@@ -597,6 +612,98 @@
         self.rows.iter().filter_map(advertised).collect()
     }
 
+    /// Records how many rejections a second an endpoint announced to tolerate, in the answer to a
+    /// request sent at `sent`; `None` if it announced nothing. It holds for its whole service, as
+    /// the others announce it only once they get a request. Returns whether something changed.
+    pub fn record_brittle(
+        &mut self,
+        id: &str,
+        tolerated: Option<RejectionRate>,
+        sent: Instant,
+        now: Instant,
+    ) -> bool {
+        let Some(service) = self.get(id).map(|row| row.listing.service.clone()) else {
+            return false;
+        };
+        match (self.find_brittle(&service), tolerated) {
+            (Ok(at), Some(tolerated)) => {
+                let row = &mut self.brittle[at];
+                row.announced = now;
+                std::mem::replace(&mut row.tolerated, tolerated) != tolerated
+            }
+            (Err(at), Some(tolerated)) => {
+                let row = BrittleService {
+                    name: service.clone(),
+                    tolerated,
+                    announced: now,
+                };
+                self.brittle.insert(at, row);
+                self.limit_concurrency(&service, now);
+                true
+            }
+            // An answer to an earlier request may arrive after a newer announcement.
+            (Ok(at), None) if sent > self.brittle[at].announced => {
+                self.brittle.remove(at);
+                self.limit_concurrency(&service, now);
+                true
+            }
+            (Ok(_) | Err(_), None) => false,
+        }
+    }
+
+    /// Starts or ends the limits for requests in progress at the endpoints of a service.
+    fn limit_concurrency(&mut self, service: &str, now: Instant) {
+        let is_brittle = self.find_brittle(service).is_ok();
+        let daemons = self.daemons.others.len() + 1;
+        for row in &mut self.rows {
+            if row.listing.service == service {
+                let limit = || ConcurrencyLimit::new(row.listing.slots, daemons, now);
+                row.concurrency = is_brittle.then(limit);
+            }
+        }
+    }
+
+    /// The limit for requests in progress at an endpoint, if its service is brittle.
+    fn concurrency_mut(&mut self, id: &str, now: Instant) -> Option<&mut ConcurrencyLimit> {
+        let at = self.find(id).ok()?;
+        let listing = &self.rows[at].listing;
+        let (slots, daemons) = (listing.slots, self.daemons.others.len() + 1);
+        self.find_brittle(&listing.service).ok()?;
+        let row = &mut self.rows[at];
+        let limit = || ConcurrencyLimit::new(slots, daemons, now);
+        Some(row.concurrency.get_or_insert_with(limit))
+    }
+
+    /// Records a request that is sent to an endpoint.
+    pub fn add_request(&mut self, id: &str, request: InFlight) {
+        // An endpoint that joined a brittle service has no limit yet.
+        self.concurrency_mut(id, request.sent);
+        if let Some(row) = self.get_mut(id) {
+            row.add_request(request);
+        }
+    }
+
+    /// Records that an endpoint rejected a request for want of room.
+    pub fn record_rejection(&mut self, id: &str, now: Instant) {
+        let in_progress = self.get(id).map_or(0, |row| row.in_flight.len() as u32);
+        if let Some(limit) = self.concurrency_mut(id, now) {
+            limit.record_rejection(in_progress.saturating_sub(1), now);
+        }
+    }
+
+    /// Time in which the limit for requests in progress at an endpoint of a service rises by one;
+    /// `None` if the service is not brittle.
+    pub(crate) fn concurrency_step(&self, service: &str) -> Option<Duration> {
+        let at = self.find_brittle(service).ok()?;
+        let daemons = self.daemons.others.len() + 1;
+        Some(step(self.brittle[at].tolerated, daemons))
+    }
+
+    fn find_brittle(&self, service: &str) -> Result<usize, usize> {
+        self.brittle
+            .binary_search_by(|row| row.name.as_str().cmp(service))
+    }
+
     /// Sets which daemons share the limits that endpoints announce.
     pub fn set_sharers(&mut self, sharers: Sharers, now: Instant) {
         if self.sharers == sharers {
--- a/lib/src/relay/selection.rs
+++ b/lib/src/relay/selection.rs
@@ -137,6 +137,7 @@
     let preferred = preferred(table, criteria, &shared);
     let trial = trial(table, criteria);
     let service_speed = table.service_speed(&criteria.service.name);
+    let step = table.concurrency_step(&criteria.service.name);
     let mut best: Option<(f64, Choice)> = None;
     let mut full = false;
     let mut limited: Option<Duration> = None;
@@ -145,7 +146,7 @@
         if !may || !is_eligible(row, criteria) {
             continue;
         }
-        if is_full(row, criteria) {
+        if is_full(row, criteria, step) {
             full = true;
             continue;
         }
@@ -199,10 +200,11 @@
 
 /// Ids of the random endpoints that a plain request may go to.
 fn sample<'b>(table: &'b EndpointTable, criteria: &Criteria<'_>) -> Vec<&'b str> {
+    let step = table.concurrency_step(&criteria.service.name);
     let rows = table.rows().iter();
     let rows = rows.filter(|row| {
         is_eligible(row, criteria)
-            && !is_full(row, criteria)
+            && !is_full(row, criteria, step)
             && row.check_rate(criteria.now).is_ok()
     });
     let rank = |row: &&Endpoint| xxh3_64_with_seed(row.listing.id.as_bytes(), criteria.seed);
@@ -226,22 +228,20 @@
 
 /// Records a request as in progress at its chosen endpoint.
 pub fn book(table: &mut EndpointTable, criteria: &Criteria<'_>, choice: &Choice, number: u64) {
-    let Some(row) = table.get_mut(&choice.id) else {
-        return;
-    };
     let (kv_tokens, capacity) = match (criteria.prompt, &criteria.service.engine) {
         (Some(prompt), Some(engine)) => (kv_tokens(prompt), engine.kv_tokens),
         _ => (0, 0),
     };
-    row.add_request(InFlight {
+    let request = InFlight {
         number,
         prefill: choice.prefill,
         ahead: choice.ahead,
         kv_tokens,
         sent: criteria.now,
         first_event: None,
-    });
-    if let Some(prompt) = criteria.prompt {
+    };
+    table.add_request(&choice.id, request);
+    if let (Some(prompt), Some(row)) = (criteria.prompt, table.get_mut(&choice.id)) {
         row.cache
             .record(&prefix_hashes(prompt), capacity, criteria.now);
     }
@@ -277,12 +277,21 @@
     ids.is_none_or(|ids| ids.contains(&row.listing.id.as_str()))
 }
 
-fn is_full(row: &Endpoint, criteria: &Criteria<'_>) -> bool {
+/// Whether an endpoint has no room. `step` is the time in which a concurrency limit rises, if the
+/// service is brittle.
+fn is_full(row: &Endpoint, criteria: &Criteria<'_>, step: Option<Duration>) -> bool {
     if row.full_until.is_some_and(|until| criteria.now < until) {
         return true;
     }
     let slots = f64::from(row.listing.slots.max(1));
     let active = f64::from(row.active_requests());
+    if let Some(step) = step {
+        // Its queue may be shorter than usual.
+        let in_progress = row.in_flight.len() as u32;
+        let limit = row.concurrency.as_ref();
+        let allowed = limit.is_none_or(|limit| limit.allows(in_progress, step, criteria.now));
+        return active >= slots || !allowed;
+    }
     match (&criteria.service.engine, criteria.prompt) {
         (Some(_), Some(_)) => active >= slots * FULL_SHARE,
         _ => active >= slots * (1.0 + QUEUED_PER_SLOT),
