upstream: a silent endpoint keeps its connection for three seconds

What callers would see: a booking whose endpoint falls silent for two seconds ends with 502, code 3002, though the endpoint goes on and runs it; what came of it is not told to anybody.

Cause: unacknowledged bytes closed a connection after 1.5 s (TCP_USER_TIMEOUT). A sound endpoint may be silent for longer. Keep-alive probes, which this timeout would also end, are not in use.

The test failed before with 502: an endpoint that reads nothing for 2 s and whose kernel takes no more of a long request.

--- a/daemon/src/relay/upstream.rs
+++ b/daemon/src/relay/upstream.rs
@@ -10,8 +10,9 @@
 /// Timeout of a new connection to an endpoint. Endpoints accept within a few milliseconds; one that
 /// is unreachable must not delay a caller longer than this.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// How long bytes sent to an endpoint may stay unacknowledged before its connection is closed.
-const ACK_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long bytes sent to an endpoint may stay unacknowledged before its connection is closed. A
+/// sound endpoint may fall silent for more than a second and go on.
+const ACK_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long an idle connection is kept if the endpoint does not state its own idle timeout.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// Maximum number of idle connections to one endpoint. A burst opens more, and those are closed
--- a/daemon/tests/test_relay_answers.rs
+++ b/daemon/tests/test_relay_answers.rs
@@ -1,10 +1,17 @@
 //! Endpoints that fail while they run a request, and the response that the caller gets.
 
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use poplarvale_standin::{Endpoint, Step, ask, event, plain, rejection, request, stream};
 
-use crate::relay_site::Site;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpSocket;
+
+use crate::relay_site::{Site, store_with};
+
+/// Body that does not fit into the receive buffer of a silent endpoint.
+const LONG_BODY_BYTES: usize = 60_000;
 
 fn end() -> Step {
     Step::Send("0\r\n\r\n".into())
@@ -161,3 +168,53 @@
     assert_eq!(answer.expect("an answer").status, 504);
     assert!(start.elapsed() < Duration::from_millis(3400));
 }
+
+/// Starts an endpoint that reads nothing for a time after it accepted a connection, and then
+/// answers its request. Its receive buffer is too small for a long request.
+fn start_silent(silence: Duration) -> SocketAddr {
+    const RECEIVE_BUFFER_BYTES: u32 = 4096;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let sized = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    sized.expect("the buffer size is allowed");
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    socket.bind(any).expect("a free port");
+    let listener = socket.listen(8).expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    actix_web::rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a daemon connects");
+        tokio::time::sleep(silence).await;
+        let (mut seen, mut bytes) = (0, vec![0; 8192]);
+        while seen < LONG_BODY_BYTES {
+            seen += stream
+                .read(&mut bytes)
+                .await
+                .expect("the connection is open");
+        }
+        let answer = "HTTP/1.1 200 OK\r\nPoplarvale-Request-Id: r1\r\n\
+                      Poplarvale-Response-Seal: s\r\nContent-Length: 4\r\n\r\ndone";
+        stream
+            .write_all(answer.as_bytes())
+            .await
+            .expect("the connection is open");
+        tokio::time::sleep(silence).await;
+    });
+    address
+}
+
+/// A sound endpoint falls silent for more than a second and goes on. Its host's kernel takes no
+/// more of a long request meanwhile. If the daemon gave the connection up, the caller of a
+/// request that must not be repeated would never learn what came of it.
+#[actix_web::test]
+async fn a_long_request_survives_the_silence_of_its_endpoint() {
+    let address = start_silent(Duration::from_secs(2));
+    let other = Endpoint::start("i-1", |seen| vec![plain(seen, 200, "done")]).await;
+    let entry = other.entry("app", "ready");
+    let entry = entry.replace(&other.address.to_string(), &address.to_string());
+    let store = store_with(&[]).await;
+    store.put("servers/i-1", entry.as_bytes());
+    let site = Site::with_grace(store, 3).await;
+    let length = format!("Content-Length: {LONG_BODY_BYTES}\r\n");
+    let text = request("POST", "/once/a", "r1", &length) + &"x".repeat(LONG_BODY_BYTES);
+    let answer = ask(site.address(), &text).await.expect("an answer");
+    assert_eq!((answer.status, answer.body.as_str()), (200, "done"));
+}
