board: what endpoints announce in their answers is logged

Neither a departure nor a rest that an endpoint announced in its answers left a trace, so the logs could not tell whether it was unread, or read and lost again. Nothing is decided by it yet.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -21,7 +21,7 @@
 use poplarvale_lib::relay::rollout::evidence::Sample;
 use poplarvale_lib::relay::selection::{self, Choice, Criteria};
 use poplarvale_lib::{EndpointId, ZoneId};
-use poplarvale_platform::{Announced, Outbound, request_head};
+use poplarvale_platform::{Announced, Availability, Outbound, request_head};
 use tokio::net::tcp::WriteHalf;
 use tokio::time::{Instant, timeout_at};
 
@@ -149,6 +149,7 @@
     };
     record_limit(state, &endpoint, &response, sent_at);
     record_brittle(state, &endpoint, &response, sent_at);
+    record_leaving(state, &endpoint, &response);
     if response.meta.not_run {
         record_not_run(state, job, choice, &response);
         drain_rejection(state, address, conn, &response).await;
@@ -249,6 +250,20 @@
     }
 }
 
+/// Logs that an endpoint announced that it leaves, while its registry entry does not tell so.
+fn record_leaving(state: &State, endpoint: &Listing, response: &EndpointResponse) {
+    let table = state.endpoints.borrow();
+    let row = table.get(&endpoint.id);
+    let is_news = row.is_some_and(|row| row.state != EndpointState::Leaving);
+    let is_leaving = response.meta.availability == Availability::Leaving;
+    if is_leaving && is_news && state.sampler.allows(Std::now()) {
+        log::info!(
+            store_heard_ms = state.connectivity.get().since_answer(Std::now()).as_millis() as u64;
+            "board: endpoint {} announces in an answer that it leaves.", endpoint.id
+        );
+    }
+}
+
 /// Records that an endpoint did not run a request.
 fn record_not_run(state: &State, job: &Job<'_>, choice: &Choice, response: &EndpointResponse) {
     let now = Std::now();
@@ -262,8 +277,10 @@
     }
     drop(table);
     state.measure(|metrics| metrics.record_attempt("not run"));
+    let rest = response.meta.rest.value();
     log::info!(
-        request = job.head.id.as_str(), endpoint = choice.id.as_str(), status;
+        request = job.head.id.as_str(), endpoint = choice.id.as_str(), status,
+        rest_ms = rest.map(|rest| rest.as_millis() as u64);
         "send: the endpoint did not run the request."
     );
 }
