board: a red test for endpoints that announce in their answers that they leave

Requests reached an endpoint 2,607 and 2,572 ms after its answers had told the daemons that it leaves. The registry could not tell them: the store had not answered since before the endpoint wrote that it leaves.

--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -15,6 +15,7 @@
 mod test_peers;
 mod test_platform;
 mod test_probe;
+mod test_relay_announced;
 mod test_relay_answers;
 mod test_relay_brittle;
 mod test_relay_callers;
