selection: red tests for endpoints that ask for a rest

Endpoints that had answered 503 with Retry-After: 3 got 3 and 5 requests from the same daemon in that time; two are allowed.

--- a/daemon/tests/test_relay_announced.rs
+++ b/daemon/tests/test_relay_announced.rs
@@ -1,12 +1,14 @@
-//! Endpoints that announce in their answers that they leave.
+//! Endpoints that announce in their answers that they leave, or that they want no requests.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use poplarvale_standin::{Endpoint, Mode, SeenRequest, Step, announcing, ask, plain, request};
+use poplarvale_standin::{
+    Endpoint, Mode, SeenRequest, Step, announcing, ask, plain, rejection_with, request,
+};
 
-use crate::relay_site::{Zone, store_with};
+use crate::relay_site::{Site, Zone, store_with};
 
 /// Time after which a daemon must send nothing more to an endpoint that it knows to leave.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
@@ -106,3 +108,54 @@
         "no answer announced it"
     );
 }
+
+/// An endpoint rejects a request and asks for a rest. Requests that reach it meanwhile are rejected
+/// too, and their callers wait in vain.
+#[actix_web::test]
+async fn an_endpoint_that_asks_for_a_rest_gets_it() {
+    /// Time within which requests may still arrive that were sent before.
+    const MARGIN: Duration = Duration::from_millis(500);
+    /// Most requests in the rest of the time.
+    const MOST: usize = 2;
+    let rest = Duration::from_secs(3);
+    let tired = Announcer::start("i-1", |seen| rejection_with(seen, "Retry-After: 3\r\n")).await;
+    let other = steady("i-2").await;
+    let site = Site::start(&[&tired.endpoint, &other]).await;
+    tired.announces.set(true);
+    let started = Instant::now();
+    ask_until(&site.relay, "r", started + rest * 3).await;
+    let arrivals = tired.arrivals.borrow().clone();
+    let first = *arrivals
+        .iter()
+        .find(|at| **at >= started)
+        .expect("it is asked");
+    let within = tired.arrivals_between(first + MARGIN, first + rest);
+    assert!(within <= MOST, "{within} requests within the rest");
+    assert!(
+        arrivals.iter().any(|at| *at >= first + rest),
+        "it is asked again after the rest"
+    );
+}
+
+/// All endpoints of a service ask for a rest. Callers must be rejected at once, and told when it
+/// is over.
+#[actix_web::test]
+async fn callers_learn_when_the_rest_of_all_endpoints_is_over() {
+    let tired = Announcer::start("i-1", |seen| rejection_with(seen, "Retry-After: 1.5\r\n")).await;
+    let site = Site::start(&[&tired.endpoint]).await;
+    tired.announces.set(true);
+    for number in 0..3 {
+        let started = Instant::now();
+        let text = request("GET", "/safe/a", &format!("r{number}"), "");
+        let answer = ask(site.address(), &text).await.expect("an answer");
+        assert!(started.elapsed() < Duration::from_millis(100));
+        assert_eq!(answer.status, 503);
+        let retry_after = answer.head.fields.text("Retry-After");
+        let retry_after = retry_after.and_then(|text| text.parse::<f64>().ok());
+        assert!(
+            retry_after.is_some_and(|time| time > 1.0),
+            "{retry_after:?}"
+        );
+    }
+    assert_eq!(tired.endpoint.seen().len(), 1);
+}
