board: an endpoint that announces its departure in an answer gets nothing more

What callers saw: nothing yet, but requests reached an endpoint 2.6 s after its answers had told the daemons that it leaves; its process may end at any moment then, and what it runs is lost with it.

Cause: only the registry told a daemon that an endpoint leaves. The store had not answered since before the endpoint wrote that, so its entry went on saying ready. Class: what endpoints announce in their answers is not read.

Ruled out: an announcement that is read and lost again; nothing read it. It would have been lost, though: the next entry of the registry makes an endpoint ready. So an announcement holds for the incarnation, whatever its entries say, and the next incarnation under the same id starts without it.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -250,17 +250,22 @@
     }
 }
 
-/// Logs that an endpoint announced that it leaves, while its registry entry does not tell so.
+/// Records that an endpoint announced in a response that it leaves.
 fn record_leaving(state: &State, endpoint: &Listing, response: &EndpointResponse) {
-    let table = state.endpoints.borrow();
-    let row = table.get(&endpoint.id);
-    let is_news = row.is_some_and(|row| row.state != EndpointState::Leaving);
-    let is_leaving = response.meta.availability == Availability::Leaving;
-    if is_leaving && is_news && state.sampler.allows(Std::now()) {
+    if response.meta.availability == Availability::Staying {
+        return;
+    }
+    let now = Std::now();
+    if state
+        .endpoints
+        .borrow_mut()
+        .record_departure(&endpoint.id, now)
+    {
         log::info!(
-            store_heard_ms = state.connectivity.get().since_answer(Std::now()).as_millis() as u64;
+            store_heard_ms = state.connectivity.get().since_answer(now).as_millis() as u64;
             "board: endpoint {} announces in an answer that it leaves.", endpoint.id
         );
+        state.digest_due.notify_one();
     }
 }
 
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -54,6 +54,7 @@
     state.clock.borrow_mut().record(&name, digest.wall_ms, now);
     merge_holder(state, digest.holder);
     merge_left(state, &digest.left, &name);
+    merge_departures(state, &digest.leaving, &name, now);
     let (own_zone, is_watcher) = {
         let peers = state.peers.borrow();
         (peers.own_location().zone, peers.is_watcher())
@@ -190,6 +191,28 @@
     }
 }
 
+/// Merges the endpoints that announced to another daemon that they leave.
+fn merge_departures(state: &State, leaving: &[u32], name: &str, now: Instant) {
+    if leaving.is_empty() {
+        return;
+    }
+    let mut table = state.endpoints.borrow_mut();
+    let found = table.merge_departures(leaving, now);
+    drop(table);
+    if found.is_empty() {
+        return;
+    }
+    log::debug!(
+        "board: {} endpoints announced to {name} that they leave.",
+        found.len()
+    );
+    let changes: Vec<_> = found.into_iter().map(|id| (id, Changed::Left)).collect();
+    log_changes(state, &changes);
+    if state.peers.borrow().is_watcher() {
+        state.digest_due.notify_one();
+    }
+}
+
 /// Sender of a report.
 #[derive(Debug)]
 struct Sender<'d> {
--- a/daemon/src/relay/peers/encode.rs
+++ b/daemon/src/relay/peers/encode.rs
@@ -62,7 +62,7 @@
     reach.cut_off().map(|service| name_hash(service)).collect()
 }
 
-/// Adds what concerns all daemons: crashes, limits, states of version moves and the last report of
+/// Adds what concerns all daemons: crashes, limits, departures, states of version moves and the last report of
 /// usage.
 pub(super) fn shared(
     state: &State,
@@ -80,6 +80,7 @@
     let table = state.endpoints.borrow();
     let limits = table.advertised_limits(limits, now).into_iter();
     message.limits = limits.map(|row| encode_limit(row, now)).collect();
+    message.leaving = table.report_departures(relays, now);
     let rollouts = state.rollouts.borrow();
     let moves = rollouts.reports().map(|mut report| {
         if relays {
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -95,6 +95,9 @@
     /// Hashes of the services of which the sender reaches no endpoint.
     #[prost(fixed32, repeated, tag = "36")]
     pub cut_off: ::prost::alloc::vec::Vec<u32>,
+    /// Lives of endpoints that lately announced in their answers that they leave.
+    #[prost(fixed32, repeated, tag = "37")]
+    pub leaving: ::prost::alloc::vec::Vec<u32>,
 }
 /// Nested message and enum types in `Digest`.
 pub mod digest {
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -15,6 +15,7 @@
 pub mod connectivity;
 pub mod crash;
 pub mod demand;
+pub(crate) mod departures;
 pub mod duty;
 pub mod endpoint_table;
 pub mod engine;
--- a/lib/src/relay/endpoint_table.rs
+++ b/lib/src/relay/endpoint_table.rs
@@ -16,6 +16,8 @@
 
 use super::breaker::CircuitBreaker;
 use super::brittle::{ConcurrencyLimit, RejectionRate, step};
+use super::crash::{IncarnationHash, incarnation_hash};
+use super::departures::Departures;
 use super::engine::{EngineSpeed, ServiceSpeed};
 use super::evacuation::{EvacuationChanges, Evacuations};
 use super::limit::{AnnouncedLimit, Limit, Source};
@@ -144,6 +146,8 @@
     evacuations: Evacuations,
     /// Services whose endpoints are brittle, sorted by name.
     brittle: Vec<BrittleService>,
+    /// Endpoints that announced in their answers that they leave.
+    departures: Departures,
 }
 
 /// Effect of a registry change on an endpoint.
@@ -319,13 +323,14 @@
 
     /// Applies a registry entry; one that is older than the known entry changes nothing.
     pub fn put(&mut self, listing: Listing) -> Changed {
-        let state = if listing.leaving {
+        let has_announced = self.has_announced(&listing);
+        let state = if listing.leaving || has_announced {
             EndpointState::Leaving
         } else {
             EndpointState::Ready
         };
         match self.find(&listing.id) {
-            Err(_) if self.tombstones.is_outdated(&listing) => Changed::Nothing,
+            Err(_) if has_announced || self.tombstones.is_outdated(&listing) => Changed::Nothing,
             Err(at) => {
                 let row = self.new_row(listing, state);
                 self.insert_row(at, row);
@@ -359,6 +364,53 @@
         }
     }
 
+    /// Whether the incarnation that an entry belongs to has announced that it leaves.
+    fn has_announced(&self, listing: &Listing) -> bool {
+        self.departures.contains(incarnation_hash(listing))
+    }
+
+    /// Records that an endpoint announced in an answer to this daemon that it leaves; returns
+    /// whether it was in use until now.
+    pub fn record_departure(&mut self, id: &str, now: Instant) -> bool {
+        let Ok(at) = self.find(id) else {
+            return false;
+        };
+        let row = &mut self.rows[at];
+        self.departures
+            .record(incarnation_hash(&row.listing), true, now);
+        let was_leaving = row.state == EndpointState::Leaving;
+        row.state = EndpointState::Leaving;
+        !was_leaving
+    }
+
+    /// Merges the departures that another daemon reports; returns the ids of the endpoints that
+    /// were in use until now.
+    pub fn merge_departures(&mut self, left: &[IncarnationHash], now: Instant) -> Vec<EndpointId> {
+        let mut new = Vec::new();
+        for incarnation in left {
+            if self.departures.record(*incarnation, false, now) {
+                new.push(*incarnation);
+            }
+        }
+        let mut found = Vec::new();
+        if new.is_empty() {
+            return found;
+        }
+        for row in &mut self.rows {
+            let is_named = new.contains(&incarnation_hash(&row.listing));
+            if is_named && row.state != EndpointState::Leaving {
+                row.state = EndpointState::Leaving;
+                found.push(row.listing.id.clone());
+            }
+        }
+        found
+    }
+
+    /// Departures for this daemon's digest; those that other daemons saw too if it `relays` them.
+    pub fn report_departures(&self, relays: bool, now: Instant) -> Vec<IncarnationHash> {
+        self.departures.report(relays, now)
+    }
+
     /// A row of which nothing is known but its entry.
     fn new_row(&self, listing: Listing, state: EndpointState) -> Endpoint {
         let hash = name_hash(&listing.id);
@@ -467,6 +519,9 @@
 
     /// Whether an entry differs from the known one in more than the number of its writes.
     pub fn is_change(&self, listing: &Listing) -> bool {
+        if self.has_announced(listing) && !listing.leaving {
+            return false;
+        }
         let Some(row) = self.get(&listing.id) else {
             return true;
         };
@@ -804,6 +859,7 @@
             self.hashes.sort_unstable();
         }
         self.tombstones.expire(now);
+        self.departures.expire(now);
         dropped
     }
 }
--- a/lib/tests/test_relay_endpoint_table.rs
+++ b/lib/tests/test_relay_endpoint_table.rs
@@ -216,3 +216,57 @@
     table.apply_report(reporter, vec![], now);
     assert_eq!(remote(&table), Some(Load::default()));
 }
+
+/// An endpoint announced in an answer that it leaves, and the registry shows it as ready for longer:
+/// its last write waits for the store. A later entry of the same incarnation must not bring it
+/// back, one of the next incarnation must.
+#[test]
+fn no_entry_of_an_incarnation_that_announced_its_departure_is_believed() {
+    let now = Instant::now();
+    let mut table = EndpointTable::default();
+    table.put(listing("a"));
+    assert!(table.record_departure("a", now));
+    assert!(!table.record_departure("a", now));
+    let rewritten = Listing {
+        count: 9,
+        ..listing("a")
+    };
+    assert!(!table.is_change(&rewritten));
+    table.put(rewritten.clone());
+    assert!(!usable(&table, "a", now));
+    let later = now + Duration::from_mins(1);
+    table.expire(later);
+    assert_eq!(table.put(rewritten.clone()), Changed::Nothing);
+    assert_eq!(table.replace(vec![rewritten], later), []);
+    assert!(!usable(&table, "a", later));
+    let restarted = Listing {
+        born: Some(2),
+        ..listing("a")
+    };
+    assert!(table.is_change(&restarted));
+    assert_eq!(table.put(restarted), Changed::Joined);
+    assert!(usable(&table, "a", later));
+}
+
+/// Another daemon got the answer, and reports it before this one knows the endpoint, or again after
+/// the endpoint has started anew under its id.
+#[test]
+fn a_departure_that_another_daemon_reports_holds_for_that_incarnation() {
+    let now = Instant::now();
+    let (mut witness, mut table) = (EndpointTable::default(), EndpointTable::default());
+    witness.put(listing("a"));
+    witness.record_departure("a", now);
+    let reported = witness.report_departures(false, now);
+    assert_eq!(reported.len(), 1);
+    assert!(table.merge_departures(&reported, now).is_empty());
+    assert_eq!(table.put(listing("a")), Changed::Nothing);
+    assert!(table.report_departures(false, now).is_empty());
+    assert_eq!(table.report_departures(true, now), reported);
+    let restarted = Listing {
+        born: Some(2),
+        ..listing("a")
+    };
+    table.put(restarted);
+    assert!(table.merge_departures(&reported, now).is_empty());
+    assert!(usable(&table, "a", now));
+}
