selection: an endpoint that asks for a rest gets it

What callers saw: a third to a half of two classes was refused with code 2010 for seconds, each request after up to three rejections, while other endpoints had room.

Cause: a rejection kept an endpoint out of use for a fixed 60 ms, whatever its Retry-After said, so endpoints that had asked for 3 s got 3, 5 and 7 requests of one daemon in that time; two are allowed. Class: what endpoints announce in their answers is not read.

Now the rest holds for that incarnation of the endpoint, also if its row is removed and added again meanwhile. While all endpoints rest, callers are rejected at once with the time after which the first one takes requests.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -150,6 +150,7 @@
     record_limit(state, &endpoint, &response, sent_at);
     record_brittle(state, &endpoint, &response, sent_at);
     record_leaving(state, &endpoint, &response);
+    record_rest(state, &endpoint, &response);
     if response.meta.not_run {
         record_not_run(state, job, choice, &response);
         drain_rejection(state, address, conn, &response).await;
@@ -269,6 +270,24 @@
     }
 }
 
+/// Records that an endpoint rejected a request and asked for a rest.
+fn record_rest(state: &State, endpoint: &Listing, response: &EndpointResponse) {
+    if response.head.status != UNAVAILABLE && !response.meta.not_run {
+        return;
+    }
+    match response.meta.rest {
+        Announced::Absent => {}
+        Announced::Value(rest) => {
+            let mut table = state.endpoints.borrow_mut();
+            table.record_rest(&endpoint.id, rest, Std::now());
+        }
+        Announced::Invalid => log::warn!(
+            "limit: the rest that endpoint {} asked for is not a valid time and is ignored.",
+            endpoint.id
+        ),
+    }
+}
+
 /// Records that an endpoint did not run a request.
 fn record_not_run(state: &State, job: &Job<'_>, choice: &Choice, response: &EndpointResponse) {
     let now = Std::now();
--- a/daemon/src/relay/status.rs
+++ b/daemon/src/relay/status.rs
@@ -104,6 +104,9 @@
         "cold_ms": row.cold.as_ref().map(|cold| {
             cold.warm_at().saturating_duration_since(now).as_millis() as u64
         }),
+        "rest_ms": row.rest_until.map(|until| {
+            until.saturating_duration_since(now).as_millis() as u64
+        }),
         "limit": row.limit.as_ref().and_then(Limit::rate),
         "speed_factor": row.speed.factor(),
     })
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -30,6 +30,7 @@
 pub mod quota;
 pub mod reachability;
 pub mod request;
+pub(crate) mod rests;
 pub mod rollout;
 pub mod selection;
 pub mod sent_uses;
--- a/lib/src/relay/endpoint_table.rs
+++ b/lib/src/relay/endpoint_table.rs
@@ -25,6 +25,7 @@
 use super::load_reports::{Load, LoadReports, Reporter, sum_loads};
 use super::prefix_cache::PrefixCache;
 use super::quota::name_hash;
+use super::rests::Rests;
 use super::sharers::Sharers;
 use super::slow_start::{ColdEndpoint, SlowStart};
 use super::tombstones::Tombstones;
@@ -107,6 +108,8 @@
     pub cold: Option<ColdEndpoint>,
     /// Whether its zone is evacuated, so that it gets no new request.
     pub is_evacuated: bool,
+    /// Until when it wants no request from this daemon; the time may be over.
+    pub rest_until: Option<Instant>,
     /// Limit for this daemon's requests in progress there, while its service is brittle.
     pub concurrency: Option<ConcurrencyLimit>,
 }
@@ -148,6 +151,8 @@
     brittle: Vec<BrittleService>,
     /// Endpoints that announced in their answers that they leave.
     departures: Departures,
+    /// Rests that endpoints asked for.
+    rests: Rests,
 }
 
 /// Effect of a registry change on an endpoint.
@@ -383,6 +388,15 @@
         !was_leaving
     }
 
+    /// Records that an endpoint rejected a request of this daemon and asked for a rest.
+    pub fn record_rest(&mut self, id: &str, rest: Duration, now: Instant) {
+        if let Ok(at) = self.find(id) {
+            let row = &mut self.rows[at];
+            let incarnation = incarnation_hash(&row.listing);
+            row.rest_until = Some(self.rests.record(incarnation, rest, now));
+        }
+    }
+
     /// Merges the departures that another daemon reports; returns the ids of the endpoints that
     /// were in use until now.
     pub fn merge_departures(&mut self, left: &[IncarnationHash], now: Instant) -> Vec<EndpointId> {
@@ -427,6 +441,7 @@
             limit: None,
             cold: None,
             is_evacuated: self.evacuations.contains(&listing.zone),
+            rest_until: self.rests.until(incarnation_hash(&listing)),
             concurrency: None,
             listing,
         };
@@ -860,6 +875,7 @@
         }
         self.tombstones.expire(now);
         self.departures.expire(now);
+        self.rests.expire(now);
         dropped
     }
 }
@@ -891,17 +907,17 @@
         self.state.is_in_use(now) && !self.is_evacuated && self.breaker.allows_request(now)
     }
 
-    /// Whether its announced limit and its slow start let this daemon send a request now.
+    /// Whether its announced limit, its slow start and the rest that it asked for let this daemon
+    /// send a request now.
     ///
     /// # Errors
     /// Returns the time until they may.
     pub fn check_rate(&self, now: Instant) -> Result<(), Duration> {
-        let limit = self.limit.as_ref().map_or(Ok(()), |limit| limit.check(now));
-        let cold = self.cold.as_ref().map_or(Ok(()), |cold| cold.check(now));
-        match (limit, cold) {
-            (Err(limit), Err(cold)) => Err(limit.max(cold)),
-            (limit, cold) => limit.and(cold),
-        }
+        let limit = self.limit.as_ref().and_then(|limit| limit.check(now).err());
+        let cold = self.cold.as_ref().and_then(|cold| cold.check(now).err());
+        let rest = self.rest_until.filter(|until| now < *until);
+        let rest = rest.map(|until| until.saturating_duration_since(now));
+        limit.max(cold).max(rest).map_or(Ok(()), Err)
     }
 
     /// Requests in progress, from all daemons.
--- a/lib/src/relay/selection.rs
+++ b/lib/src/relay/selection.rs
@@ -143,15 +143,19 @@
     let mut limited: Option<Duration> = None;
     for row in table.rows() {
         let may = is_one_of(row, among) && is_one_of(row, trial.as_deref());
-        if !may || !is_eligible(row, criteria) {
+        if !may || !may_serve(row, criteria) {
             continue;
         }
-        if is_full(row, criteria, step) {
-            full = true;
+        let rate = row.check_rate(criteria.now);
+        if let Err(wait) = rate {
+            // One that has just rejected the request counts too: its caller may come back then.
+            limited = Some(limited.map_or(wait, |least| least.min(wait)));
+        }
+        if rate.is_err() || is_avoided(row, criteria) {
             continue;
         }
-        if let Err(wait) = row.check_rate(criteria.now) {
-            limited = Some(limited.map_or(wait, |least| least.min(wait)));
+        if is_full(row, criteria, step) {
+            full = true;
             continue;
         }
         let (cost, choice) = evaluate(row, service_speed, criteria, &shared, preferred);
@@ -255,11 +259,20 @@
 
 /// Whether an endpoint may get the request, whatever its load.
 fn is_eligible(row: &Endpoint, criteria: &Criteria<'_>) -> bool {
+    may_serve(row, criteria) && !is_avoided(row, criteria)
+}
+
+/// Whether an endpoint may get requests of this kind, whatever its load.
+fn may_serve(row: &Endpoint, criteria: &Criteria<'_>) -> bool {
     row.listing.service == criteria.service.name
         && row.is_usable(criteria.now)
         && criteria.versions.allow(&row.listing.version)
         && criteria.is_home(&row.listing.zone)
-        && !criteria.avoid.contains(&row.listing.id)
+}
+
+/// Whether an earlier attempt of the request was sent to an endpoint.
+fn is_avoided(row: &Endpoint, criteria: &Criteria<'_>) -> bool {
+    criteria.avoid.contains(&row.listing.id)
 }
 
 /// Ids of the few endpoints on which a new version is tried, the same for all daemons; `None`
--- a/lib/tests/test_relay_endpoint_table.rs
+++ b/lib/tests/test_relay_endpoint_table.rs
@@ -270,3 +270,34 @@
     assert!(table.merge_departures(&reported, now).is_empty());
     assert!(usable(&table, "a", now));
 }
+
+/// An endpoint asked for a rest, and its registry entry expires and comes back meanwhile. The rest
+/// must still hold, but not for the next incarnation.
+#[test]
+fn a_rest_outlives_the_row_of_its_endpoint() {
+    let now = Instant::now();
+    let mut table = EndpointTable::default();
+    table.put(listing("a"));
+    table.record_rest("a", Duration::from_secs(3), now);
+    table.record_rest("a", Duration::from_secs(1), now);
+    table.entry_removed("a", now);
+    table.expire(now);
+    assert!(table.get("a").is_none());
+    let rewritten = Listing {
+        count: 2,
+        ..listing("a")
+    };
+    table.put(rewritten);
+    let check = |table: &EndpointTable, after: u64| {
+        let row = table.get("a").expect("it is registered");
+        row.check_rate(now + Duration::from_millis(after))
+    };
+    assert_eq!(check(&table, 2000), Err(Duration::from_secs(1)));
+    assert_eq!(check(&table, 3000), Ok(()));
+    let restarted = Listing {
+        born: Some(2),
+        ..listing("a")
+    };
+    table.put(restarted);
+    assert_eq!(check(&table, 0), Ok(()));
+}
