soak: partitions from all endpoints, departures, rests and brittle endpoints

New connections to all endpoints are refused while open ones are reset, hang or live on; endpoints announce that they leave and start anew under their id, ask for half a second of rest, or tolerate few rejections.

--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -16,8 +16,8 @@
 use fastrand::Rng;
 use poplarvale_platform::SETTINGS_VARIABLE;
 use poplarvale_standin::{
-    Answer, Caller, Cloud, Endpoint, Fault, Mode, Proxy, SeenRequest, Step, Store, cold_config,
-    event, plain, rejection, request, settings, stream,
+    Answer, Caller, Cloud, Endpoint, Fault, Mode, Proxy, SeenRequest, Step, Store, announcing,
+    cold_config, event, plain, rejection_with, request, settings, stream,
 };
 use testutils::folder::Folder;
 use testutils::process::Process;
@@ -25,6 +25,7 @@
 use crate::relay_site::{ROUTES, is_ready, until};
 use crate::site::DAEMON;
 
+mod announced;
 mod cold;
 
 const DAEMONS: usize = 3;
@@ -37,6 +38,8 @@
 /// How long an endpoint is cold after its start, and the requests a second that it takes meanwhile.
 const COLD_TIME: Duration = Duration::from_millis(1500);
 const COLD_RATE: f64 = 6.0;
+/// Header line by which an endpoint asks for a rest.
+const REST_FIELD: &str = "Retry-After: 0.5\r\n";
 /// Timeout of a caller; equals the deadline of its requests.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after the last fault within which the fleet must have recovered: leases, missing
@@ -79,6 +82,8 @@
     last_number: Cell<u64>,
     /// Number of the endpoint that was started last.
     last_endpoint: Cell<usize>,
+    /// Start time of each endpoint's incarnation, as its entry tells it.
+    born: Vec<Cell<u64>>,
 }
 
 struct Daemon {
@@ -106,6 +111,10 @@
     runs: Rc<RefCell<BTreeMap<String, usize>>>,
     /// Whether they answer without faults.
     faultless: Rc<Cell<bool>>,
+    /// Numbers of those that announce in their answers that they leave.
+    leaving: Rc<RefCell<Vec<usize>>>,
+    /// Whether they announce that they are brittle.
+    brittle: Rc<Cell<bool>>,
 }
 
 /// An endpoint that fails on some requests, chosen by their ids.
@@ -121,15 +130,20 @@
             .iter()
             .any(|prefix| seen.target().starts_with(prefix));
         if !is_stream && roll < 4 {
-            return vec![rejection(seen)];
+            let rest = if roll < 2 { REST_FIELD } else { "" };
+            return vec![rejection_with(seen, rest)];
         }
+        let fields = announced::fields(&work, number);
         *work.runs.borrow_mut().entry(seen.id()).or_default() += 1;
         match roll {
             _ if is_stream => events(seen, roll),
             4..6 => vec![Step::Close],
             6..8 => vec![plain(seen, 500, "failed")],
-            8..10 => vec![answer(seen), plain(seen, 200, "a second answer")],
-            _ => vec![Step::Wait(Duration::from_millis(roll % 20)), answer(seen)],
+            8..10 => vec![answer(seen, &fields), plain(seen, 200, "a second answer")],
+            _ => vec![
+                Step::Wait(Duration::from_millis(roll % 20)),
+                answer(seen, &fields),
+            ],
         }
     })
     .await
@@ -142,8 +156,8 @@
     Rng::with_seed(sum).u64(..100)
 }
 
-fn answer(seen: &SeenRequest) -> Step {
-    plain(seen, 200, &format!("answer to {}", seen.id()))
+fn answer(seen: &SeenRequest, fields: &str) -> Step {
+    announcing(seen, fields, &format!("answer to {}", seen.id()))
 }
 
 fn events(seen: &SeenRequest, roll: u64) -> Vec<Step> {
@@ -208,6 +222,7 @@
             stopped: Cell::new(false),
             last_number: Cell::new(0),
             last_endpoint: Cell::new(ENDPOINTS - 1),
+            born: vec![Cell::new(1); ENDPOINTS],
         }
     }
 
@@ -334,7 +349,7 @@
         let duration = Duration::from_millis(random.u64(200..1500));
         let daemon = random.usize(..DAEMONS);
         let endpoint = random.usize(..ENDPOINTS);
-        match random.u32(..17) {
+        match random.u32(..20) {
             0 => soak.daemons[daemon].borrow_mut().process.kill(),
             1 => pause_daemon(soak, daemon, duration),
             2 => soak.daemons[daemon].borrow().process.signal("TERM"),
@@ -355,6 +370,12 @@
             13 => terminate_twice(soak, daemon, duration),
             14 => cold::add_cold_endpoint(soak, duration).await,
             15 => cold::evacuate(soak, duration),
+            16 => {
+                let open = [Fault::None, Fault::Blocked, Fault::Reset][random.usize(..3)];
+                announced::cut_off(soak, open, duration);
+            }
+            17 => announced::leave(soak, endpoint),
+            18 => announced::become_brittle(soak, duration),
             _ => terminate_then_kill(soak, daemon),
         }
         let pause = Duration::from_millis(random.u64(50..400));
@@ -461,6 +482,8 @@
         number,
         state,
     );
+    let born = format!("\"born\":{}", soak.born[number].get());
+    let entry = entry.replace("\"born\":1", &born);
     soak.store
         .put(&format!("servers/i-{number}"), entry.as_bytes());
 }
@@ -471,6 +494,7 @@
     }
     soak.store.set(Mode::Healthy);
     cold::restore(soak);
+    announced::restore(soak);
     for daemon in 0..DAEMONS {
         signal_if_alive(soak, daemon, "CONT");
     }
