forward: a daemon that shuts down takes no forwarded request, and retries are counted

A daemon that was shutting down answered a forwarded request with 503, which went to the caller though other daemons could serve it; it now answers 421 like one that does not reach the service, and the next daemon is tried. After a connection to another daemon broke, a request could go to two more, each with all attempts of its route; there is one retry now, from the retry budget.

Code 2014 is renamed NotTaken accordingly.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -61,16 +61,8 @@
     /// Sorted zones that it may be sent to; `None` for all.
     pub(crate) homes: Option<Vec<ZoneId>>,
     pub(crate) fingerprint: LazyFingerprint<'r>,
-    pub(crate) origin: Origin,
-}
-
-/// Who sent a request to this daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Origin {
-    /// A caller.
-    Caller,
-    /// Another daemon, which does not reach the service. It is not forwarded again.
-    Daemon,
+    /// Whether it may be forwarded to another daemon.
+    pub(crate) may_forward: bool,
 }
 
 /// How an attempt ended.
--- a/daemon/src/relay/caller.rs
+++ b/daemon/src/relay/caller.rs
@@ -14,9 +14,8 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::time::{Instant, timeout_at};
 
-use super::attempt::Origin;
 use super::buffered_stream::fill;
-use super::serve::{Connection, RETRY_SOON, Received, serve};
+use super::serve::{Connection, Origin, RETRY_SOON, Received, serve};
 use super::state::{ActiveRequest, State};
 
 /// Limit for bytes that are read ahead from a connection while a request is served.
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -13,11 +13,11 @@
 use poplarvale_lib::relay::endpoint_table::EndpointState;
 use poplarvale_lib::relay::quota;
 use poplarvale_lib::relay::selection::{Choice, Criteria, SelectError, choose};
-use poplarvale_lib::{Code, EndpointId};
+use poplarvale_lib::{Code, EndpointId, ServiceId};
 use tokio::net::tcp::WriteHalf;
 use tokio::time::Instant;
 
-use super::attempt::{AttemptOutcome, Job, Origin, attempt};
+use super::attempt::{AttemptOutcome, Job, attempt};
 use super::crash::quarantine_left;
 use super::exchange::SERVER_ERROR;
 use super::forward::{Forwarding, forward};
@@ -107,7 +107,8 @@
         match pick(state, job, &self.avoid) {
             Ok(choice) => {
                 let granted = std::mem::take(&mut self.reserved) || self.reached == 0;
-                if granted || (self.reached < MAX_ENDPOINTS && try_retry(state, job)) {
+                if granted || (self.reached < MAX_ENDPOINTS && try_retry(state, &job.service.name))
+                {
                     return Some(choice);
                 }
                 self.stopped = Some(SelectError::Full);
@@ -133,7 +134,7 @@
         let mut try_move = || {
             reach::record_failure(state, &job.service.name);
             let may_move = can_forward(state, job) || pick(state, job, avoid).is_ok();
-            *reserved = may_continue && may_move && try_retry(state, job);
+            *reserved = may_continue && may_move && try_retry(state, &job.service.name);
             *reserved
         };
         let stall = stall_timeout(job, choice.wait, &mut try_move);
@@ -202,7 +203,8 @@
             return None;
         }
         let is_first = self.reached == 0 && !self.forwarded.head_sent;
-        if !is_first && !std::mem::take(&mut self.reserved) && !try_retry(state, job) {
+        if !is_first && !std::mem::take(&mut self.reserved) && !try_retry(state, &job.service.name)
+        {
             return None;
         }
         if !self.unknown {
@@ -287,17 +289,17 @@
 
 /// Whether a request may be forwarded now, as this daemon does not reach its service.
 fn can_forward(state: &State, job: &Job<'_>) -> bool {
-    job.origin == Origin::Caller && state.reach.borrow().is_cut_off(&job.service.name)
+    job.may_forward && state.reach.borrow().is_cut_off(&job.service.name)
 }
 
-/// Takes a retry of the request from the budget of its service; `false` if none is left.
-fn try_retry(state: &State, job: &Job<'_>) -> bool {
+/// Takes a retry of a request from the budget of its service; `false` if none is left.
+pub(crate) fn try_retry(state: &State, service: &ServiceId) -> bool {
     let now = Std::now();
     // Peers that are known only through other daemons count too. Otherwise, after a start of all
     // daemons, each would take most of the shared budget for itself.
     let daemons = state.peers.borrow().rows().len() + 1;
     let mut budget = state.budget.borrow_mut();
-    budget.try_retry(&job.service.name, daemons, now)
+    budget.try_retry(service, daemons, now)
 }
 
 /// How long a request may wait at an engine; `None` if its service has no target, or if an endpoint
--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -2,7 +2,8 @@
 //!
 //! The other daemon handles a forwarded request like one of its own callers: it checks the API key,
 //! counts the request against the team's allowance and chooses the endpoint. It never forwards the
-//! request again. If it does not reach the service either, the next daemon is tried.
+//! request again. If it does not reach the service either, or is shutting down, the next daemon is
+//! tried.
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -20,6 +21,7 @@
 
 use super::attempt::MAX_RESPONSE_BYTES;
 use super::buffered_stream::BufferedStream;
+use super::dispatch::try_retry;
 use super::exchange::{EndpointResponse, ExchangeError, OK, exchange, read_body};
 use super::serve::{Connection, Rejection, connection, forward_response, reject};
 use super::state::State;
@@ -80,8 +82,10 @@
             Outcome::NotTaken(why) => log_failed(state, job, daemon, "not taken", &why),
             Outcome::Failed(error) => {
                 log_failed(state, job, daemon, "failed", &error);
-                failed = Some(error);
-                if !job.route.retry_policy.allows_retry() {
+                // The other daemon may have used all attempts of the route, so there is one retry.
+                let is_last = failed.replace(error).is_some();
+                let may_retry = job.route.retry_policy.allows_retry() && !is_last;
+                if !may_retry || !try_retry(state, job.service) {
                     break;
                 }
             }
@@ -161,7 +165,7 @@
             .peers
             .borrow_mut()
             .record_cut_off(daemon, name_hash(job.service), Std::now());
-        return Outcome::NotTaken("it does not reach the service either");
+        return Outcome::NotTaken("it cannot serve it either");
     }
     let outcome = pass_on(&mut conn, &response, job, forwarded, write, &mut stall).await;
     if matches!(outcome, Outcome::Done(_)) && response.is_reusable(&conn) {
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -21,7 +21,7 @@
 use tokio::net::tcp::WriteHalf;
 use tokio::time::Instant;
 
-use super::attempt::{Job, Origin};
+use super::attempt::Job;
 use super::crash::{LazyFingerprint, quarantine_left};
 use super::dispatch::dispatch;
 use super::forward::{Forwarding, forward};
@@ -89,6 +89,26 @@
     }
 }
 
+/// Who sent a request to this daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// A caller.
+    Caller,
+    /// Another daemon, which does not reach the service. It is not forwarded again.
+    Daemon,
+}
+
+impl Origin {
+    /// Rejection of a request that this daemon does not serve now. Another daemon can still try a
+    /// further one; a caller comes back.
+    fn rejection(self, code: Code) -> Rejection {
+        match self {
+            Self::Caller => Rejection::retry_later(code, RETRY_SOON),
+            Self::Daemon => Rejection::permanent(Code::NotTaken),
+        }
+    }
+}
+
 /// A request whose body was read.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Received<'r> {
@@ -116,7 +136,7 @@
     let keep = request.keep_alive && state.phase().is_serving();
     let catalog = state.catalog.borrow().clone();
     let Some(catalog) = catalog else {
-        let rejection = Rejection::retry_later(Code::NoLists, RETRY_SOON);
+        let rejection = origin.rejection(Code::NoLists);
         return reject(state, write, head, rejection, keep).await;
     };
     let (route, team) = match route_and_team(&catalog, head) {
@@ -127,7 +147,7 @@
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = (arrived + timeout).into_std();
     if !state.phase().serves(deadline, Std::now()) {
-        let rejection = Rejection::retry_later(Code::Draining, RETRY_SOON);
+        let rejection = origin.rejection(Code::Draining);
         return reject(state, write, head, rejection, keep).await;
     }
     let homes = home_zones(
@@ -140,11 +160,12 @@
         let rejection = Rejection::retry_later(Code::NoEndpoint, RETRY_SOON);
         return reject(state, write, head, rejection, keep).await;
     };
-    if state.reach.borrow().is_cut_off(&service.name) {
-        if origin == Origin::Daemon {
-            let rejection = Rejection::permanent(Code::CutOff);
-            return reject(state, write, head, rejection, keep).await;
-        }
+    let is_cut_off = state.reach.borrow().is_cut_off(&service.name);
+    if is_cut_off && origin == Origin::Daemon {
+        let rejection = Rejection::permanent(Code::NotTaken);
+        return reject(state, write, head, rejection, keep).await;
+    }
+    if is_cut_off {
         let forwarding = Forwarding {
             request,
             body,
@@ -194,7 +215,8 @@
         versions: versions(state, &service.name),
         homes,
         fingerprint,
-        origin,
+        // Otherwise no other daemon has taken it.
+        may_forward: origin == Origin::Caller && !is_cut_off,
     };
     dispatch(state, &job, write, keep).await
 }
--- a/lib/src/code.rs
+++ b/lib/src/code.rs
@@ -103,8 +103,8 @@
     NoHome = 2012, 503, "No endpoint in an allowed region can be reached.";
     /// All endpoints of the service are in evacuated zones.
     Evacuated = 2013, 503, "All zones with endpoints of this service are evacuated.";
-    /// The daemon that got a forwarded request does not reach its service.
-    CutOff = 2014, 421, "This daemon reaches no endpoint of the service.";
+    /// The daemon that got a forwarded request cannot serve it, but others may.
+    NotTaken = 2014, 421, "This daemon does not take the forwarded request.";
     /// Deadline passed while the request waited.
     Expired = 3001, 504, "The deadline passed before the request was sent.";
     /// Endpoint failed after the request was sent.
