crash: endpoints that are known to have crashed do not vouch for the own links

Cause: since a host that is cut off suspects no request, a crash counts only while another endpoint accepts connections. When the last endpoints crash one after the other, those that could accept have crashed before.

Now endpoints that are known to have crashed are left out of that check. Without any other the crash counts, as before. Endpoints that are cut off are never recorded, so nothing changes for these.

--- a/daemon/src/relay/reach.rs
+++ b/daemon/src/relay/reach.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use futures::future::join_all;
+use poplarvale_lib::relay::crash::incarnation_hash;
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::reachability::{CHECKED_ENDPOINTS, ReachChange};
 use poplarvale_lib::{EndpointId, ServiceId};
@@ -80,9 +81,14 @@
     }
 }
 
-/// Whether any endpoint other than this one accepts a connection; `true` if there is no other.
+/// Whether any endpoint other than this one accepts a connection, of those that are not known to
+/// have crashed; `true` if there is none.
 pub(crate) async fn reaches_others(state: &State, endpoint: &EndpointId) -> bool {
-    let targets = check_targets(state, |row| row.id != *endpoint);
+    let targets = {
+        let crashes = state.crashes.borrow();
+        let has_crashed = |row: &Listing| crashes.has_crashed(incarnation_hash(row));
+        check_targets(state, |row| row.id != *endpoint && !has_crashed(row))
+    };
     targets.is_empty() || any_accepts(state, &targets).await
 }
 
--- a/lib/src/relay/crash.rs
+++ b/lib/src/relay/crash.rs
@@ -141,6 +141,12 @@
         rows.map(|row| row.fingerprint)
     }
 
+    /// Whether an endpoint incarnation is known to have crashed under some request.
+    pub fn has_crashed(&self, incarnation: IncarnationHash) -> bool {
+        let mut rows = self.rows.iter();
+        rows.any(|row| row.incarnations.binary_search(&incarnation).is_ok())
+    }
+
     /// How long a request is still quarantined; `None` if it may be sent.
     pub fn quarantine_left(&self, fingerprint: Fingerprint, now: Instant) -> Option<Duration> {
         let at = self.find(fingerprint).ok()?;
