--- a/daemon/src/relay/peers/encode.rs
+++ b/daemon/src/relay/peers/encode.rs
@@ -62,8 +62,8 @@
     reach.cut_off().map(|service| name_hash(service)).collect()
 }
 
-/// Adds what concerns all daemons: crashes, limits, departures, states of version moves and the last report of
-/// usage.
+/// Adds what concerns all daemons: crashes, limits, departures, states of version moves and the last
+/// report of usage.
 pub(super) fn shared(
     state: &State,
     message: &mut Digest,
