--- a/daemon/tests/test_relay_answers.rs
+++ b/daemon/tests/test_relay_answers.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use poplarvale_standin::{Endpoint, Step, ask, event, plain, rejection, request, stream};
+use poplarvale_standin::{Endpoint, Step, ask, event, plain, rejection, request, response, stream};
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpSocket;
@@ -190,8 +190,7 @@
                 .await
                 .expect("the connection is open");
         }
-        let answer = "HTTP/1.1 200 OK\r\nPoplarvale-Request-Id: r1\r\n\
-                      Poplarvale-Response-Seal: s\r\nContent-Length: 4\r\n\r\ndone";
+        let answer = response("r1", 200, "done");
         stream
             .write_all(answer.as_bytes())
             .await
