config: when a daemon was told of a version, asked, got and applied it is logged

A configuration of a megabyte was late at daemons on slow links, and nothing told whether they had not been told, had not asked, or had asked and got no complete answer: a series of failed calls to the store was one line that did not name the call.

--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -25,6 +25,7 @@
     attempts: Counter<u64>,
     connects: Counter<u64>,
     calls: Counter<u64>,
+    catalog: Counter<u64>,
     quarantined: Counter<u64>,
     cut_off: Counter<u64>,
     forwarded: Counter<u64>,
@@ -77,6 +78,10 @@
                 "poplarvale_relay_calls",
                 "Calls to the platform's services, by service and outcome",
             ),
+            catalog: counter(
+                "poplarvale_relay_catalog",
+                "Steps towards a newer configuration, by step and source",
+            ),
             quarantined: counter(
                 "poplarvale_relay_quarantined",
                 "Requests that were quarantined because endpoints ended under them",
@@ -154,6 +159,12 @@
         self.calls.add(1, &labels);
     }
 
+    /// Records a step towards a newer configuration.
+    pub(crate) fn record_catalog(&self, step: &'static str, source: &'static str) {
+        let labels = [KeyValue::new("step", step), KeyValue::new("source", source)];
+        self.catalog.add(1, &labels);
+    }
+
     /// Renders the page that Prometheus scrapes.
     pub(crate) fn page(&self) -> String {
         let mut page = Vec::new();
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -482,7 +482,7 @@
 /// this daemon misses changes.
 fn merge_feed(state: &State, name: &str, news: digest::News, now: Instant) -> bool {
     match change_feed::decode(news, now) {
-        Ok(feed) => apply_feed(state, &feed, now),
+        Ok(feed) => apply_feed(state, name, &feed, now),
         Err(error) => {
             state.measure(|metrics| metrics.record_call("peers", "invalid"));
             log::warn!("peers: ignored the changes from {name}, {error}.");
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -25,6 +25,7 @@
 use poplarvale_lib::{CustomerId, Incarnation, Revision};
 use tokio::sync::Notify;
 
+use super::catalog_timeline::CatalogTimeline;
 use super::crash::CrashCheck;
 use super::era::Eras;
 use super::logging::Sampler;
@@ -39,6 +40,7 @@
     pub(crate) settings: RelaySettings,
     /// Configuration in use; `None` until the first one was read.
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
+    pub(crate) catalog_timeline: RefCell<CatalogTimeline>,
     pub(crate) endpoints: RefCell<EndpointTable>,
     pub(crate) quota: RefCell<Quota>,
     pub(crate) budget: RefCell<Budget>,
@@ -112,6 +114,7 @@
         );
         Rc::new(Self {
             catalog: RefCell::new(None),
+            catalog_timeline: RefCell::default(),
             endpoints: RefCell::default(),
             quota: RefCell::new(quota.with_phase(fastrand::f64())),
             budget: RefCell::new(Budget::new(
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -5,6 +5,7 @@
 //! something changes, and each call is paid for, so the next watch starts after a pause and
 //! returns all changes since the last one in a single answer.
 
+use std::fmt::{self, Display, Formatter};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,7 @@
     read_status, read_watch, watch,
 };
 
+use super::catalog_timeline::{self, Source};
 use super::checkpoint::{self, CHECKPOINT_KEY};
 use super::client::{CallError, Client};
 use super::crash::{self, CRASH_PREFIX};
@@ -84,6 +86,17 @@
     Wait(Instant),
 }
 
+impl Display for Task {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Config => "reading the operators' keys",
+            Self::All => "reading all keys",
+            Self::Watch(_) => "watching for changes",
+            Self::Wait(_) => "waiting",
+        })
+    }
+}
+
 /// Reads what is due until the process ends.
 pub(crate) async fn watch_store(state: Rc<State>) {
     let mut client = Client::of_store(&state);
@@ -92,7 +105,8 @@
     let mut next_watch = Instant::now();
     loop {
         let began = Instant::now();
-        let result = match next_task(&state, next_watch, began) {
+        let task = next_task(&state, next_watch, began);
+        let result = match task {
             Task::Config => read_operators(&state, &mut client).await,
             Task::All => read_all(&state, &mut client).await,
             Task::Watch(after) => watch_once(&state, &mut client, after).await,
@@ -120,7 +134,7 @@
             Err(error) => {
                 state.measure(|metrics| metrics.record_call("store", "failed"));
                 if !failing {
-                    log::warn!("store: call failed, {error}; retrying.");
+                    log::warn!("store: {task} failed, {error}; retrying.");
                     failing = true;
                 }
                 if matches!(error, WatchError::Store(StoreError::Compacted)) {
@@ -187,7 +201,13 @@
 /// Reads the configuration, the orders of version moves and evacuations, and their states. When
 /// the daemon starts, it also reads what daemons keep in the store.
 async fn read_operators(state: &State, client: &mut Client) -> Result<(), WatchError> {
-    let (items, revision) = list(client, OPERATOR_PREFIX).await?;
+    catalog_timeline::asked(state, Source::Store);
+    let listed = list(client, OPERATOR_PREFIX).await;
+    let (items, revision) = listed.inspect_err(|error| {
+        catalog_timeline::failed(state, Source::Store, error);
+    })?;
+    let bytes = items.iter().map(|item| item.value.len()).sum();
+    catalog_timeline::received(state, Source::Store, bytes);
     for item in &items {
         apply_config_item(state, item);
     }
@@ -387,7 +407,7 @@
 }
 
 /// Applies a feed or a page of a watcher; returns whether this daemon has to pull what it misses.
-pub(crate) fn apply_feed(state: &State, feed: &ChangeFeed, now: Instant) -> bool {
+pub(crate) fn apply_feed(state: &State, name: &str, feed: &ChangeFeed, now: Instant) -> bool {
     let era = era_of(feed.newest);
     if era > state.eras.newest() {
         state.eras.record(Ok(Some(era)));
@@ -395,6 +415,7 @@
     }
     let action = state.store_progress.borrow_mut().merge(feed, now);
     if state.store_progress.borrow().needs_config() {
+        catalog_timeline::told(state, feed.config_revision, Source::Daemon(&name));
         state.read_store.notify_one();
     }
     let effects = match action {
@@ -568,7 +589,7 @@
         .as_ref()
         .is_none_or(|current| current.version < catalog.version)
     {
-        log::info!("config: version {} in force.", catalog.version);
+        catalog_timeline::applied(state, Source::Store, catalog.version);
         set_slow_starts(state, &catalog);
         *current = Some(Rc::new(catalog));
     }
