config: red tests for a large configuration on slow links

A daemon gives up a call to the store 0.9 s after it was sent, whatever has arrived, and starts at the first byte again. Over a link of 10 Mbit/s a configuration of a megabyte takes 1.1 s, so it never comes into force there, and a daemon that starts is not ready.

Three tests: slow links behind fast watchers, slow links everywhere, and a start.

--- a/daemon/tests/relay_site.rs
+++ b/daemon/tests/relay_site.rs
@@ -104,6 +104,8 @@
 pub(crate) struct Zone {
     pub(crate) store: Store,
     pub(crate) daemons: Vec<(Proxy, Relay)>,
+    /// Port of the daemons for each other.
+    pub(crate) port: u16,
 }
 
 impl Zone {
@@ -118,17 +120,22 @@
     /// Starts the daemons with these duties on addresses `127.0.NUMBER.1` and up, so that zones
     /// with different numbers do not collide.
     pub(crate) async fn start_with(number: usize, store: Store, duties: &[&str]) -> Self {
-        let daemons = Self::start_at(number, store.address, duties).await;
-        Self { store, daemons }
+        let port = free_port(number);
+        let daemons = Self::start_at(number, port, store.address, duties).await;
+        Self {
+            store,
+            daemons,
+            port,
+        }
     }
 
     /// Starts the daemons on a store at this address, and waits until they are ready.
     pub(crate) async fn start_at(
         number: usize,
+        port: u16,
         store: SocketAddr,
         duties: &[&str],
     ) -> Vec<(Proxy, Relay)> {
-        let port = free_port(number);
         let daemons = (1..=DAEMONS).map(|host| async move {
             let proxy = Proxy::start(store).await;
             let relay = start_daemon(number, host, port, proxy.address, duties).await;
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -21,6 +21,7 @@
 mod test_relay_callers;
 mod test_relay_closing;
 mod test_relay_cold;
+mod test_relay_config;
 mod test_relay_crash;
 mod test_relay_cut_off;
 mod test_relay_duties;
--- /dev/null
+++ b/daemon/tests/test_relay_config.rs
@@ -0,0 +1,93 @@
+//! How daemons learn of a configuration that is large compared to their links.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use poplarvale_standin::{Endpoint, Fault, Proxy, ask, large_config, plain, request};
+use poplarvaled::Relay;
+
+use crate::relay_site::{DAEMONS, ROUTES, Zone, start_daemon, store_with, until};
+
+/// Routes of a configuration of about a megabyte, 1.3 megabytes as the store sends it.
+const ROUTE_COUNT: u32 = 4300;
+/// Bytes a second of a link of 10 Mbit/s.
+const SLOW_LINK: u32 = 1_250_000;
+/// Time after its acknowledgement within which a configuration must be in force.
+const APPLY_TIME: Duration = Duration::from_secs(3);
+/// Time within which a daemon that starts must be ready.
+const START_TIME: Duration = Duration::from_secs(3);
+
+async fn endpoint() -> Endpoint {
+    Endpoint::start("i-1", |seen| vec![plain(seen, 200, "done")]).await
+}
+
+/// Whether a daemon serves the last of `count` added routes.
+async fn serves(daemon: SocketAddr, count: u32) -> bool {
+    let path = format!("/grown-{}/a", count - 1);
+    let answer = ask(daemon, &request("GET", &path, "r1", "")).await;
+    answer.is_ok_and(|answer| answer.status == 200)
+}
+
+async fn until_all_serve(daemons: &[(Proxy, Relay)], count: u32) {
+    until(APPLY_TIME, async || {
+        for (_, relay) in daemons {
+            if !serves(relay.callers(), count).await {
+                return false;
+            }
+        }
+        true
+    })
+    .await;
+}
+
+/// Zone whose daemons from index `first_slow` on reach the store through slow links.
+async fn slow_zone(number: usize, one: &Endpoint, first_slow: usize) -> Zone {
+    let zone = Zone::start(number, store_with(&[one]).await).await;
+    for (proxy, _) in &zone.daemons[first_slow..] {
+        proxy.set(Fault::Throttled(SLOW_LINK));
+    }
+    zone
+}
+
+/// A configuration takes longer over a slow link than one call to the store may take. Daemons on
+/// such links must not stay on the former version.
+#[actix_web::test]
+async fn a_large_configuration_is_in_force_behind_slow_links() {
+    let one = endpoint().await;
+    let zone = slow_zone(21, &one, 2).await;
+    let text = large_config(2, &ROUTES, ROUTE_COUNT);
+    zone.store.put("op/config", text.as_bytes());
+    until_all_serve(&zone.daemons, ROUTE_COUNT).await;
+}
+
+/// The watchers of a zone may be on slow links too. Then their own reads must not be given up as
+/// long as they make progress.
+#[actix_web::test]
+async fn a_large_configuration_is_in_force_where_all_links_are_slow() {
+    let one = endpoint().await;
+    let zone = slow_zone(22, &one, 0).await;
+    let text = large_config(2, &ROUTES, ROUTE_COUNT);
+    zone.store.put("op/config", text.as_bytes());
+    until_all_serve(&zone.daemons, ROUTE_COUNT).await;
+}
+
+/// A daemon that starts on a slow link must not read the whole configuration from the store, which
+/// takes it longer than a call may last.
+#[actix_web::test]
+async fn a_daemon_starts_on_a_slow_link_under_a_large_configuration() {
+    let one = endpoint().await;
+    let zone = slow_zone(23, &one, 2).await;
+    let text = large_config(2, &ROUTES, ROUTE_COUNT);
+    zone.store.put("op/config", text.as_bytes());
+    until(APPLY_TIME, async || {
+        serves(zone.daemons[0].1.callers(), ROUTE_COUNT).await
+    })
+    .await;
+    let proxy = Proxy::start(zone.store.address).await;
+    proxy.set(Fault::Throttled(SLOW_LINK));
+    let port = zone.port;
+    let started = start_daemon(23, DAEMONS + 1, port, proxy.address, &[]);
+    let relay = tokio::time::timeout(START_TIME, started).await;
+    let relay = relay.expect("the daemon is ready in time");
+    assert!(serves(relay.callers(), ROUTE_COUNT).await);
+}
--- a/daemon/tests/test_relay_watchers.rs
+++ b/daemon/tests/test_relay_watchers.rs
@@ -8,7 +8,7 @@
 use poplarvale_standin::{Endpoint, Fault, Proxy, ask, config, plain, request};
 use poplarvaled::Relay;
 
-use crate::relay_site::{DAEMONS, ROUTES, Zone, store_with};
+use crate::relay_site::{DAEMONS, ROUTES, Zone, free_port, store_with};
 
 /// Daemons of a zone that watch the store.
 const WATCHERS: usize = 2;
@@ -159,7 +159,8 @@
             writer.put("op/config", config(1, &ROUTES, 0).as_bytes());
         };
         // Returns as soon as all daemons are ready.
-        let start = Zone::start_at(30 + delay_ms as usize / 200, store.address, &[]);
+        let number = 30 + delay_ms as usize / 200;
+        let start = Zone::start_at(number, free_port(number), store.address, &[]);
         futures::join!(start, write);
     });
     futures::future::join_all(zones).await;
