store: a response is given up when it stalls, not after a fixed time

Callers on hosts with slow links were served by an old configuration for many seconds after a new one had been acknowledged, and hosts that restarted were not ready.

Cause: the client of the store had 0.9 s for a whole response. Ruled out: that the daemons were not told (they log the announcement, 28 s before), and that the store's link was full.

Now the head has to arrive in time, and after that a response is given up only if nothing comes for 0.9 s. A response that makes progress shows that the store answers; otherwise a watcher on a slow link would be passed over while it reads. The same client reads the registry, checkpoints and watches, so these no longer have a limit of size either.

The three tests of test_relay_config failed before (not in force, not ready after 3 s) and pass. What all daemons together take from the store is as before; that follows.

--- a/daemon/src/relay/client.rs
+++ b/daemon/src/relay/client.rs
@@ -1,9 +1,13 @@
 //! Client of the platform's services, such as the store, over one persistent connection.
+//!
+//! The size of an answer grows with the configuration and the registry, and links differ by a factor
+//! of a hundred. So no timeout covers a whole answer: its head has to arrive in time, and after that
+//! it must not stall.
 
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use poplarvale_lib::http1::{Body, BodyError, HeadError, Response};
@@ -11,13 +15,16 @@
 use tokio::io::AsyncWriteExt as _;
 
 use super::buffered_stream::{BufferedStream, fill};
-use super::era::Eras;
 use super::state::State;
 
 /// Timeout of a new connection to a service of the platform. A healthy one accepts within a few
 /// milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Longest time between two parts of a response. Requests share the link of the host, so a part may
+/// wait behind them.
+const STALL_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// Why a call got no response. Except after [`CallError::NotSent`], the service may have executed
 /// the call or may still do so.
 #[derive(Debug, thiserror::Error)]
@@ -28,6 +35,8 @@
     Broken(io::Error),
     #[error("no response was received in time")]
     TimedOut,
+    #[error("the response stalled after {0} bytes of its body")]
+    Stalled(usize),
     #[error("the response is from an old era of the store")]
     OldEra,
     #[error("the head of the response is malformed: {0}")]
@@ -54,8 +63,8 @@
 pub(crate) struct Client {
     address: SocketAddr,
     conn: Option<BufferedStream>,
-    /// Eras of the store, to drop responses of an old era; `None` for other services.
-    eras: Option<Rc<Eras>>,
+    /// State that follows the responses of the store; `None` for other services.
+    store: Option<Rc<State>>,
 }
 
 impl Client {
@@ -63,20 +72,20 @@
         Self {
             address,
             conn: None,
-            eras: None,
+            store: None,
         }
     }
 
     /// Creates a client of the store.
-    pub(crate) fn of_store(state: &State) -> Self {
+    pub(crate) fn of_store(state: &Rc<State>) -> Self {
         Self {
-            eras: Some(Rc::clone(&state.eras)),
+            store: Some(Rc::clone(state)),
             ..Self::new(state.settings.store)
         }
     }
 
     /// Makes a call and waits for its response, for at most `limit` each for a new connection and
-    /// for the exchange.
+    /// for the head of the response, and then as long as the body makes progress.
     pub(crate) async fn call(&mut self, call: &Call, limit: Duration) -> Result<Reply, CallError> {
         let idle = self.conn.take().filter(BufferedStream::is_clean);
         let mut conn = match idle {
@@ -85,15 +94,17 @@
                 .await
                 .map_err(CallError::NotSent)?,
         };
-        let exchange = exchange(&mut conn, &call.0);
-        let response = tokio::time::timeout(limit, exchange).await;
-        let response = response.map_err(|_elapsed| CallError::TimedOut).flatten();
-        let (head, body) = response?;
+        let sent = tokio::time::timeout(limit, send(&mut conn, &call.0)).await;
+        let head = sent.map_err(|_elapsed| CallError::TimedOut).flatten()?;
+        let body = read_body(&mut conn, &head, || self.record_progress()).await?;
         if head.keep_alive {
             self.conn = Some(conn);
         }
-        let era = match &self.eras {
-            Some(eras) => eras.record(read_era(&head)).ok_or(CallError::OldEra)?,
+        let era = match &self.store {
+            Some(state) => {
+                let era = state.eras.record(read_era(&head));
+                era.ok_or(CallError::OldEra)?
+            }
             None => 0,
         };
         Ok(Reply {
@@ -102,24 +113,38 @@
             body,
         })
     }
+
+    /// Records that the store is sending a response. Otherwise a watcher on a slow link would be
+    /// passed over as one that the store does not answer.
+    fn record_progress(&self) {
+        if let Some(state) = &self.store {
+            state.store_answered(Instant::now());
+        }
+    }
 }
 
-/// Sends a request and reads its complete response.
-async fn exchange(
-    conn: &mut BufferedStream,
-    request: &Bytes,
-) -> Result<(Response, Bytes), CallError> {
+/// Sends a request and reads the head of its response.
+async fn send(conn: &mut BufferedStream, request: &Bytes) -> Result<Response, CallError> {
     let (mut read, mut write) = conn.stream.split();
     write.write_all(request).await.map_err(CallError::Broken)?;
-    let head = loop {
+    loop {
         if let Some(head) = Response::take(&mut conn.buffer)? {
-            break head;
+            return Ok(head);
         }
         let more = fill(&mut read, &mut conn.buffer).await;
         if more.map_err(CallError::Broken)? == 0 {
             return Err(CallError::Broken(io::ErrorKind::UnexpectedEof.into()));
         }
-    };
+    }
+}
+
+/// Reads a complete body; calls `progress` whenever a further part arrives.
+async fn read_body(
+    conn: &mut BufferedStream,
+    head: &Response,
+    progress: impl Fn(),
+) -> Result<Bytes, CallError> {
+    let (mut read, _write) = conn.stream.split();
     let mut body = Body::new(head.framing);
     let mut bytes = BytesMut::new();
     loop {
@@ -127,12 +152,13 @@
             bytes.extend_from_slice(&part);
         }
         if body.is_done() {
-            break;
+            return Ok(bytes.freeze());
         }
-        let more = fill(&mut read, &mut conn.buffer).await;
+        let more = tokio::time::timeout(STALL_TIMEOUT, fill(&mut read, &mut conn.buffer)).await;
+        let more = more.map_err(|_elapsed| CallError::Stalled(bytes.len()))?;
         if more.map_err(CallError::Broken)? == 0 {
             body.finish()?;
         }
+        progress();
     }
-    Ok((head, bytes.freeze()))
 }
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -38,8 +38,8 @@
 const WATCH_TIME: Duration = Duration::from_millis(800);
 /// How much longer than [`WATCH_TIME`] an answer may take, for the network and a slow store.
 const WATCH_SLACK: Duration = Duration::from_millis(600);
-/// Timeout for reading one page of a list. A call that an unresponsive store does not answer
-/// delays the next attempt by this time. Together with [`MAX_RETRY_DELAY`] this bounds how late
+/// Timeout until the first byte of a page of a list. A call that an unresponsive store does not
+/// answer delays the next attempt by this time. Together with [`MAX_RETRY_DELAY`] this bounds how late
 /// a daemon notices the store's return: operators and leaving endpoints rely on two seconds. A
 /// slow store takes up to half a second.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
