config: red tests for a configuration that each daemon reads by itself

Each daemon reads the whole configuration from the store for each change of it. The store's link carries some hundred reads of a megabyte a second, so a thousand daemons get the last of them after eight seconds or more, and a daemon that reaches its watchers but not the store gets none at all.

--- a/daemon/tests/test_relay_config.rs
+++ b/daemon/tests/test_relay_config.rs
@@ -6,10 +6,12 @@
 use poplarvale_standin::{Endpoint, Fault, Proxy, ask, large_config, plain, request};
 use poplarvaled::Relay;
 
-use crate::relay_site::{DAEMONS, ROUTES, Zone, start_daemon, store_with, until};
+use crate::relay_site::{DAEMONS, ROUTES, Zone, free_port, start_daemon, store_with, until};
 
 /// Routes of a configuration of about a megabyte, 1.3 megabytes as the store sends it.
 const ROUTE_COUNT: u32 = 4300;
+/// Daemons of a zone that watch the store.
+const WATCHERS: usize = 2;
 /// Bytes a second of a link of 10 Mbit/s.
 const SLOW_LINK: u32 = 1_250_000;
 /// Time after its acknowledgement within which a configuration must be in force.
@@ -54,7 +56,7 @@
 #[actix_web::test]
 async fn a_large_configuration_is_in_force_behind_slow_links() {
     let one = endpoint().await;
-    let zone = slow_zone(21, &one, 2).await;
+    let zone = slow_zone(21, &one, WATCHERS).await;
     let text = large_config(2, &ROUTES, ROUTE_COUNT);
     zone.store.put("op/config", text.as_bytes());
     until_all_serve(&zone.daemons, ROUTE_COUNT).await;
@@ -76,7 +78,7 @@
 #[actix_web::test]
 async fn a_daemon_starts_on_a_slow_link_under_a_large_configuration() {
     let one = endpoint().await;
-    let zone = slow_zone(23, &one, 2).await;
+    let zone = slow_zone(23, &one, WATCHERS).await;
     let text = large_config(2, &ROUTES, ROUTE_COUNT);
     zone.store.put("op/config", text.as_bytes());
     until(APPLY_TIME, async || {
@@ -91,3 +93,34 @@
     let relay = relay.expect("the daemon is ready in time");
     assert!(serves(relay.callers(), ROUTE_COUNT).await);
 }
+
+/// The store's link has to carry a large configuration to the watchers of each zone only. If each
+/// of hundreds of daemons read it, the last ones would get it many seconds too late.
+#[actix_web::test]
+async fn a_large_configuration_is_in_force_where_the_link_of_the_store_carries_few_reads() {
+    /// Bytes a second that the store sends to all daemons together.
+    const STORE_LINK: u32 = 2_000_000;
+    let one = endpoint().await;
+    let store = store_with(&[&one]).await;
+    let link = Proxy::start(store.address).await;
+    let port = free_port(24);
+    let daemons = Zone::start_at(24, port, link.address, &[]).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    link.set(Fault::Throttled(STORE_LINK));
+    let text = large_config(2, &ROUTES, ROUTE_COUNT);
+    store.put("op/config", text.as_bytes());
+    until_all_serve(&daemons, ROUTE_COUNT).await;
+}
+
+/// A change of the configuration must not cost the store a call by each daemon.
+#[actix_web::test]
+async fn daemons_that_get_the_change_feed_read_no_configuration() {
+    let one = endpoint().await;
+    let zone = Zone::start(25, store_with(&[&one]).await).await;
+    for (proxy, _) in &zone.daemons[WATCHERS..] {
+        proxy.set(Fault::Blocked);
+    }
+    let text = large_config(2, &ROUTES, 1);
+    zone.store.put("op/config", text.as_bytes());
+    until_all_serve(&zone.daemons, 1).await;
+}
