peers: a watcher that the store does not answer is passed over when that is due

While both watchers of a zone lost the store, the other daemons of the zone could send requests to an endpoint for more than the two seconds that operators rely on after it left.

A watcher counts as blind 1.65 s after the store's last answer. It noticed that with its next digest, up to a quarter of a second later, and the others looked again for who watches with their own next one, up to another quarter: 2.15 s in the worst case. test_relay_watchers::the_loss_of_all_watchers_is_noticed_in_time begins at one phase of the watches. Ruled out: that the new watchers read later than before; their watch starts as soon as their role changes.

Now the digest is sent when the time is up, and a daemon that learns of it, or that a watcher ends, looks at once. The test starts at six phases of the watches.

--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -42,6 +42,9 @@
 /// Longest time between digests to the duty holder if nothing has changed.
 const RUNS_PERIOD: Duration = Duration::from_secs(1);
 
+/// Added to the time of a digest, so that what becomes due then is due.
+const TIMER_SLACK: Duration = Duration::from_millis(1);
+
 /// Receives digests until the process ends.
 pub(crate) async fn receive(state: Rc<State>, socket: Rc<UdpSocket>) {
     let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
@@ -95,8 +98,12 @@
         if now >= schedule.partners {
             schedule.partners = now + send_to_partners(&state, &socket, now);
         }
+        let answered = state.connectivity.get().last_answer();
+        let blind_from = state.peers.borrow().blind_from(answered);
+        let is_blind_soon = |at: &Instant| (now..now + PERIOD).contains(at);
+        let next = blind_from.filter(is_blind_soon).unwrap_or(now + PERIOD);
         tokio::select! {
-            () = tokio::time::sleep(PERIOD) => {}
+            () = tokio::time::sleep_until((next + TIMER_SLACK).into()) => {}
             () = state.digest_due.notified() => {}
         }
     }
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -134,7 +134,10 @@
         is_blind: digest.blind,
         follows: (digest.follows != 0).then(|| Ipv4Addr::from(digest.follows)),
     };
-    peers.update(from, statement, now);
+    if peers.update(from, statement, now) {
+        // This daemon may have to take its place.
+        state.digest_due.notify_one();
+    }
     peers.set_cut_off(from, &digest.cut_off, now);
     if let Some(roster) = &digest.roster {
         let zones = roster.zones.iter().map(|row| {
--- a/daemon/tests/test_relay_watchers.rs
+++ b/daemon/tests/test_relay_watchers.rs
@@ -96,9 +96,10 @@
 /// Replaces the only endpoint of a zone right after the daemons with the indexes `partitioned` lost
 /// their connection to the store. The last daemon must go on serving and send nothing to the
 /// removed endpoint.
-async fn replace_after_partition(number: usize, partitioned: Range<usize>) {
+async fn replace_after_partition(number: usize, partitioned: Range<usize>, delay: Duration) {
     let (one, other) = (endpoint("i-1").await, endpoint("i-2").await);
     let zone = Zone::start(number, store_with(&[&one]).await).await;
+    tokio::time::sleep(delay).await;
     for (proxy, _) in &zone.daemons[partitioned] {
         proxy.set(Fault::Blocked);
     }
@@ -116,15 +117,19 @@
 #[actix_web::test]
 async fn a_daemon_partitioned_from_the_store_uses_the_change_feed() {
     let last = usize::from(DAEMONS) - 1;
-    replace_after_partition(12, last..last + 1).await;
+    replace_after_partition(12, last..last + 1, Duration::ZERO).await;
 }
 
 /// Both watchers of a zone are partitioned from the store at once, and an endpoint is replaced
 /// right then. The other daemons must notice that the change feed stopped and read the store
-/// themselves.
+/// themselves, whatever the watchers were doing.
 #[actix_web::test]
 async fn the_loss_of_all_watchers_is_noticed_in_time() {
-    replace_after_partition(13, 0..WATCHERS).await;
+    let zones = (0..6).map(|step| {
+        let delay = Duration::from_millis(250) * step;
+        replace_after_partition(40 + step as usize, 0..WATCHERS, delay)
+    });
+    futures::future::join_all(zones).await;
 }
 
 /// Operators change the configuration, which is not part of the change feed: each daemon reads it
--- a/lib/src/relay/membership.rs
+++ b/lib/src/relay/membership.rs
@@ -283,8 +283,10 @@
         true
     }
 
-    /// Updates what a daemon states of itself.
-    pub fn update(&mut self, address: Ipv4Addr, statement: Statement, now: Instant) {
+    /// Updates what a daemon states of itself; returns whether it is a watcher that is passed over
+    /// from now on.
+    pub fn update(&mut self, address: Ipv4Addr, statement: Statement, now: Instant) -> bool {
+        let is_watcher = self.watchers.binary_search(&address).is_ok();
         if let Some(row) = self.entry(address, now) {
             row.location = Some(statement.location);
             row.store = statement.store;
@@ -294,6 +296,7 @@
             row.failed = statement.is_blind.then_some(now);
             row.follows = statement.follows;
         }
+        is_watcher && (statement.is_blind || statement.is_closing)
     }
 
     /// Replaces the services that a daemon states not to reach, by the hashes of their names.
@@ -368,6 +371,13 @@
         }
     }
 
+    /// When the store counts as not answering this daemon, if it does not answer until then: the
+    /// others have to be told at once.
+    pub fn blind_from(&self, answered: Instant) -> Option<Instant> {
+        let from = self.watcher_since.max(answered) + BLIND_AFTER;
+        self.is_watcher.then_some(from)
+    }
+
     /// Whether the store did not answer this daemon while it was a watcher.
     pub fn is_blind(&self, now: Instant) -> bool {
         self.blind_at
