config: daemons send each other the changes of the configuration

After a change of a large configuration callers were served by the old one, or got 404 on new routes, for many seconds; with a thousand daemons this would go on however long a read may last.

Cause: for each change every daemon read the whole configuration from the store. A megabyte takes most of a second of a link of 10 Mbit/s that requests need too, and a thousand of them take the store's link for eight seconds. The class of fault: the cost of learning a change grows with the size of the state and with the number of daemons, not with the change.

Now only watchers read it. Digests tell which changes a daemon was told of and up to which revision all are in force there; who lacks some asks one that has them, over the port of the daemons, and gets the routes that differ from its own configuration, compressed, in parts of at most 512 routes. A configuration is identified by the store's revision at which it was written, so an update is never applied to another one. A daemon serves four at a time and refers others to those it has served. The store is read by a member of a zone only if nobody has the change for 1.5 to 3 s. Version moves come along, with the state that the store holds.

A watcher that lacks changes before its registry's revision does not take a later watch for complete, and one that fails to read the configuration goes on watching.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -9,7 +9,7 @@
 mod attempt;
 mod buffered_stream;
 mod caller;
-mod catalog_timeline;
+mod catalog;
 mod checkpoint;
 mod client;
 mod crash;
--- a/daemon/src/relay/caller.rs
+++ b/daemon/src/relay/caller.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::buffered_stream::fill;
+use super::catalog::source::{TARGET as CONFIG_TARGET, serve_config};
 use super::serve::{Connection, Origin, RETRY_SOON, Received, serve};
 use super::state::{ActiveRequest, State};
 
@@ -94,6 +95,13 @@
         Ok(request) => request,
         Err(code) => return Some(reject(write, code, None).await),
     };
+    if origin == Origin::Daemon && &*request.target == CONFIG_TARGET {
+        let body = read_body(read, buffer, request.framing, &limits)
+            .await?
+            .ok()?;
+        let is_sent = serve_config(state, &body, write).await;
+        return is_sent.then_some(Connection::KeepAlive);
+    }
     let arrived = Instant::now();
     let head = match read_request_head(&request) {
         Ok(head) => head,
--- a/daemon/src/relay/catalog/sync.rs
+++ b/daemon/src/relay/catalog/sync.rs
@@ -200,6 +200,10 @@
                 search.avoid(daemon);
                 if matches!(error, SyncError::Update(_)) {
                     *pending = Pending::default();
+                }
+                if state.peers.borrow().is_watcher() {
+                    // The zone waits for its watchers, which are few.
+                    search.store_at = Instant::now();
                 } else if pending.encoded.len() > before {
                     search.record_progress(state);
                 }
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -24,7 +24,9 @@
 use prost::Message as _;
 use tokio::net::UdpSocket;
 
+pub(crate) use self::apply::merge_moves;
 use self::apply::{Replies, apply_digest};
+pub(crate) use self::encode::moves_without_evidence;
 use self::encode::{Scope, fleet_use, header, own_use, roster, runs, shared, zone_use};
 use super::state::State;
 
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use poplarvale_lib::Revision;
 use poplarvale_lib::protos::relay::{Digest, UsageRecord, digest};
 use poplarvale_lib::relay::change_feed::Pull;
 use poplarvale_lib::relay::connectivity::ReachableSpan;
@@ -18,6 +19,7 @@
 use poplarvale_lib::relay::usage::Report;
 
 use super::change_feed;
+use crate::relay::catalog::timeline::{self, Source as ConfigSource};
 use crate::relay::crash;
 use crate::relay::state::State;
 use crate::relay::watch::{apply_feed, log_changes};
@@ -51,6 +53,7 @@
     if let Some(span) = contact {
         end_doubt(state, &name, span, now);
     }
+    record_config(state, &name, digest.config_revision);
     state.clock.borrow_mut().record(&name, digest.wall_ms, now);
     merge_holder(state, digest.holder);
     merge_left(state, &digest.left, &name);
@@ -133,6 +136,7 @@
         is_closing: digest.closing,
         is_blind: digest.blind,
         follows: (digest.follows != 0).then(|| Ipv4Addr::from(digest.follows)),
+        config_read: digest.config_read,
     };
     if peers.update(from, statement, now) {
         // This daemon may have to take its place.
@@ -158,6 +162,19 @@
     true
 }
 
+/// Records the newest change of the operators that another daemon was told of. The digest may also
+/// have told that its sender has a change that this daemon waits for.
+fn record_config(state: &State, name: &CompactString, revision: Revision) {
+    let mut progress = state.store_progress.borrow_mut();
+    progress.record_config_change(revision);
+    let lacks_any = progress.needs_config();
+    drop(progress);
+    if lacks_any {
+        timeline::told(state, revision, ConfigSource::Daemon(name));
+        state.config_due.notify_one();
+    }
+}
+
 /// Time until the next report, as stated by its sender.
 fn period(millis: u32) -> Duration {
     Duration::from_millis(millis.into()).clamp(PERIOD, MAX_PERIOD)
@@ -433,11 +450,13 @@
             time_s: f64::from(side.time),
         })
     };
-    let outcome = match message.outcome() {
+    let outcome = |outcome: digest::Outcome| match outcome {
         digest::Outcome::Running => Outcome::Running,
         digest::Outcome::Completed => Outcome::Completed,
         digest::Outcome::RolledBack => Outcome::RolledBack,
     };
+    let stored = message.stored.is_some().then(|| outcome(message.stored()));
+    let reported = outcome(message.outcome());
     let seen = |seen: digest::Seen| {
         let comparison = Comparison {
             old: side(seen.old),
@@ -453,7 +472,8 @@
         },
         begin: message.begin_ms,
         finish: message.finish_ms,
-        outcome,
+        outcome: reported,
+        stored,
         comparisons: message.seen.into_iter().map(seen).collect(),
     }
 }
@@ -485,7 +505,7 @@
 /// this daemon misses changes.
 fn merge_feed(state: &State, name: &str, news: digest::News, now: Instant) -> bool {
     match change_feed::decode(news, now) {
-        Ok(feed) => apply_feed(state, name, &feed, now),
+        Ok(feed) => apply_feed(state, &feed, now),
         Err(error) => {
             state.measure(|metrics| metrics.record_call("peers", "invalid"));
             log::warn!("peers: ignored the changes from {name}, {error}.");
@@ -494,6 +514,14 @@
     }
 }
 
+/// Merges the version moves that a daemon sent with the configuration.
+pub(crate) fn merge_moves(state: &State, daemon: Ipv4Addr, moves: Vec<digest::Move>) {
+    let name = daemon.to_string().into();
+    for message in moves {
+        merge_move(state, &name, message);
+    }
+}
+
 /// Merges what another daemon reports of a version move.
 fn merge_move(state: &State, name: &CompactString, message: digest::Move) {
     let report = decode_move(message);
--- a/daemon/src/relay/peers/encode.rs
+++ b/daemon/src/relay/peers/encode.rs
@@ -34,6 +34,7 @@
     let peers = state.peers.borrow();
     let location = peers.own_location();
     let span = state.connectivity.get().span();
+    let progress = state.store_progress.borrow();
     Digest {
         name: state.settings.name.to_string(),
         incarnation: state.incarnation,
@@ -48,6 +49,8 @@
         closing: peers.is_closing(),
         blind: peers.is_blind(now),
         cut_off: cut_off(state),
+        config_revision: progress.config_revision(),
+        config_read: progress.config_read().unwrap_or_default(),
         follows: peers.followed(now).map_or(0, u32::from),
         holder: state.holder.get().map(|(address, token)| digest::Holder {
             address: address.into(),
@@ -81,15 +84,12 @@
     let limits = table.advertised_limits(limits, now).into_iter();
     message.limits = limits.map(|row| encode_limit(row, now)).collect();
     message.leaving = table.report_departures(relays, now);
-    let rollouts = state.rollouts.borrow();
-    let moves = rollouts.reports().map(|mut report| {
-        if relays {
-            // Evidence counts for the daemon that saw it, which sends it itself.
-            report.comparisons.clear();
-        }
-        encode_move(report)
-    });
-    message.moves = moves.collect();
+    message.moves = if relays {
+        moves_without_evidence(state)
+    } else {
+        let rollouts = state.rollouts.borrow();
+        rollouts.reports().map(encode_move).collect()
+    };
     let usage = state.usage.borrow();
     message.fixed = usage.advertised(now).map(|report| UsageRecord {
         number: report.window,
@@ -97,6 +97,18 @@
     });
 }
 
+/// All version moves, without evidence: it counts for the daemon that saw it, which sends it itself.
+pub(crate) fn moves_without_evidence(state: &State) -> Vec<digest::Move> {
+    let rollouts = state.rollouts.borrow();
+    let moves = rollouts.reports().map(|report| {
+        encode_move(MoveReport {
+            comparisons: Vec::new(),
+            ..report
+        })
+    });
+    moves.collect()
+}
+
 /// Adds the counts of runs and the evidence of version moves. Counts of all windows that are kept
 /// if `all` is set, otherwise of the last two.
 pub(super) fn runs(state: &State, message: &mut Digest, all: bool, now: Instant) {
@@ -240,7 +252,7 @@
         old: Some(side(comparison.old)),
         new: Some(side(comparison.new)),
     };
-    let outcome = match report.outcome {
+    let outcome = |outcome: Outcome| match outcome {
         Outcome::Running => digest::Outcome::Running,
         Outcome::Completed => digest::Outcome::Completed,
         Outcome::RolledBack => digest::Outcome::RolledBack,
@@ -251,7 +263,8 @@
         revision: report.order.revision,
         begin_ms: report.begin,
         finish_ms: report.finish,
-        outcome: outcome.into(),
+        outcome: outcome(report.outcome).into(),
+        stored: report.stored.map(|stored| outcome(stored).into()),
         seen: report.comparisons.into_iter().map(seen).collect(),
     }
 }
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -13,6 +13,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::caller::{serve_caller, serve_daemon};
+use super::catalog::sync::sync_config;
 use super::crash::save_quarantined;
 use super::duties::serve_duties;
 use super::logging::flush;
@@ -87,6 +88,7 @@
         };
         let state = || Rc::clone(&relay.state);
         actix_web::rt::spawn(watch_store(state()));
+        actix_web::rt::spawn(sync_config(state()));
         actix_web::rt::spawn(accept(state(), callers, serve_caller));
         actix_web::rt::spawn(accept(state(), forwarded, serve_daemon));
         actix_web::rt::spawn(accept(state(), ready, serve_probe));
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -25,7 +25,7 @@
 use poplarvale_lib::{CustomerId, Incarnation, Revision};
 use tokio::sync::Notify;
 
-use super::catalog_timeline::CatalogTimeline;
+use super::catalog::Shared;
 use super::crash::CrashCheck;
 use super::era::Eras;
 use super::logging::Sampler;
@@ -40,7 +40,14 @@
     pub(crate) settings: RelaySettings,
     /// Configuration in use; `None` until the first one was read.
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
-    pub(crate) catalog_timeline: RefCell<CatalogTimeline>,
+    /// Transfers of the configuration between daemons.
+    pub(crate) config: Shared,
+    /// Notified when another daemon announces a newer configuration, or that it has one.
+    pub(crate) config_due: Notify,
+    /// Whether this daemon reads the configuration from the store, as no other one has it.
+    pub(crate) reads_config: Cell<bool>,
+    /// Whether the keys that daemons write were read since the start.
+    pub(crate) read_own: Cell<bool>,
     pub(crate) endpoints: RefCell<EndpointTable>,
     pub(crate) quota: RefCell<Quota>,
     pub(crate) budget: RefCell<Budget>,
@@ -114,7 +121,10 @@
         );
         Rc::new(Self {
             catalog: RefCell::new(None),
-            catalog_timeline: RefCell::default(),
+            config: Shared::default(),
+            config_due: Notify::new(),
+            reads_config: Cell::new(false),
+            read_own: Cell::new(false),
             endpoints: RefCell::default(),
             quota: RefCell::new(quota.with_phase(fastrand::f64())),
             budget: RefCell::new(Budget::new(
--- a/daemon/src/relay/status.rs
+++ b/daemon/src/relay/status.rs
@@ -66,7 +66,7 @@
         "ending": !state.phase().is_serving(),
         "active": state.active.get(),
         "catalog": state.catalog.borrow().as_ref().map(|catalog| catalog.version),
-        "config": state.catalog_timeline.borrow().dump(now),
+        "config": state.config.timeline().borrow().dump(now),
         "store_heard_ms": state.connectivity.get().since_answer(now).as_millis() as u64,
         "store_steady_ms": reachable_ms(state.connectivity.get().span(), now),
         "holder": state.duty_holder.borrow().as_deref(),
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -1,7 +1,7 @@
 //! Reads the configuration and the registry of endpoints from the store.
 //!
-//! Each daemon reads the configuration when it is new. Only the watchers of a zone read the
-//! registry, and send it to the others as a feed of changes. The store answers a watch as soon as
+//! Only the watchers of a zone do so, and send what they read to the others: the registry as a feed of
+//! changes, the configuration on request. The store answers a watch as soon as
 //! something changes, and each call is paid for, so the next watch starts after a pause and
 //! returns all changes since the last one in a single answer.
 
@@ -9,22 +9,21 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use poplarvale_lib::relay::catalog::{Catalog, Service};
 use poplarvale_lib::relay::change_feed::{ChangeFeed, FeedAction, RegistryChange};
 use poplarvale_lib::relay::endpoint_table::Changed;
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::membership::WATCHERS;
 use poplarvale_lib::relay::quota::name_hash;
 use poplarvale_lib::relay::rollout::Order;
-use poplarvale_lib::relay::slow_start::SlowStart;
 use poplarvale_lib::{EndpointId, Revision, era_of};
 use poplarvale_platform::{
     CONFIG_KEY, Change, EVACUATION_PREFIX, Item, OPERATOR_PREFIX, REGISTRY_PREFIX, ROLLOUT_PREFIX,
-    Reply, STATUS_PREFIX, StoreError, range, read_config, read_listing, read_range, read_rollout,
-    read_status, read_watch, watch,
+    Reply, STATUS_PREFIX, StoreError, range, read_listing, read_range, read_rollout, read_status,
+    read_watch, watch,
 };
 
-use super::catalog_timeline::{self, Source};
+use super::catalog::adopt_item;
+use super::catalog::timeline::{self, Source};
 use super::checkpoint::{self, CHECKPOINT_KEY};
 use super::client::{CallError, Client};
 use super::crash::{self, CRASH_PREFIX};
@@ -76,6 +75,8 @@
 /// What a daemon reads next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Task {
+    /// The keys that daemons write.
+    Own,
     /// The operators' keys.
     Config,
     /// The operators' keys and the whole registry.
@@ -89,6 +90,7 @@
 impl Display for Task {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            Self::Own => "reading the daemons' keys",
             Self::Config => "reading the operators' keys",
             Self::All => "reading all keys",
             Self::Watch(_) => "watching for changes",
@@ -107,7 +109,12 @@
         let began = Instant::now();
         let task = next_task(&state, next_watch, began);
         let result = match task {
-            Task::Config => read_operators(&state, &mut client).await,
+            Task::Own => read_own(&state, &mut client).await,
+            Task::Config => {
+                // If it fails, other daemons are asked again before the next attempt.
+                state.reads_config.set(false);
+                read_operators(&state, &mut client).await
+            }
             Task::All => read_all(&state, &mut client).await,
             Task::Watch(after) => watch_once(&state, &mut client, after).await,
             Task::Wait(until) => {
@@ -162,10 +169,13 @@
 
 /// What this daemon has to read next, where a watcher's next watch is due at `next_watch`.
 fn next_task(state: &State, next_watch: Instant, now: Instant) -> Task {
-    let progress = state.store_progress.borrow();
-    if progress.needs_config() {
+    if !state.read_own.get() {
+        return Task::Own;
+    }
+    if state.reads_config.get() {
         return Task::Config;
     }
+    let progress = state.store_progress.borrow();
     let peers = state.peers.borrow();
     if !peers.is_watcher() {
         return Task::Wait(now + MAX_WAIT);
@@ -175,7 +185,11 @@
     if !peers.rows().is_empty() && now < discovered {
         return Task::Wait(discovered);
     }
+    let lacks_config = |known| !progress.has_config_until(known);
+    let (local, remote) = peers.config_sources(progress.config_revision(), now);
     match progress.revision() {
+        // A watch goes on from the registry's revision and does not return earlier changes.
+        Some(known) if lacks_config(known) && local.is_empty() && remote.is_empty() => Task::Config,
         Some(_) if now < next_watch => Task::Wait(next_watch),
         Some(after) if !state.reads_all.get() => Task::Watch(after),
         Some(_) | None => Task::All,
@@ -198,16 +212,15 @@
     (WATCH_PAUSE + PAUSE_PER_PEER * others as u32).min(MAX_PAUSE)
 }
 
-/// Reads the configuration, the orders of version moves and evacuations, and their states. When
-/// the daemon starts, it also reads what daemons keep in the store.
+/// Reads the configuration, the orders of version moves and evacuations, and their states.
 async fn read_operators(state: &State, client: &mut Client) -> Result<(), WatchError> {
-    catalog_timeline::asked(state, Source::Store);
+    timeline::asked(state, Source::Store);
     let listed = list(client, OPERATOR_PREFIX).await;
     let (items, revision) = listed.inspect_err(|error| {
-        catalog_timeline::failed(state, Source::Store, error);
+        timeline::failed(state, Source::Store, error);
     })?;
     let bytes = items.iter().map(|item| item.value.len()).sum();
-    catalog_timeline::received(state, Source::Store, bytes);
+    timeline::received(state, Source::Store, bytes);
     for item in &items {
         apply_config_item(state, item);
     }
@@ -219,15 +232,14 @@
             apply_status(state, item);
         }
     }
-    if !state.listed.get() || state.reads_all.get() {
-        read_own(state, client).await?;
-    }
     let mut progress = state.store_progress.borrow_mut();
-    // Daemons that read before the newest of these was written learn of it from this one's feed.
+    // Daemons that lack the newest of these learn of it from this one's digests.
     if let Some(newest) = items.iter().map(|item| item.revision).max() {
         progress.record_config_change(newest);
     }
     progress.record_config_read(revision);
+    drop(progress);
+    state.digest_due.notify_one();
     Ok(())
 }
 
@@ -248,6 +260,7 @@
             checkpoint::restore_quota(state, &saved);
         }
     }
+    state.read_own.set(true);
     Ok(())
 }
 
@@ -256,6 +269,7 @@
     let (items, revision) = list(client, REGISTRY_PREFIX).await?;
     // After the registry, as the next watch goes on from the registry's revision.
     read_operators(state, client).await?;
+    read_own(state, client).await?;
     if era_of(revision) != state.eras.newest() {
         return Err(StoreError::Restored.into());
     }
@@ -314,11 +328,16 @@
 
 /// Waits for the changes after a revision once and applies them.
 async fn watch_once(state: &State, client: &mut Client, after: u64) -> Result<(), WatchError> {
+    let is_complete = state.store_progress.borrow().has_config_until(after);
     let call = watch(WATCH_PREFIX, after, WATCH_TIME);
     let reply: Reply = client.call(&call, WATCH_TIME + WATCH_SLACK).await?;
     let watched = read_watch(&reply, after)?;
     let known = state.store_progress.borrow().revision();
     let mut effects = Vec::new();
+    let is_operators = |change: &Change| change.key().starts_with(OPERATOR_PREFIX);
+    if watched.changes.iter().any(is_operators) {
+        state.digest_due.notify_one();
+    }
     for change in &watched.changes {
         // Feeds may have brought newer changes of the registry meanwhile.
         let is_known = known.is_some_and(|known| change.revision() <= known);
@@ -328,7 +347,9 @@
     }
     let mut progress = state.store_progress.borrow_mut();
     progress.record_watch(watched.revision, Instant::now());
-    progress.record_config_read(watched.revision);
+    if is_complete {
+        progress.record_config_read(watched.revision);
+    }
     drop(progress);
     announce(state, &effects);
     Ok(())
@@ -407,7 +428,7 @@
 }
 
 /// Applies a feed or a page of a watcher; returns whether this daemon has to pull what it misses.
-pub(crate) fn apply_feed(state: &State, name: &str, feed: &ChangeFeed, now: Instant) -> bool {
+pub(crate) fn apply_feed(state: &State, feed: &ChangeFeed, now: Instant) -> bool {
     let era = era_of(feed.newest);
     if era > state.eras.newest() {
         state.eras.record(Ok(Some(era)));
@@ -415,8 +436,7 @@
     }
     let action = state.store_progress.borrow_mut().merge(feed, now);
     if state.store_progress.borrow().needs_config() {
-        catalog_timeline::told(state, feed.config_revision, Source::Daemon(&name));
-        state.read_store.notify_one();
+        state.config_due.notify_one();
     }
     let effects = match action {
         FeedAction::Ignore => return false,
@@ -459,7 +479,7 @@
 /// Applies a value that operators wrote: the configuration or the order of a version move.
 fn apply_config_item(state: &State, item: &Item) {
     if item.key == CONFIG_KEY {
-        apply_config(state, item);
+        adopt_item(state, item);
     } else if item.key.starts_with(ROLLOUT_PREFIX) {
         apply_rollout(state, item);
     }
@@ -572,41 +592,6 @@
     rows.filter(|row| row.store.is_some()).count()
 }
 
-/// Puts a newer configuration into force; an older one is ignored.
-fn apply_config(state: &State, item: &Item) {
-    let catalog = match read_config(&item.value) {
-        Ok(catalog) => catalog,
-        Err(error) => {
-            log::warn!(
-                "config: ignored the configuration of revision {}, {error}.",
-                item.revision
-            );
-            return;
-        }
-    };
-    let mut current = state.catalog.borrow_mut();
-    if current
-        .as_ref()
-        .is_none_or(|current| current.version < catalog.version)
-    {
-        catalog_timeline::applied(state, Source::Store, catalog.version);
-        set_slow_starts(state, &catalog);
-        *current = Some(Rc::new(catalog));
-    }
-}
-
-/// Sets the slow starts of the services whose endpoints are cold after their start.
-fn set_slow_starts(state: &State, catalog: &Catalog) {
-    let tolerance = state.settings.bounds.cold_tolerance;
-    let slow_start = |service: &Service| {
-        let cold = service.cold?;
-        let limit = SlowStart::new(cold.time, cold.rate, tolerance);
-        Some((service.name.clone(), limit))
-    };
-    let slow_starts = catalog.services.iter().filter_map(slow_start).collect();
-    state.endpoints.borrow_mut().set_slow_starts(slow_starts);
-}
-
 /// The endpoint of a registry item; `None` if the item cannot be read.
 fn read_entry(item: &Item) -> Option<Listing> {
     let id = item.key.strip_prefix(REGISTRY_PREFIX)?;
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -98,6 +98,12 @@
     /// Lives of endpoints that lately announced in their answers that they leave.
     #[prost(fixed32, repeated, tag = "37")]
     pub leaving: ::prost::alloc::vec::Vec<u32>,
+    /// Revision of the newest change of the operators that the sender was told of.
+    #[prost(uint64, tag = "38")]
+    pub config_revision: u64,
+    /// Revision up to which all of them are in force at the sender; 0 before the first.
+    #[prost(uint64, tag = "39")]
+    pub config_read: u64,
 }
 /// Nested message and enum types in `Digest`.
 pub mod digest {
@@ -377,6 +383,9 @@
         pub outcome: i32,
         #[prost(message, repeated, tag = "7")]
         pub seen: ::prost::alloc::vec::Vec<Seen>,
+        /// State that the store holds, if the sender knows it.
+        #[prost(enumeration = "Outcome", optional, tag = "8")]
+        pub stored: ::core::option::Option<i32>,
     }
     /// Requests of one route in one part of the move's time.
     #[derive(serde::Serialize, serde::Deserialize)]
@@ -465,6 +474,274 @@
         }
     }
 }
+/// Asks another daemon for the operators' changes.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ConfigRequest {
+    /// IPv4 address of the sender.
+    #[prost(fixed32, tag = "1")]
+    pub sender: u32,
+    /// Revision of the configuration that it has; 0 if it has none.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Revision of the snapshot of which some parts have arrived, and their number.
+    #[prost(uint64, tag = "3")]
+    pub snapshot: u64,
+    #[prost(uint32, tag = "4")]
+    pub parts: u32,
+    /// Newest change that it was told of.
+    #[prost(uint64, tag = "5")]
+    pub needed: u64,
+}
+/// Precedes the parts of the configuration that the receiver lacks.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ConfigReply {
+    /// All changes up to this revision are contained; 0 if the sender lacks some itself, or is busy.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Ordered version moves.
+    #[prost(message, repeated, tag = "2")]
+    pub moves: ::prost::alloc::vec::Vec<digest::Move>,
+    /// IPv4 address of a daemon to be asked instead; 0 if there is none.
+    #[prost(fixed32, tag = "3")]
+    pub other: u32,
+}
+/// A part of what changes one configuration into another one.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ConfigPart {
+    /// Revision of the configuration that is changed; 0 if all is sent.
+    #[prost(uint64, tag = "1")]
+    pub base: u64,
+    /// Revision and version of the one that results.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Number of this part, from 0, and number of parts.
+    #[prost(uint32, tag = "4")]
+    pub index: u32,
+    #[prost(uint32, tag = "5")]
+    pub count: u32,
+    /// What is not a route; missing if it has not changed.
+    #[prost(message, optional, tag = "6")]
+    pub header: ::core::option::Option<config_part::Header>,
+    #[prost(message, repeated, tag = "7")]
+    pub removed: ::prost::alloc::vec::Vec<config_part::Key>,
+    #[prost(message, repeated, tag = "8")]
+    pub routes: ::prost::alloc::vec::Vec<config_part::Route>,
+}
+/// Nested message and enum types in `ConfigPart`.
+pub mod config_part {
+    /// Times are in nanoseconds.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, ::prost::Message)]
+    pub struct Header {
+        #[prost(message, repeated, tag = "1")]
+        pub services: ::prost::alloc::vec::Vec<Service>,
+        #[prost(message, repeated, tag = "2")]
+        pub teams: ::prost::alloc::vec::Vec<Team>,
+        #[prost(message, repeated, tag = "3")]
+        pub keys: ::prost::alloc::vec::Vec<ApiKey>,
+        #[prost(message, optional, tag = "4")]
+        pub limits: ::core::option::Option<Limits>,
+    }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+    pub struct Key {
+        #[prost(string, tag = "1")]
+        pub host: ::prost::alloc::string::String,
+        #[prost(string, tag = "2")]
+        pub prefix: ::prost::alloc::string::String,
+    }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, ::prost::Message)]
+    pub struct Route {
+        #[prost(string, tag = "1")]
+        pub name: ::prost::alloc::string::String,
+        #[prost(string, tag = "2")]
+        pub host: ::prost::alloc::string::String,
+        #[prost(string, tag = "3")]
+        pub prefix: ::prost::alloc::string::String,
+        #[prost(enumeration = "Retry", tag = "4")]
+        pub retry: i32,
+        #[prost(uint64, tag = "5")]
+        pub timeout: u64,
+        #[prost(uint64, tag = "6")]
+        pub target: u64,
+        #[prost(uint64, optional, tag = "7")]
+        pub pause_target: ::core::option::Option<u64>,
+        #[prost(uint32, tag = "8")]
+        pub rank: u32,
+        #[prost(message, repeated, tag = "9")]
+        pub backends: ::prost::alloc::vec::Vec<Backend>,
+        #[prost(uint32, tag = "10")]
+        pub attempts: u32,
+        #[prost(bool, tag = "11")]
+        pub public: bool,
+        #[prost(string, repeated, tag = "12")]
+        pub regions: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+    pub struct Backend {
+        #[prost(string, tag = "1")]
+        pub service: ::prost::alloc::string::String,
+        #[prost(uint32, tag = "2")]
+        pub weight: u32,
+    }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, ::prost::Message)]
+    pub struct Service {
+        #[prost(string, tag = "1")]
+        pub name: ::prost::alloc::string::String,
+        #[prost(uint32, optional, tag = "2")]
+        pub connections: ::core::option::Option<u32>,
+        #[prost(message, optional, tag = "3")]
+        pub engine: ::core::option::Option<Engine>,
+        #[prost(message, optional, tag = "4")]
+        pub scaling: ::core::option::Option<Scaling>,
+        #[prost(message, optional, tag = "5")]
+        pub cold: ::core::option::Option<Cold>,
+    }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+    pub struct Engine {
+        #[prost(uint32, tag = "1")]
+        pub slots: u32,
+        #[prost(uint64, tag = "2")]
+        pub kv_tokens: u64,
+        #[prost(uint32, tag = "3")]
+        pub event_tokens: u32,
+    }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, ::prost::Message)]
+    pub struct Scaling {
+        #[prost(uint32, tag = "1")]
+        pub min: u32,
+        #[prost(uint32, tag = "2")]
+        pub max: u32,
+        #[prost(uint64, tag = "3")]
+        pub boot_time: u64,
+        #[prost(double, optional, tag = "4")]
+        pub reclaimable_price: ::core::option::Option<f64>,
+        #[prost(message, repeated, tag = "5")]
+        pub zones: ::prost::alloc::vec::Vec<ZonePrice>,
+    }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, ::prost::Message)]
+    pub struct ZonePrice {
+        #[prost(string, tag = "1")]
+        pub zone: ::prost::alloc::string::String,
+        #[prost(double, tag = "2")]
+        pub price: f64,
+    }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, Copy, PartialEq, ::prost::Message)]
+    pub struct Cold {
+        #[prost(uint64, tag = "1")]
+        pub time: u64,
+        #[prost(double, tag = "2")]
+        pub rate: f64,
+    }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, ::prost::Message)]
+    pub struct Team {
+        #[prost(string, tag = "1")]
+        pub name: ::prost::alloc::string::String,
+        #[prost(uint32, optional, tag = "2")]
+        pub rank: ::core::option::Option<u32>,
+        #[prost(double, optional, tag = "3")]
+        pub rate: ::core::option::Option<f64>,
+        #[prost(double, tag = "4")]
+        pub burst: f64,
+        /// Tokens of a request that states none; missing if each request counts as one.
+        #[prost(double, optional, tag = "5")]
+        pub plain_tokens: ::core::option::Option<f64>,
+        #[prost(string, repeated, tag = "6")]
+        pub regions: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+    pub struct ApiKey {
+        #[prost(string, tag = "1")]
+        pub key: ::prost::alloc::string::String,
+        /// Index of its team.
+        #[prost(uint32, tag = "2")]
+        pub team: u32,
+    }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+    pub struct Limits {
+        #[prost(uint64, tag = "1")]
+        pub header_bytes: u64,
+        #[prost(uint64, tag = "2")]
+        pub body_bytes: u64,
+        #[prost(uint64, tag = "3")]
+        pub header_timeout: u64,
+        #[prost(uint64, tag = "4")]
+        pub idle_timeout: u64,
+    }
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[derive(
+        Clone,
+        Copy,
+        Debug,
+        PartialEq,
+        Eq,
+        Hash,
+        PartialOrd,
+        Ord,
+        ::prost::Enumeration
+    )]
+    #[repr(i32)]
+    pub enum Retry {
+        Idempotent = 0,
+        NonIdempotent = 1,
+        ResumableStream = 2,
+        NonIdempotentStream = 3,
+    }
+    impl Retry {
+        /// String value of the enum field names used in the ProtoBuf definition.
+        ///
+        /// The values are not transformed in any way and thus are considered stable
+        /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+        pub fn as_str_name(&self) -> &'static str {
+            match self {
+                Self::Idempotent => "IDEMPOTENT",
+                Self::NonIdempotent => "NON_IDEMPOTENT",
+                Self::ResumableStream => "RESUMABLE_STREAM",
+                Self::NonIdempotentStream => "NON_IDEMPOTENT_STREAM",
+            }
+        }
+        /// Creates an enum from field names used in the ProtoBuf definition.
+        pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+            match value {
+                "IDEMPOTENT" => Some(Self::Idempotent),
+                "NON_IDEMPOTENT" => Some(Self::NonIdempotent),
+                "RESUMABLE_STREAM" => Some(Self::ResumableStream),
+                "NON_IDEMPOTENT_STREAM" => Some(Self::NonIdempotentStream),
+                _ => None,
+            }
+        }
+    }
+}
 /// The last usage report as it lies in the store; written before it is sent, so
 /// that whoever comes next sends the same bytes again.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -10,6 +10,8 @@
 pub mod brittle;
 pub mod budget;
 pub mod catalog;
+pub mod catalog_log;
+pub mod catalog_update;
 pub mod change_feed;
 pub mod clock;
 pub mod connectivity;
--- a/lib/src/relay/catalog.rs
+++ b/lib/src/relay/catalog.rs
@@ -8,7 +8,7 @@
 
 use compact_str::CompactString;
 
-use crate::{CustomerId, RegionId, ServiceId, ZoneId};
+use crate::{CustomerId, RegionId, Revision, ServiceId, ZoneId};
 
 /// Number of a configuration; increases with each change.
 pub type CatalogVersion = u64;
@@ -18,6 +18,8 @@
 pub struct Catalog {
     /// Number of this configuration.
     pub version: CatalogVersion,
+    /// Revision of the store at which it was written.
+    pub revision: Revision,
     /// Routes, sorted by host and then by prefix.
     pub routes: Vec<Route>,
     /// Services, sorted by name.
--- a/lib/src/relay/change_feed.rs
+++ b/lib/src/relay/change_feed.rs
@@ -9,9 +9,9 @@
 //! page, in the order of their revisions. Feeds that come from several watchers, are lost or are
 //! duplicated do no harm.
 //!
-//! The configuration is too long for a feed and changes rarely: each daemon reads it from the store
-//! when a feed tells that there is a new one. A daemon that hears no watcher ranks as one itself
-//! and reads the store.
+//! The configuration is too long for a feed and changes rarely: a feed tells that there is a new one,
+//! and the daemon gets what it misses of it from one that has it. A daemon that hears no watcher
+//! ranks as one itself and reads the store.
 
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
@@ -77,7 +77,7 @@
     pub is_snapshot: bool,
     /// Age of the store's answer with the newest revision.
     pub age: Duration,
-    /// Revision of the newest change that every daemon has to read from the store itself.
+    /// Revision of the newest change of the operators.
     pub config_revision: Revision,
     /// Changes of the registry, in the order of their revisions.
     pub changes: Vec<(Revision, RegistryChange)>,
@@ -148,9 +148,9 @@
     revision: Option<Revision>,
     /// When the store last answered this daemon or, if later, the watcher that it is fed by.
     answered_at: Option<Instant>,
-    /// Revision of the newest change that every daemon has to read from the store itself.
+    /// Revision of the newest change of the operators that this daemon was told of.
     config_revision: Revision,
-    /// Revision at which this daemon last did so.
+    /// Revision up to which all of them are in force here.
     config_read: Option<Revision>,
     /// Last change of each endpoint, in the order of their revisions.
     log: Vec<LogEntry>,
@@ -226,17 +226,35 @@
         self.log.insert(at, at_revision);
     }
 
-    /// Records a change that every daemon has to read from the store itself.
+    /// Records a change that every daemon has to learn of.
     pub fn record_config_change(&mut self, revision: Revision) {
         self.config_revision = self.config_revision.max(revision);
     }
 
-    /// Records that this daemon read the configuration, as of a revision.
+    /// Records that all changes of the operators up to a revision are in force here.
     pub fn record_config_read(&mut self, revision: Revision) {
-        self.config_read = Some(revision);
+        self.config_read = self.config_read.max(Some(revision));
     }
 
-    /// Whether this daemon has to read the configuration.
+    /// Revision of the newest change that every daemon has to learn of.
+    pub fn config_revision(&self) -> Revision {
+        self.config_revision
+    }
+
+    /// Revision up to which all such changes are in force here; `None` before they were read.
+    pub fn config_read(&self) -> Option<Revision> {
+        self.config_read
+    }
+
+    /// Whether all changes of the operators up to a revision are in force here, as far as this daemon
+    /// knows the changes up to then.
+    pub fn has_config_until(&self, revision: Revision) -> bool {
+        let newest = self.config_revision;
+        self.config_read
+            .is_some_and(|read| read >= revision || (newest <= revision && read >= newest))
+    }
+
+    /// Whether this daemon lacks a change of the operators.
     pub fn needs_config(&self) -> bool {
         self.config_read
             .is_none_or(|known| known < self.config_revision)
--- a/lib/src/relay/membership.rs
+++ b/lib/src/relay/membership.rs
@@ -27,7 +27,7 @@
 
 pub use self::roster::{Candidate, ZoneRoster};
 use super::connectivity::ReachableSpan;
-use crate::{Incarnation, ZoneHash};
+use crate::{Incarnation, Revision, ZoneHash};
 
 /// Number of watchers in a zone. With two, the other one covers the time until the loss of
 /// one is detected.
@@ -82,6 +82,8 @@
     pub is_blind: bool,
     /// Watcher whose sums it relies on.
     pub follows: Option<Ipv4Addr>,
+    /// Revision up to which all changes of the operators are in force there; 0 before the first.
+    pub config_read: Revision,
 }
 
 /// Another daemon.
@@ -104,6 +106,7 @@
     is_watcher: bool,
     is_closing: bool,
     follows: Option<Ipv4Addr>,
+    config_read: Revision,
     /// Whether it is a seed of the settings.
     is_seed: bool,
     /// Sequence number of the last digest with its own use.
@@ -159,6 +162,7 @@
             is_watcher: false,
             is_closing: false,
             follows: None,
+            config_read: 0,
             is_seed: false,
             use_sequence: 0,
             expected: None,
@@ -295,6 +299,7 @@
             row.is_closing = statement.is_closing;
             row.failed = statement.is_blind.then_some(now);
             row.follows = statement.follows;
+            row.config_read = statement.config_read;
         }
         is_watcher && (statement.is_blind || statement.is_closing)
     }
@@ -340,6 +345,20 @@
         (!rows.is_empty()).then(|| rows[choose(rows.len())].address)
     }
 
+    /// Daemons that have all changes of the operators up to a revision in force: those of this zone
+    /// and those of the others.
+    pub fn config_sources(
+        &self,
+        revision: Revision,
+        now: Instant,
+    ) -> (Vec<Ipv4Addr>, Vec<Ipv4Addr>) {
+        let rows = self.rows.iter().filter(|row| row.is_heard(now));
+        let rows = rows.filter(|row| row.config_read >= revision.max(1));
+        let (local, remote): (Vec<&Peer>, Vec<&Peer>) = rows.partition(|row| self.is_local(row));
+        let addresses = |rows: Vec<&Peer>| rows.into_iter().map(|row| row.address).collect();
+        (addresses(local), addresses(remote))
+    }
+
     /// Records the sequence number of a digest with the sender's own use.
     pub fn record_use(&mut self, address: Ipv4Addr, sequence: u64, now: Instant) {
         if let Some(row) = self.entry(address, now) {
--- a/lib/src/relay/rollout.rs
+++ b/lib/src/relay/rollout.rs
@@ -115,6 +115,8 @@
     pub finish: UnixMs,
     /// State of the move, as the reporting daemon knows it.
     pub outcome: Outcome,
+    /// State that the store holds, as the reporting daemon knows it.
+    pub stored: Option<Outcome>,
     /// What the reporting daemon itself observed lately.
     pub comparisons: Vec<(Key, Comparison)>,
 }
@@ -196,12 +198,7 @@
         };
         let row = &mut self.moves[at];
         if row.order.target == target && row.order.revision < revision {
-            row.stored = Some(outcome);
-            if outcome == Outcome::Completed {
-                // The old endpoints have been stopped, so rolling back is no longer possible.
-                row.outcome = outcome;
-            }
-            row.apply_outcome(outcome);
+            row.record_stored(outcome);
         }
     }
 
@@ -220,6 +217,11 @@
         row.finish = row.finish.min(report.finish);
         row.observations.merge(name, &report.comparisons);
         let before = row.outcome;
+        // The other daemon may have read an earlier state.
+        let is_open = row.stored.is_none_or(|known| known == Outcome::Running);
+        if let Some(stored) = report.stored.filter(|_| is_open) {
+            row.record_stored(stored);
+        }
         row.apply_outcome(report.outcome);
         row.apply_verdict();
         before != row.outcome
@@ -232,6 +234,7 @@
             begin: row.begin,
             finish: row.finish,
             outcome: row.outcome,
+            stored: row.stored,
             comparisons: row.observations.report(),
         })
     }
@@ -366,6 +369,16 @@
         stage.map_or(0.0, |(_, multiple)| *multiple)
     }
 
+    /// Applies the state that the store holds.
+    fn record_stored(&mut self, outcome: Outcome) {
+        self.stored = Some(outcome);
+        if outcome == Outcome::Completed {
+            // The old endpoints have been stopped, so rolling back is no longer possible.
+            self.outcome = outcome;
+        }
+        self.apply_outcome(outcome);
+    }
+
     /// Applies a state that the store or another daemon reports. A verdict against the version
     /// is final: when daemons disagree, the others have not seen the failures yet. Only a
     /// completed move that the store holds cannot be rolled back any more.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -25,6 +25,7 @@
 mod test_moves_faults;
 mod test_relay_admit;
 mod test_relay_brittle;
+mod test_relay_catalog_update;
 mod test_relay_change_feed;
 mod test_relay_connectivity;
 mod test_relay_crash;
--- a/lib/tests/test_relay_membership.rs
+++ b/lib/tests/test_relay_membership.rs
@@ -91,6 +91,7 @@
             is_closing: sender.is_closing(),
             is_blind: sender.is_blind(now),
             follows: sender.followed(now),
+            config_read: 0,
         };
         let asks = sender.must_ask(now);
         let (name, sequence) = (format_compact!("d{from:04}"), self.sequence);
@@ -358,6 +359,7 @@
             is_closing: at == 2,
             is_blind: false,
             follows: None,
+            config_read: 0,
         };
         peers.record_digest(address(at), &format_compact!("d{at}"), 1, 1, now);
         peers.update(address(at), statement, now);
