config: daemons that are all busy do not refer requests around

A daemon that serves its full number of transfers refers others to one that it has served. If that one is busy too, it may refer back, and a hundred daemons would ask around as fast as their links allow. From reading; no run showed it.

Now a referred daemon waits for up to 50 ms before it asks the next one. One that lacks the newest change itself is asked again after 0.2 s instead of 1 s, as it is about to get it.

--- a/daemon/src/relay/catalog/sync.rs
+++ b/daemon/src/relay/catalog/sync.rs
@@ -31,6 +31,8 @@
 const SEARCH_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a daemon that did not answer is passed over.
 const AVOID_TIME: Duration = Duration::from_secs(1);
+/// The same for one that lacks the newest change itself, and may get it soon.
+const LACK_TIME: Duration = Duration::from_millis(200);
 /// How long a daemon that is no watcher waits for one of its own zone to have the configuration.
 const REMOTE_DELAY: Duration = Duration::from_millis(700);
 /// Shortest time without progress after which this daemon reads the store itself. The actual one
@@ -110,9 +112,8 @@
         self.store_at = Instant::now() + patience(state);
     }
 
-    fn avoid(&mut self, daemon: Ipv4Addr) {
-        let until = Instant::now() + AVOID_TIME;
-        self.avoided.push((daemon, until));
+    fn avoid(&mut self, daemon: Ipv4Addr, time: Duration) {
+        self.avoided.push((daemon, Instant::now() + time));
     }
 
     /// The daemon to ask next.
@@ -194,10 +195,13 @@
             Ok(Answer::Other(other)) => {
                 search.referred = Some(other);
                 search.record_progress(state);
+                // Daemons that are all busy may refer to each other.
+                tokio::time::sleep(SEARCH_INTERVAL.mul_f64(fastrand::f64())).await;
             }
             Err(error) => {
                 timeline::failed(state, Source::Daemon(&daemon), &error);
-                search.avoid(daemon);
+                let is_lacking = matches!(error, SyncError::NotThere);
+                search.avoid(daemon, if is_lacking { LACK_TIME } else { AVOID_TIME });
                 if matches!(error, SyncError::Update(_)) {
                     *pending = Pending::default();
                 }
