--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -27,6 +27,7 @@
 
 mod announced;
 mod cold;
+mod config;
 
 const DAEMONS: usize = 3;
 const ENDPOINTS: usize = 4;
@@ -80,6 +81,8 @@
     no_faults: Cell<bool>,
     stopped: Cell<bool>,
     last_number: Cell<u64>,
+    /// Version of the configuration.
+    version: Cell<u64>,
     /// Number of the endpoint that was started last.
     last_endpoint: Cell<usize>,
     /// Start time of each endpoint's incarnation, as its entry tells it.
@@ -221,6 +224,7 @@
             no_faults: Cell::new(false),
             stopped: Cell::new(false),
             last_number: Cell::new(0),
+            version: Cell::new(1),
             last_endpoint: Cell::new(ENDPOINTS - 1),
             born: vec![Cell::new(1); ENDPOINTS],
         }
@@ -322,6 +326,7 @@
     end_faults(&soak);
     until_recovered(&soak).await;
     soak.no_faults.set(true);
+    config::check_large(&soak).await;
     cold::check_evacuation(&soak).await;
     stop_in_turn(&soak).await;
     stop_overlapping(&soak).await;
@@ -344,12 +349,11 @@
 /// Injects one fault after the other. Each ends some time later, so that faults overlap.
 async fn inject_faults(soak: &Rc<Soak>, random: &mut Rng, time: Duration) {
     let end = Instant::now() + time;
-    let mut version = 1;
     while Instant::now() < end {
         let duration = Duration::from_millis(random.u64(200..1500));
         let daemon = random.usize(..DAEMONS);
         let endpoint = random.usize(..ENDPOINTS);
-        match random.u32(..20) {
+        match random.u32(..22) {
             0 => soak.daemons[daemon].borrow_mut().process.kill(),
             1 => pause_daemon(soak, daemon, duration),
             2 => soak.daemons[daemon].borrow().process.signal("TERM"),
@@ -360,11 +364,7 @@
             7 => set_proxy_fault(&soak.store_proxy, Fault::Blocked, duration),
             8 => set_proxy_fault(&soak.store_proxy, Fault::Delay(duration / 4), duration),
             9 => set_store_fault(soak, random, duration),
-            10 => {
-                version += random.u64(1..4);
-                soak.store
-                    .put("op/config", configuration(version).as_bytes());
-            }
+            10 => config::change(soak, random.u64(1..4), 0),
             11 => drain_endpoint(soak, endpoint, duration),
             12 => terminate_all(soak),
             13 => terminate_twice(soak, daemon, duration),
@@ -376,6 +376,11 @@
             }
             17 => announced::leave(soak, endpoint),
             18 => announced::become_brittle(soak, duration),
+            19 => config::change(soak, 1, random.u32(..config::MAX_ROUTES)),
+            20 => {
+                let fault = Fault::Throttled(config::SLOW_LINK);
+                set_proxy_fault(&soak.store_proxy, fault, duration);
+            }
             _ => terminate_then_kill(soak, daemon),
         }
         let pause = Duration::from_millis(random.u64(50..400));
--- a/daemon/tests/test_relay_config.rs
+++ b/daemon/tests/test_relay_config.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use poplarvale_standin::{Endpoint, Fault, Proxy, ask, large_config, plain, request};
+use poplarvale_standin::{Endpoint, Fault, Proxy, ask, config, plain, request, with_routes};
 use poplarvaled::Relay;
 
 use crate::relay_site::{DAEMONS, ROUTES, Zone, free_port, start_daemon, store_with, until};
@@ -19,6 +19,10 @@
 /// Time within which a daemon that starts must be ready.
 const START_TIME: Duration = Duration::from_secs(3);
 
+fn large_config(version: u64, count: u32) -> String {
+    with_routes(&config(version, &ROUTES, 0), count)
+}
+
 async fn endpoint() -> Endpoint {
     Endpoint::start("i-1", |seen| vec![plain(seen, 200, "done")]).await
 }
@@ -57,7 +61,7 @@
 async fn a_large_configuration_is_in_force_behind_slow_links() {
     let one = endpoint().await;
     let zone = slow_zone(21, &one, WATCHERS).await;
-    let text = large_config(2, &ROUTES, ROUTE_COUNT);
+    let text = large_config(2, ROUTE_COUNT);
     zone.store.put("op/config", text.as_bytes());
     until_all_serve(&zone.daemons, ROUTE_COUNT).await;
 }
@@ -68,7 +72,7 @@
 async fn a_large_configuration_is_in_force_where_all_links_are_slow() {
     let one = endpoint().await;
     let zone = slow_zone(22, &one, 0).await;
-    let text = large_config(2, &ROUTES, ROUTE_COUNT);
+    let text = large_config(2, ROUTE_COUNT);
     zone.store.put("op/config", text.as_bytes());
     until_all_serve(&zone.daemons, ROUTE_COUNT).await;
 }
@@ -79,7 +83,7 @@
 async fn a_daemon_starts_on_a_slow_link_under_a_large_configuration() {
     let one = endpoint().await;
     let zone = slow_zone(23, &one, WATCHERS).await;
-    let text = large_config(2, &ROUTES, ROUTE_COUNT);
+    let text = large_config(2, ROUTE_COUNT);
     zone.store.put("op/config", text.as_bytes());
     until(APPLY_TIME, async || {
         serves(zone.daemons[0].1.callers(), ROUTE_COUNT).await
@@ -107,7 +111,7 @@
     let daemons = Zone::start_at(24, port, link.address, &[]).await;
     tokio::time::sleep(Duration::from_secs(3)).await;
     link.set(Fault::Throttled(STORE_LINK));
-    let text = large_config(2, &ROUTES, ROUTE_COUNT);
+    let text = large_config(2, ROUTE_COUNT);
     store.put("op/config", text.as_bytes());
     until_all_serve(&daemons, ROUTE_COUNT).await;
 }
@@ -120,7 +124,7 @@
     for (proxy, _) in &zone.daemons[WATCHERS..] {
         proxy.set(Fault::Blocked);
     }
-    let text = large_config(2, &ROUTES, 1);
+    let text = large_config(2, 1);
     zone.store.put("op/config", text.as_bytes());
     until_all_serve(&zone.daemons, 1).await;
 }
