config: a test of what one changed route costs

The cost of learning one changed route must not grow with the configuration.

The bounds are 1,000 bytes for an update, a twentieth of what a daemon may spend in a second, and a tenth of the store's value for a start.

--- a/daemon/tests/test_relay_config.rs
+++ b/daemon/tests/test_relay_config.rs
@@ -3,8 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use poplarvale_lib::protos::relay::ConfigRequest;
 use poplarvale_standin::{Endpoint, Fault, Proxy, ask, config, plain, request, with_routes};
 use poplarvaled::Relay;
+use prost::Message as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use crate::relay_site::{DAEMONS, ROUTES, Zone, free_port, start_daemon, store_with, until};
 
@@ -128,3 +133,68 @@
     zone.store.put("op/config", text.as_bytes());
     until_all_serve(&zone.daemons, 1).await;
 }
+
+/// Asks the first daemon of a zone for the configuration as another daemon does; returns the bytes
+/// of the answer.
+async fn transfer_len(zone: &Zone, number: usize, revision: u64) -> usize {
+    let body = ConfigRequest {
+        revision,
+        ..ConfigRequest::default()
+    };
+    let body = body.encode_to_vec();
+    let mut request = format!(
+        "POST config HTTP/1.1\r\nHost: daemon\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    )
+    .into_bytes();
+    request.extend_from_slice(&body);
+    let address = format!("127.0.{number}.1:{}", zone.port);
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(&request).await.expect("it is sent");
+    let mut bytes = vec![0; 16 * 1024];
+    let mut len = 0;
+    while let Ok(Ok(part)) = timeout(Duration::from_millis(500), stream.read(&mut bytes)).await {
+        len += part;
+        if part == 0 {
+            break;
+        }
+    }
+    len
+}
+
+/// Revision of the configuration in the store, as daemons know it.
+fn revision(zone: &Zone) -> u64 {
+    poplarvale_lib::revision_in(1, zone.store.revision())
+}
+
+/// Daemons may spend 20 KB a second. One changed route must not cost a part of the whole
+/// configuration, and a start a small part of what the store would send.
+#[actix_web::test]
+async fn the_cost_of_a_changed_route_does_not_grow_with_the_configuration() {
+    /// Bytes that one changed route may cost a daemon.
+    const MAX_UPDATE: usize = 1000;
+    /// Part of the value in the store that a daemon without a configuration may be sent.
+    const MAX_SNAPSHOT: f64 = 0.1;
+    for (number, count) in [(26, 1000), (27, 4000), (28, 16_000)] {
+        let one = endpoint().await;
+        let zone = Zone::start(number, store_with(&[&one]).await).await;
+        let text = large_config(2, count);
+        zone.store.put("op/config", text.as_bytes());
+        until_all_serve(&zone.daemons, count).await;
+        let before = revision(&zone);
+        let snapshot = transfer_len(&zone, number, 0).await;
+        let text = large_config(3, count + 1);
+        zone.store.put("op/config", text.as_bytes());
+        until_all_serve(&zone.daemons, count + 1).await;
+        let update = transfer_len(&zone, number, before).await;
+        println!(
+            "{count} routes: {} bytes in the store, {snapshot} for a start, {update} for one route",
+            text.len()
+        );
+        assert!(update <= MAX_UPDATE, "{update} bytes");
+        assert!(
+            (snapshot as f64) < text.len() as f64 * MAX_SNAPSHOT,
+            "{snapshot} bytes"
+        );
+    }
+}
