store: a part of a response shows only that a watcher is not blind

From reading the change: a part of a long response counted as an answer of the store. After the store came back from an older copy, the grace of endpoints without an entry would have begun at that part and not at the last answer before, so requests would go on to endpoints that had left; and a store that rejects calls with a body would never have counted as away.

Now it is kept apart and used for one thing, whether a watcher is passed over. A watcher that another daemon failed reads the store 0.4 s after it began to look, not at once: by then a daemon that has just started knows whether it is a watcher.

--- a/daemon/src/relay/catalog.rs
+++ b/daemon/src/relay/catalog.rs
@@ -29,13 +29,13 @@
 
 /// What the tasks of this module share.
 #[derive(Debug, Default)]
-pub(crate) struct Shared {
+pub(crate) struct CatalogState {
     log: RefCell<CatalogLog>,
     transfers: Transfers,
     timeline: RefCell<Timeline>,
 }
 
-impl Shared {
+impl CatalogState {
     /// When the last steps towards the newest configuration were taken.
     pub(crate) fn timeline(&self) -> &RefCell<Timeline> {
         &self.timeline
--- a/daemon/src/relay/catalog/sync.rs
+++ b/daemon/src/relay/catalog/sync.rs
@@ -1,23 +1,22 @@
 //! Gets the newest configuration from daemons that have it.
 
-use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::{Buf as _, Bytes, BytesMut};
 use poplarvale_lib::Revision;
-use poplarvale_lib::http1::{Body, BodyError, HeadError, Response};
+use poplarvale_lib::http1::Body;
 use poplarvale_lib::protos::relay::{ConfigReply, ConfigRequest};
 use poplarvale_lib::relay::catalog_update::{Assembly, UpdateError};
 use prost::Message as _;
-use tokio::io::AsyncWriteExt as _;
 
+use super::adopt;
 use super::codec::{self, PartError};
 use super::source::TARGET;
 use super::timeline::{self, Source};
-use super::{adopt, is_newer};
-use crate::relay::buffered_stream::{BufferedStream, fill};
+use crate::relay::buffered_stream::BufferedStream;
+use crate::relay::client::{CallError, next_part, send};
 use crate::relay::peers::merge_moves;
 use crate::relay::state::State;
 
@@ -25,8 +24,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a daemon may let this one wait for the head of its answer, while it serves others.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Longest time between two parts of an answer.
-const STALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// How often this daemon looks for another one that has the newest configuration.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a daemon that did not answer is passed over.
@@ -41,23 +38,16 @@
 /// The same for a daemon that has no configuration yet: after a restart of all, the watchers have
 /// to read it first.
 const MIN_START_PATIENCE: Duration = Duration::from_secs(3);
+/// Time after which a watcher reads the store if another daemon failed it. A daemon that has just
+/// started knows by then whether it is one.
+const WATCHER_PATIENCE: Duration = Duration::from_millis(400);
 /// Largest part that is received.
 const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
 
 #[derive(Debug, thiserror::Error)]
 enum SyncError {
-    #[error("could not connect: {0}")]
-    NotSent(io::Error),
-    #[error("the connection broke: {0}")]
-    Broken(io::Error),
-    #[error("no response was received in time")]
-    TimedOut,
-    #[error("the response stalled")]
-    Stalled,
-    #[error("the head of the response is malformed: {0}")]
-    Head(#[from] HeadError),
-    #[error("the body of the response is malformed: {0}")]
-    Body(#[from] BodyError),
+    #[error("{0}")]
+    Call(#[from] CallError),
     #[error("the response could not be decoded: {0}")]
     Reply(#[from] prost::DecodeError),
     #[error("{0}")]
@@ -207,7 +197,7 @@
                 }
                 if state.peers.borrow().is_watcher() {
                     // The zone waits for its watchers, which are few.
-                    search.store_at = Instant::now();
+                    search.store_at = search.store_at.min(search.since + WATCHER_PATIENCE);
                 } else if pending.encoded.len() > before {
                     search.record_progress(state);
                 }
@@ -222,10 +212,10 @@
     let address = SocketAddr::new(daemon.into(), state.settings.peers.port());
     let mut conn = BufferedStream::connect(address, CONNECT_TIMEOUT, HEAD_TIMEOUT)
         .await
-        .map_err(SyncError::NotSent)?;
+        .map_err(CallError::NotSent)?;
     let request = request(state, pending);
     let head = tokio::time::timeout(HEAD_TIMEOUT, send(&mut conn, &request)).await;
-    let head = head.map_err(|_elapsed| SyncError::TimedOut).flatten()?;
+    let head = head.map_err(|_elapsed| CallError::TimedOut).flatten()?;
     let mut frames = Frames {
         body: Body::new(head.framing),
         bytes: BytesMut::new(),
@@ -269,21 +259,6 @@
     request
 }
 
-/// Sends a request and reads the head of the response.
-async fn send(conn: &mut BufferedStream, request: &[u8]) -> Result<Response, SyncError> {
-    let (mut read, mut write) = conn.stream.split();
-    write.write_all(request).await.map_err(SyncError::Broken)?;
-    loop {
-        if let Some(head) = Response::take(&mut conn.buffer)? {
-            return Ok(head);
-        }
-        let more = fill(&mut read, &mut conn.buffer).await;
-        if more.map_err(SyncError::Broken)? == 0 {
-            return Err(SyncError::Broken(io::ErrorKind::UnexpectedEof.into()));
-        }
-    }
-}
-
 /// Adds a part to the pending update, and puts the configuration into force once it is complete.
 fn apply_part(
     state: &State,
@@ -301,9 +276,7 @@
     pending.encoded.push(frame);
     if let Some(catalog) = complete {
         let encoded = std::mem::take(&mut pending.encoded);
-        if is_newer(state, &catalog) {
-            adopt(state, Source::Daemon(&daemon), catalog, base, encoded);
-        }
+        adopt(state, Source::Daemon(&daemon), catalog, base, encoded);
     }
     Ok(())
 }
@@ -318,24 +291,15 @@
 impl Frames {
     /// The next frame; `None` at the end of the response.
     async fn next(&mut self, conn: &mut BufferedStream) -> Result<Option<Bytes>, SyncError> {
-        let (mut read, _write) = conn.stream.split();
         loop {
             if let Some(frame) = self.take()? {
                 return Ok(Some(frame));
             }
-            if let Some(part) = self.body.take(&mut conn.buffer)? {
-                self.received += part.len();
-                self.bytes.extend_from_slice(&part);
-                continue;
-            }
-            if self.body.is_done() {
+            let Some(part) = next_part(conn, &mut self.body).await? else {
                 return Ok(None);
-            }
-            let more = tokio::time::timeout(STALL_TIMEOUT, fill(&mut read, &mut conn.buffer)).await;
-            let more = more.map_err(|_elapsed| SyncError::Stalled)?;
-            if more.map_err(SyncError::Broken)? == 0 {
-                self.body.finish()?;
-            }
+            };
+            self.received += part.len();
+            self.bytes.extend_from_slice(&part);
         }
     }
 
--- a/daemon/src/relay/client.rs
+++ b/daemon/src/relay/client.rs
@@ -15,6 +15,7 @@
 use tokio::io::AsyncWriteExt as _;
 
 use super::buffered_stream::{BufferedStream, fill};
+use super::exchange::OK;
 use super::state::State;
 
 /// Timeout of a new connection to a service of the platform. A healthy one accepts within a few
@@ -35,8 +36,8 @@
     Broken(io::Error),
     #[error("no response was received in time")]
     TimedOut,
-    #[error("the response stalled after {0} bytes of its body")]
-    Stalled(usize),
+    #[error("the response stalled")]
+    Stalled,
     #[error("the response is from an old era of the store")]
     OldEra,
     #[error("the head of the response is malformed: {0}")]
@@ -96,7 +97,7 @@
         };
         let sent = tokio::time::timeout(limit, send(&mut conn, &call.0)).await;
         let head = sent.map_err(|_elapsed| CallError::TimedOut).flatten()?;
-        let body = read_body(&mut conn, &head, || self.record_progress()).await?;
+        let body = read_body(&mut conn, &head, || self.record_progress(&head)).await?;
         if head.keep_alive {
             self.conn = Some(conn);
         }
@@ -114,17 +115,16 @@
         })
     }
 
-    /// Records that the store is sending a response. Otherwise a watcher on a slow link would be
-    /// passed over as one that the store does not answer.
-    fn record_progress(&self) {
-        if let Some(state) = &self.store {
-            state.store_answered(Instant::now());
+    /// Records that the store is sending a response; a rejection is none.
+    fn record_progress(&self, head: &Response) {
+        if let Some(state) = self.store.as_ref().filter(|_| head.status == OK) {
+            state.receiving.set(Some(Instant::now()));
         }
     }
 }
 
 /// Sends a request and reads the head of its response.
-async fn send(conn: &mut BufferedStream, request: &Bytes) -> Result<Response, CallError> {
+pub(crate) async fn send(conn: &mut BufferedStream, request: &[u8]) -> Result<Response, CallError> {
     let (mut read, mut write) = conn.stream.split();
     write.write_all(request).await.map_err(CallError::Broken)?;
     loop {
@@ -138,27 +138,41 @@
     }
 }
 
-/// Reads a complete body; calls `progress` whenever a further part arrives.
-async fn read_body(
+/// Reads the next part of a body; `None` at its end.
+///
+/// # Errors
+/// If no part arrives for a while, or the connection or the body breaks.
+pub(crate) async fn next_part(
     conn: &mut BufferedStream,
-    head: &Response,
-    progress: impl Fn(),
-) -> Result<Bytes, CallError> {
+    body: &mut Body,
+) -> Result<Option<Bytes>, CallError> {
     let (mut read, _write) = conn.stream.split();
-    let mut body = Body::new(head.framing);
-    let mut bytes = BytesMut::new();
     loop {
-        while let Some(part) = body.take(&mut conn.buffer)? {
-            bytes.extend_from_slice(&part);
+        if let Some(part) = body.take(&mut conn.buffer)? {
+            return Ok(Some(part));
         }
         if body.is_done() {
-            return Ok(bytes.freeze());
+            return Ok(None);
         }
         let more = tokio::time::timeout(STALL_TIMEOUT, fill(&mut read, &mut conn.buffer)).await;
-        let more = more.map_err(|_elapsed| CallError::Stalled(bytes.len()))?;
+        let more = more.map_err(|_elapsed| CallError::Stalled)?;
         if more.map_err(CallError::Broken)? == 0 {
             body.finish()?;
         }
+    }
+}
+
+/// Reads a complete body; calls `progress` after each part.
+async fn read_body(
+    conn: &mut BufferedStream,
+    head: &Response,
+    progress: impl Fn(),
+) -> Result<Bytes, CallError> {
+    let mut body = Body::new(head.framing);
+    let mut bytes = BytesMut::new();
+    while let Some(part) = next_part(conn, &mut body).await? {
+        bytes.extend_from_slice(&part);
         progress();
     }
+    Ok(bytes.freeze())
 }
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -100,8 +100,7 @@
         if now >= schedule.partners {
             schedule.partners = now + send_to_partners(&state, &socket, now);
         }
-        let answered = state.connectivity.get().last_answer();
-        let blind_from = state.peers.borrow().blind_from(answered);
+        let blind_from = state.peers.borrow().blind_from(state.store_heard());
         let is_blind_soon = |at: &Instant| (now..now + PERIOD).contains(at);
         let next = blind_from.filter(is_blind_soon).unwrap_or(now + PERIOD);
         tokio::select! {
@@ -153,7 +152,7 @@
     let mut peers = state.peers.borrow_mut();
     peers.expire(now);
     let was_watcher = peers.is_watcher();
-    peers.record_store(state.connectivity.get().last_answer(), now);
+    peers.record_store(state.store_heard(), now);
     peers.update_watchers(now);
     if was_watcher != peers.is_watcher() {
         let role = if was_watcher { "no longer " } else { "" };
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -25,7 +25,7 @@
 use poplarvale_lib::{CustomerId, Incarnation, Revision};
 use tokio::sync::Notify;
 
-use super::catalog::Shared;
+use super::catalog::CatalogState;
 use super::crash::CrashCheck;
 use super::era::Eras;
 use super::logging::Sampler;
@@ -41,7 +41,7 @@
     /// Configuration in use; `None` until the first one was read.
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
     /// Transfers of the configuration between daemons.
-    pub(crate) config: Shared,
+    pub(crate) config: CatalogState,
     /// Notified when another daemon announces a newer configuration, or that it has one.
     pub(crate) config_due: Notify,
     /// Whether this daemon reads the configuration from the store, as no other one has it.
@@ -84,6 +84,8 @@
     /// Notified when a check whether a service is reached may be due.
     pub(crate) check_due: Notify,
     pub(crate) connectivity: Cell<Connectivity>,
+    /// When a part of a response of the store last arrived.
+    pub(crate) receiving: Cell<Option<Instant>>,
     pub(crate) metrics: Option<Metrics>,
     /// Which successful requests are logged.
     pub(crate) sampler: Sampler,
@@ -121,7 +123,7 @@
         );
         Rc::new(Self {
             catalog: RefCell::new(None),
-            config: Shared::default(),
+            config: CatalogState::default(),
             config_due: Notify::new(),
             reads_config: Cell::new(false),
             read_own: Cell::new(false),
@@ -155,6 +157,7 @@
             reach: RefCell::default(),
             check_due: Notify::new(),
             connectivity: Cell::new(Connectivity::new(started)),
+            receiving: Cell::new(None),
             metrics: Metrics::new(),
             sampler: Sampler::new(started),
             active: Cell::new(0),
@@ -198,6 +201,13 @@
         self.connectivity.set(connectivity);
     }
 
+    /// When the store last answered this daemon, or sent a part of an answer. A watcher on a slow link
+    /// must not be passed over while it receives a long one.
+    pub(crate) fn store_heard(&self) -> Instant {
+        let answered = self.connectivity.get().last_answer();
+        self.receiving.get().map_or(answered, |at| at.max(answered))
+    }
+
     /// Records that the store did not answer a call that was started at `began`.
     pub(crate) fn store_failed(&self, began: Instant) {
         let mut connectivity = self.connectivity.get();
