tests: what a watch may hide, and states that daemons learn from each other

Two rules of the updates between daemons had no test of their own: a watch is taken for complete only if no earlier change is missing, and the state of a move that the store holds is learned with the configuration and not replaced by an earlier one. A comment of test_relay_watchers still told that each daemon reads the configuration from the store.

--- a/daemon/tests/test_relay_watchers.rs
+++ b/daemon/tests/test_relay_watchers.rs
@@ -132,8 +132,8 @@
     futures::future::join_all(zones).await;
 }
 
-/// Operators change the configuration, which is not part of the change feed: each daemon reads it
-/// from the store. It must be in force within the two seconds that operators rely on.
+/// Operators change the configuration, which is not part of the change feed: the daemons get it from
+/// their watchers. It must be in force within the two seconds that operators rely on.
 #[actix_web::test]
 async fn a_new_configuration_reaches_daemons_that_get_the_change_feed() {
     let one = endpoint("i-1").await;
--- a/lib/tests/test_relay_change_feed.rs
+++ b/lib/tests/test_relay_change_feed.rs
@@ -304,3 +304,24 @@
     let (action, _) = pull_all(&next, &mut new, now);
     assert!(matches!(action, FeedAction::Replace(listings) if listings.len() == 10));
 }
+
+/// A daemon that was fed by a watcher becomes one itself while it lacks a change of the operators. Its
+/// watches return only later changes, so it must not take them for all.
+#[test]
+fn a_watch_does_not_hide_a_change_that_was_missed_before() {
+    let mut progress = StoreProgress::default();
+    assert!(!progress.has_config_until(10));
+    progress.record_config_read(5);
+    progress.record_config_change(4);
+    assert!(progress.has_config_until(10));
+    progress.record_config_change(8);
+    assert!(progress.needs_config());
+    assert!(!progress.has_config_until(10));
+    progress.record_config_read(8);
+    assert!(progress.has_config_until(10));
+    // A change that the next watch returns is not missed.
+    progress.record_config_read(10);
+    progress.record_config_change(12);
+    assert!(progress.needs_config());
+    assert!(progress.has_config_until(10));
+}
--- a/lib/tests/test_relay_rollout.rs
+++ b/lib/tests/test_relay_rollout.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use poplarvale_lib::relay::rollout::evidence::Sample;
-use poplarvale_lib::relay::rollout::{Order, Outcome, Rollouts, Versions};
+use poplarvale_lib::relay::rollout::{MoveReport, Order, Outcome, Rollouts, Versions};
 use poplarvale_lib::revision_in;
 
 const BEGIN_MS: u64 = 1_000_000;
@@ -304,3 +304,29 @@
     };
     assert!(rollouts.add_order(other, now, now + DURATION_MS));
 }
+
+/// A daemon that gets the moves from another one must know what the store holds: a completed move
+/// whose old endpoints have stopped is never taken back, and an earlier state does not replace it.
+#[test]
+fn a_state_that_the_store_holds_is_learned_from_other_daemons() {
+    let mut one = Rollouts::new(0.1);
+    one.add_order(order(), 0, 10_000);
+    let running = one.reports().next().expect("a move was ordered");
+    one.apply_status(
+        &order().service,
+        &order().target,
+        Outcome::Completed,
+        u64::MAX,
+    );
+    let completed = one.reports().next().expect("a move was ordered");
+    let mut other = Rollouts::new(0.1);
+    other.merge("one", &completed);
+    let earlier = MoveReport {
+        stored: Some(Outcome::Running),
+        ..running
+    };
+    other.merge("one", &earlier);
+    let report = other.reports().next().expect("the move was reported");
+    assert_eq!(report.outcome, Outcome::Completed);
+    assert_eq!(report.stored, Some(Outcome::Completed));
+}
