relay: one log line for each answer that remains incomplete

Seen: the record of a stream that was closed before its end could not tell a stream that nobody continued from a caller that had gone, an error in place of the rest, daemons that failed to forward it, or the end of the process; nor why nothing more was tried. Code 2010 is used both for full endpoints and for a retry budget that is used up.

The attempts of a request are now kept together with how each ended and why no further one is made, and every way in which an answer remains incomplete logs them in one place, and is counted. Decisions are as before.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -24,6 +24,7 @@
 mod peers;
 mod plain_server;
 mod probe;
+mod progress;
 mod reach;
 mod run;
 mod serve;
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -28,6 +28,7 @@
 use super::buffered_stream::BufferedStream;
 use super::crash::{LazyFingerprint, check_crash, clear};
 use super::exchange::{EndpointResponse, ExchangeError, OK, SERVER_ERROR, exchange, read_body};
+use super::progress::Loss;
 use super::reach;
 use super::state::State;
 use super::stream::{Forwarded, StallTimeout, StreamEnd, forward_stream};
@@ -79,7 +80,7 @@
     /// The attempt failed after something was sent; the request may have run.
     Failed(ExchangeError),
     /// The caller accepts no more data.
-    CallerGone,
+    CallerGone(Loss),
 }
 
 /// Counts a request as in flight at an endpoint until the guard is dropped, however the task that
@@ -177,7 +178,7 @@
                 table.record_stream(&choice.id, number, tokens, Std::now());
                 AttemptOutcome::Streamed
             }
-            StreamEnd::CallerGone => return AttemptOutcome::CallerGone,
+            StreamEnd::CallerGone(loss) => return AttemptOutcome::CallerGone(loss),
             StreamEnd::Broken => AttemptOutcome::Failed(ExchangeError::Broken),
         }
     } else {
@@ -477,7 +478,9 @@
         AttemptOutcome::Complete(head, _) => head.status < SERVER_ERROR,
         AttemptOutcome::Streamed => true,
         AttemptOutcome::Failed(_) => false,
-        AttemptOutcome::NotRun | AttemptOutcome::NotSent | AttemptOutcome::CallerGone => return,
+        AttemptOutcome::NotRun | AttemptOutcome::NotSent | AttemptOutcome::CallerGone(_) => {
+            return;
+        }
     };
     let table = state.endpoints.borrow();
     let Some(row) = table.get(&choice.id) else {
--- a/daemon/src/relay/caller.rs
+++ b/daemon/src/relay/caller.rs
@@ -135,13 +135,8 @@
     tokio::select! {
         biased;
         connection = serve(state, &received, write) => Some(connection),
-        () = until_disconnected(read, buffer) => {
-            log::info!(
-                request = head.id.as_str(), after_ms = arrived.elapsed().as_millis() as u64;
-                "caller: disconnected before its answer was complete; its request is dropped."
-            );
-            None
-        }
+        // Its request is dropped, with all that was sent for it.
+        () = until_disconnected(read, buffer) => None,
     }
 }
 
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use poplarvale_lib::http1::Response;
 use poplarvale_lib::relay::admit::Limits;
+use poplarvale_lib::relay::attempts::{AttemptEnd, Stop, Via};
 use poplarvale_lib::relay::endpoint_table::EndpointState;
 use poplarvale_lib::relay::quota;
 use poplarvale_lib::relay::selection::{Choice, Criteria, SelectError, choose};
@@ -19,8 +20,9 @@
 
 use super::attempt::{AttemptOutcome, Job, attempt};
 use super::crash::quarantine_left;
-use super::exchange::SERVER_ERROR;
+use super::exchange::{ExchangeError, SERVER_ERROR};
 use super::forward::{Forwarding, forward};
+use super::progress::{Loss, Tracker};
 use super::reach;
 use super::serve::{Connection, RETRY_SOON, Rejection, connection, forward_response, reject};
 use super::state::State;
@@ -40,6 +42,7 @@
 /// Progress of a request over its attempts.
 #[derive(Debug)]
 struct Progress {
+    tracker: Tracker,
     forwarded: Forwarded,
     /// Endpoints of earlier attempts.
     avoid: Vec<EndpointId>,
@@ -71,7 +74,9 @@
         .budget
         .borrow_mut()
         .record_request(&job.service.name, now);
+    let times = (job.arrived.into_std(), job.deadline.into_std());
     let mut progress = Progress {
+        tracker: Tracker::new(state, job.head, job.route, times),
         forwarded: Forwarded::new(job.head.resume, keep),
         avoid: Vec::new(),
         runs: 0,
@@ -97,10 +102,15 @@
         if self.may_forward(state, job) {
             return None;
         }
-        if Instant::now() + MIN_TIME_LEFT >= job.deadline || self.stopped.is_some() {
+        if Instant::now() + MIN_TIME_LEFT >= job.deadline {
+            self.record_stop(Stop::Deadline);
+            return None;
+        }
+        if self.stopped.is_some() {
             return None;
         }
         if quarantine_left(state, &job.fingerprint).is_some() {
+            self.record_stop(Stop::Quarantined);
             self.stopped = Some(SelectError::None);
             return None;
         }
@@ -111,13 +121,25 @@
                 {
                     return Some(choice);
                 }
+                self.record_stop(if self.reached < MAX_ENDPOINTS {
+                    Stop::Budget
+                } else {
+                    Stop::Endpoints
+                });
                 self.stopped = Some(SelectError::Full);
             }
-            Err(why) => self.stopped = Some(why),
+            Err(why) => {
+                self.record_stop(Stop::Select(why));
+                self.stopped = Some(why);
+            }
         }
         None
     }
 
+    fn record_stop(&self, stop: Stop) {
+        self.tracker.progress().record_stop(stop);
+    }
+
     /// Makes an attempt at the chosen endpoint.
     async fn send(
         &mut self,
@@ -127,6 +149,8 @@
         write: &mut WriteHalf<'_>,
     ) -> AttemptOutcome {
         self.avoid.push(choice.id.clone());
+        let progress = self.tracker.progress();
+        let row = progress.update(|row| row.begin(&choice.id, Via::Endpoint, Std::now()));
         let may_continue = job.route.retry_policy.allows_retry()
             && self.runs + 1 < job.route.attempts
             && self.reached + 1 < MAX_ENDPOINTS;
@@ -138,7 +162,17 @@
             *reserved
         };
         let stall = stall_timeout(job, choice.wait, &mut try_move);
-        attempt(state, job, choice, &mut self.forwarded, write, stall).await
+        let events = self.forwarded.events.count();
+        let outcome = attempt(state, job, choice, &mut self.forwarded, write, stall).await;
+        let events = self.forwarded.events.count() - events;
+        progress.record_event(self.forwarded.events.last());
+        progress.update(|rows| {
+            rows.record_events(row, events);
+            if let Some(end) = attempt_end(&outcome) {
+                rows.end(row, end, Std::now());
+            }
+        });
+        outcome
     }
 
     /// Applies the outcome of an attempt; `Some` if the request is done.
@@ -156,10 +190,14 @@
         let retryable = job.route.retry_policy.allows_retry();
         match outcome {
             AttemptOutcome::Streamed => {
+                self.tracker.end();
                 log_response(state, job, &choice.id, 200, self.reached);
                 Some(connection(self.forwarded.keep))
             }
-            AttemptOutcome::CallerGone => Some(Connection::Close),
+            AttemptOutcome::CallerGone(loss) => {
+                self.tracker.lose(loss);
+                Some(Connection::Close)
+            }
             AttemptOutcome::NotSent | AttemptOutcome::NotRun => None,
             AttemptOutcome::Complete(head, body) => {
                 self.runs += 1;
@@ -171,6 +209,7 @@
                 if self.forwarded.head_sent {
                     return Some(self.cut_off(state, job));
                 }
+                self.tracker.end();
                 log_response(state, job, &choice.id, head.status, self.reached);
                 Some(forward_response(write, &head, &body, self.forwarded.keep).await)
             }
@@ -178,6 +217,11 @@
                 self.runs += 1;
                 self.unknown = true;
                 if !retryable || self.runs >= job.route.attempts {
+                    self.record_stop(if retryable {
+                        Stop::Runs
+                    } else {
+                        Stop::NotRepeatable
+                    });
                     self.stopped = Some(SelectError::None);
                 }
                 None
@@ -221,7 +265,14 @@
             arrived: job.arrived,
             deadline: job.deadline,
         };
-        forward(state, &forwarding, &mut self.forwarded, write).await
+        forward(
+            state,
+            &forwarding,
+            &self.tracker,
+            &mut self.forwarded,
+            write,
+        )
+        .await
     }
 
     /// Returns the units of a request that did not run to its team.
@@ -247,6 +298,7 @@
         if self.forwarded.head_sent {
             return self.cut_off(state, job);
         }
+        self.tracker.end();
         if let Some((head, body)) = self.failure {
             log_response(state, job, "", head.status, self.reached);
             return forward_response(write, &head, &body, self.forwarded.keep).await;
@@ -276,17 +328,28 @@
     /// Ends a stream of which the caller has received a part. Only closing the connection before
     /// the end of the body shows the caller that the stream is incomplete.
     fn cut_off(&self, state: &State, job: &Job<'_>) -> Connection {
-        log::info!(
-            request = job.head.id.as_str(), last_event = self.forwarded.events.last(),
-            sends = self.reached;
-            "serve: the stream failed and no endpoint resumes it; the connection is closed."
-        );
+        self.tracker.lose(Loss::CutOff);
         let code = Code::Broken.number();
         state.measure(|metrics| metrics.record_request(&job.route.name, code, Duration::ZERO));
         Connection::Close
     }
 }
 
+/// How an attempt ended; `None` if the caller ended it.
+fn attempt_end(outcome: &AttemptOutcome) -> Option<AttemptEnd> {
+    Some(match outcome {
+        AttemptOutcome::Streamed => AttemptEnd::Answered,
+        AttemptOutcome::Complete(head, _) if head.status >= SERVER_ERROR => AttemptEnd::Error,
+        AttemptOutcome::Complete(..) => AttemptEnd::Answered,
+        AttemptOutcome::NotRun => AttemptEnd::NotRun,
+        AttemptOutcome::NotSent => AttemptEnd::NotConnected,
+        AttemptOutcome::Failed(ExchangeError::TimedOut) => AttemptEnd::TimedOut,
+        AttemptOutcome::Failed(ExchangeError::Invalid) => AttemptEnd::Invalid,
+        AttemptOutcome::Failed(_) => AttemptEnd::Broken,
+        AttemptOutcome::CallerGone(_) => return None,
+    })
+}
+
 /// Whether a request may be forwarded now, as this daemon does not reach its service.
 fn can_forward(state: &State, job: &Job<'_>) -> bool {
     job.may_forward && state.reach.borrow().is_cut_off(&job.service.name)
--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -10,7 +10,9 @@
 use std::time::{Duration, Instant as Std};
 
 use bytes::Bytes;
+use compact_str::ToCompactString as _;
 use poplarvale_lib::http1::Request;
+use poplarvale_lib::relay::attempts::{AttemptEnd, Stop, Via};
 use poplarvale_lib::relay::catalog::Route;
 use poplarvale_lib::relay::quota::name_hash;
 use poplarvale_lib::relay::request::RequestHead;
@@ -23,6 +25,7 @@
 use super::buffered_stream::BufferedStream;
 use super::dispatch::try_retry;
 use super::exchange::{EndpointResponse, ExchangeError, OK, exchange, read_body};
+use super::progress::{Loss, Tracker};
 use super::serve::{Connection, Rejection, connection, forward_response, reject};
 use super::state::State;
 use super::stream::{Forwarded, StallTimeout, StreamEnd, forward_stream};
@@ -51,8 +54,10 @@
 
 /// How forwarding to one daemon ended.
 enum Outcome {
-    /// The caller was answered, or is gone.
+    /// The caller was answered.
     Done(Connection),
+    /// The caller accepts no more data.
+    CallerGone(Loss),
     /// The daemon did not take the request.
     NotTaken(&'static str),
     /// The connection broke or stalled; the request may have run.
@@ -64,18 +69,33 @@
 pub(crate) async fn forward(
     state: &Rc<State>,
     job: &Forwarding<'_>,
+    tracker: &Tracker,
     forwarded: &mut Forwarded,
     write: &mut WriteHalf<'_>,
 ) -> Option<Connection> {
+    let progress = tracker.progress();
     let mut avoid = Vec::new();
     let mut failed = None;
     while avoid.len() < MAX_DAEMONS && Instant::now() < job.deadline {
         let Some(daemon) = choose(state, job, &avoid) else {
+            progress.record_stop(Stop::NoDaemon);
             break;
         };
         avoid.push(daemon);
-        match send(state, job, daemon, forwarded, write).await {
+        let name = daemon.to_compact_string();
+        let row = progress.update(|rows| rows.begin(&name, Via::Daemon, Std::now()));
+        let outcome = send(state, job, daemon, forwarded, write).await;
+        progress.record_event(forwarded.events.last());
+        if let Some(end) = attempt_end(&outcome) {
+            progress.update(|rows| rows.end(row, end, Std::now()));
+        }
+        match outcome {
+            Outcome::CallerGone(loss) => {
+                tracker.lose(loss);
+                return Some(Connection::Close);
+            }
             Outcome::Done(connection) => {
+                tracker.end();
                 log_done(state, job, daemon, avoid.len());
                 return Some(connection);
             }
@@ -85,7 +105,12 @@
                 // The other daemon may have used all attempts of the route, so there is one retry.
                 let is_last = failed.replace(error).is_some();
                 let may_retry = job.route.retry_policy.allows_retry() && !is_last;
-                if !may_retry || !try_retry(state, job.service) {
+                if !may_retry {
+                    progress.record_stop(Stop::Runs);
+                    break;
+                }
+                if !try_retry(state, job.service) {
+                    progress.record_stop(Stop::Budget);
                     break;
                 }
             }
@@ -93,8 +118,10 @@
     }
     let error = failed?;
     if forwarded.head_sent {
+        tracker.lose(Loss::CutOff);
         return Some(Connection::Close);
     }
+    tracker.end();
     let code = match error {
         ExchangeError::TimedOut => Code::Overdue,
         ExchangeError::NotSent | ExchangeError::Broken | ExchangeError::Invalid => Code::Broken,
@@ -103,6 +130,18 @@
     Some(reject(state, write, job.head, rejection, forwarded.keep).await)
 }
 
+/// How an attempt at a daemon ended; `None` if the caller ended it.
+fn attempt_end(outcome: &Outcome) -> Option<AttemptEnd> {
+    Some(match outcome {
+        Outcome::Done(_) => AttemptEnd::Answered,
+        Outcome::CallerGone(_) => return None,
+        Outcome::NotTaken(_) => AttemptEnd::NotRun,
+        Outcome::Failed(ExchangeError::TimedOut) => AttemptEnd::TimedOut,
+        Outcome::Failed(ExchangeError::Invalid) => AttemptEnd::Invalid,
+        Outcome::Failed(_) => AttemptEnd::Broken,
+    })
+}
+
 /// Chooses a daemon at random: of this zone, or else of the others that the request may be sent to.
 fn choose(state: &State, job: &Forwarding<'_>, avoid: &[Ipv4Addr]) -> Option<Ipv4Addr> {
     let regions = &state.settings.regions;
@@ -192,7 +231,7 @@
     if is_stream && response.meta.sealed {
         return match forward_stream(conn, response, forwarded, write, stall, || {}).await {
             StreamEnd::Complete => Outcome::Done(connection(forwarded.keep)),
-            StreamEnd::CallerGone => Outcome::Done(Connection::Close),
+            StreamEnd::CallerGone(loss) => Outcome::CallerGone(loss),
             StreamEnd::Broken => Outcome::Failed(ExchangeError::Broken),
         };
     }
--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -29,6 +29,7 @@
     quarantined: Counter<u64>,
     cut_off: Counter<u64>,
     forwarded: Counter<u64>,
+    incomplete: Counter<u64>,
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
     /// Kept until the instruments are dropped.
@@ -94,6 +95,10 @@
                 "poplarvale_relay_forwarded",
                 "Requests forwarded to other daemons, by how that ended",
             ),
+            incomplete: counter(
+                "poplarvale_relay_incomplete",
+                "Answers that remained incomplete, by reason",
+            ),
             first_event: histogram(
                 "poplarvale_relay_first",
                 "Time from a request's head to its first event or answer",
@@ -145,6 +150,11 @@
         self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records that an answer remained incomplete.
+    pub(crate) fn record_incomplete(&self, reason: &'static str) {
+        self.incomplete.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Records the time until the first event of a streamed response.
     pub(crate) fn record_first_event(&self, elapsed: Duration) {
         self.first_event.record(elapsed.as_secs_f64(), &[]);
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -19,6 +19,7 @@
 use super::logging::flush;
 use super::peers::{receive, send, send_last_digest};
 use super::probe::serve_probe;
+use super::progress::log_unfinished;
 use super::reach::check_services;
 use super::state::State;
 use super::status::serve_status;
@@ -147,6 +148,7 @@
         );
         until_closed(state, closing).await;
         send_last_digest(state, &self.peers);
+        log_unfinished(state);
         let active = state.active.get();
         log::info!("daemon: exiting with {active} requests in progress.");
     }
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -25,6 +25,7 @@
 use super::crash::{LazyFingerprint, quarantine_left};
 use super::dispatch::dispatch;
 use super::forward::{Forwarding, forward};
+use super::progress::Tracker;
 use super::state::State;
 use super::stream::Forwarded;
 
@@ -177,7 +178,12 @@
             deadline: arrived + timeout,
         };
         let mut forwarded = Forwarded::new(head.resume, keep);
-        if let Some(done) = forward(state, &forwarding, &mut forwarded, write).await {
+        let tracker = Tracker::new(state, head, route, (arrived.into_std(), deadline));
+        let done = forward(state, &forwarding, &tracker, &mut forwarded, write).await;
+        if done.is_none() {
+            tracker.end();
+        }
+        if let Some(done) = done {
             return done;
         }
     }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -30,6 +30,7 @@
 use super::era::Eras;
 use super::logging::Sampler;
 use super::metrics::Metrics;
+use super::progress::Progress;
 use super::upstream::Upstreams;
 
 const MEGABYTE: u64 = 1024 * 1024;
@@ -89,6 +90,8 @@
     pub(crate) metrics: Option<Metrics>,
     /// Which successful requests are logged.
     pub(crate) sampler: Sampler,
+    /// Requests that were admitted or forwarded and have no whole answer yet, sorted by number.
+    pub(crate) in_progress: RefCell<Vec<(u64, Rc<Progress>)>>,
     /// Number of requests in progress, each from its first byte on.
     pub(crate) active: Cell<usize>,
     phase: Cell<Phase>,
@@ -160,6 +163,7 @@
             receiving: Cell::new(None),
             metrics: Metrics::new(),
             sampler: Sampler::new(started),
+            in_progress: RefCell::default(),
             active: Cell::new(0),
             phase: Cell::new(Phase::Serving),
             left_endpoints: RefCell::default(),
--- a/daemon/src/relay/stream.rs
+++ b/daemon/src/relay/stream.rs
@@ -16,6 +16,7 @@
 
 use super::buffered_stream::{BufferedStream, fill};
 use super::exchange::EndpointResponse;
+use super::progress::Loss;
 
 /// What was sent to a caller of its stream so far.
 #[derive(Debug)]
@@ -90,7 +91,7 @@
     /// The endpoint's connection broke, or it stalled or sent an invalid stream.
     Broken,
     /// The caller accepts no more data.
-    CallerGone,
+    CallerGone(Loss),
 }
 
 /// Forwards an endpoint's stream, complete events only. `on_event` is called when the first event
@@ -134,7 +135,8 @@
             let sent = write_events(write, response, forwarded, &out, done);
             match timeout_at(stall.deadline, sent).await {
                 Ok(Ok(())) => {}
-                Ok(Err(_)) | Err(_) => return StreamEnd::CallerGone,
+                Ok(Err(_)) => return StreamEnd::CallerGone(Loss::Disconnected),
+                Err(_) => return StreamEnd::CallerGone(Loss::NotRead),
             }
         }
         if done {
