--- a/daemon/tests/test_relay_cut_off.rs
+++ b/daemon/tests/test_relay_cut_off.rs
@@ -5,7 +5,7 @@
 
 use futures::future::join_all;
 use poplarvale_standin::{
-    Endpoint, Fault, Proxy, SeenRequest, Step, ask, event, plain, request, stream,
+    Endpoint, Fault, Proxy, SeenRequest, Step, ask, event, plain, rejection, request, stream,
 };
 use poplarvaled::Relay;
 
@@ -21,6 +21,11 @@
 /// Smallest share of first attempts at partitioned hosts that are served, of the share at others.
 const MIN_SHARE: f64 = 2.0 / 3.0;
 
+/// Path of a stream that pauses in the middle, and that only the endpoint which began it goes on
+/// with.
+const PAUSED_STREAM: &str = "/resume/paused";
+/// Its pause, which is longer than daemons wait for each other.
+const STREAM_PAUSE: Duration = Duration::from_millis(1400);
 /// Path of a stream that runs for more than a second.
 const LONG_STREAM: &str = "/stream/long";
 
@@ -42,6 +47,19 @@
             plain(seen, 200, "done"),
         ];
     }
+    if seen.target() == PAUSED_STREAM {
+        if !seen.last_event().is_empty() {
+            return vec![rejection(seen)];
+        }
+        let end = Step::Send("0\r\n\r\n".into());
+        return vec![
+            stream(seen),
+            event(0),
+            Step::Wait(STREAM_PAUSE),
+            event(1),
+            end,
+        ];
+    }
     let first = seen.last_event().parse::<u64>().map_or(0, |last| last + 1);
     let pause = if seen.target() == LONG_STREAM {
         Duration::from_millis(400)
@@ -202,3 +220,16 @@
     let answer = ask(pair.other.callers(), &text(99)).await;
     assert_eq!(answer.expect("an answer").status, 200);
 }
+
+/// A stream that another daemon serves is given up after a pause of its endpoint, although nobody
+/// else can continue it.
+#[actix_web::test]
+async fn a_forwarded_stream_survives_the_pause_of_its_endpoint() {
+    let pair = Pair::start(95).await;
+    pair.cut(Fault::Reset);
+    send_all(&pair.cut_off, "early", Duration::from_secs(1)).await;
+    let text = request("GET", PAUSED_STREAM, "r1", "");
+    let answer = ask(pair.cut_off.callers(), &text).await;
+    let answer = answer.expect("an answer");
+    assert!(answer.complete, "only {:?} arrived", answer.body);
+}
