--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -1,4 +1,4 @@
-//! One attempt: sends a request to one endpoint and reads or forwards its response.
+//! One attempt: sends a request to one endpoint and reads its response, or the begin of its stream.
 //!
 //! Every result counts for the endpoint's circuit breaker and for a running rollout of its service.
 //! If the connection breaks, the endpoint may have crashed because of the request, so it is
@@ -11,9 +11,10 @@
 
 use bytes::Bytes;
 use poplarvale_lib::http1::{Request, Response};
+use poplarvale_lib::relay::attempts::AttemptEnd;
 use poplarvale_lib::relay::catalog::{CatalogVersion, Route, Service, Team};
 use poplarvale_lib::relay::crash::SAFE_AFTER;
-use poplarvale_lib::relay::endpoint_table::{Endpoint, EndpointState};
+use poplarvale_lib::relay::endpoint_table::EndpointState;
 use poplarvale_lib::relay::limit::AnnouncedLimit;
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::request::RequestHead;
@@ -22,16 +23,14 @@
 use poplarvale_lib::relay::selection::{self, Choice, Criteria};
 use poplarvale_lib::{EndpointId, ZoneId};
 use poplarvale_platform::{Announced, Availability, Outbound, request_head};
-use tokio::net::tcp::WriteHalf;
 use tokio::time::{Instant, timeout_at};
 
 use super::buffered_stream::BufferedStream;
 use super::crash::{LazyFingerprint, check_crash, clear};
 use super::exchange::{EndpointResponse, ExchangeError, OK, SERVER_ERROR, exchange, read_body};
-use super::progress::Loss;
 use super::reach;
 use super::state::State;
-use super::stream::{Forwarded, StallTimeout, StreamEnd, forward_stream};
+use super::stream::{Forwarded, OpenStream};
 
 /// Longest response that is not a stream. It is buffered completely, so that the request can
 /// still be retried at another endpoint if the response breaks off.
@@ -66,21 +65,15 @@
     pub(crate) may_forward: bool,
 }
 
-/// How an attempt ended.
+/// What an attempt has led to so far.
 #[derive(Debug)]
-pub(crate) enum AttemptOutcome {
+pub(crate) enum Started {
     /// A complete response that is not a stream.
     Complete(Response, Bytes),
-    /// The complete stream was sent to the caller.
-    Streamed,
-    /// The endpoint states that it did not run the request.
-    NotRun,
-    /// No byte of the request was sent.
-    NotSent,
-    /// The attempt failed after something was sent; the request may have run.
-    Failed(ExchangeError),
-    /// The caller accepts no more data.
-    CallerGone(Loss),
+    /// A stream of which the first event was received.
+    Open(Box<EndpointStream>),
+    /// There is no answer.
+    Failed(AttemptEnd),
 }
 
 /// Counts a request as in flight at an endpoint until the guard is dropped, however the task that
@@ -101,43 +94,29 @@
     }
 }
 
-impl RequestGuard {
-    fn update(&self, change: impl FnOnce(&mut Endpoint)) {
-        if let Some(row) = self.state.endpoints.borrow_mut().get_mut(&self.endpoint) {
-            change(row);
-        }
-    }
-}
-
-/// Sends a request to the chosen endpoint and reads its response, or forwards it if it is a stream.
-pub(crate) async fn attempt(
+/// Sends a request to the chosen endpoint and waits until that has begun to answer. If the future
+/// is dropped before, the connection is reset, and the endpoint drops the request.
+pub(crate) async fn begin(
     state: &Rc<State>,
     job: &Job<'_>,
     choice: &Choice,
-    forwarded: &mut Forwarded,
-    write: &mut WriteHalf<'_>,
-    mut stall: StallTimeout<'_>,
-) -> AttemptOutcome {
+    at: Forwarded,
+) -> Started {
     let guard = add_in_flight(state, job, choice);
     let Some((endpoint, mut conn, reused)) = connect(state, job, choice).await else {
-        return AttemptOutcome::NotSent;
+        return Started::Failed(AttemptEnd::NotConnected);
     };
     let address = endpoint.address;
     log_doubtful(state, job, choice);
-    let bytes = encode_request(job, choice, forwarded);
-    let team = job.team.map(|team| &team.name);
+    let bytes = encode_request(job, choice, at);
     let sent_at = Std::now();
-    let exchanged = exchange(&mut conn, &bytes, &job.head.id);
-    let response = match stall.wait(true, exchanged).await {
-        Some(Ok(response)) => response,
-        Some(Err(ExchangeError::NotSent)) => return AttemptOutcome::NotSent,
-        failed => {
-            let error = failed.and_then(Result::err);
-            let error = error.unwrap_or(ExchangeError::TimedOut);
-            record_failed(&guard, job, &endpoint, error, reused, None);
-            let outcome = AttemptOutcome::Failed(error);
-            record_sample(state, job, choice, &outcome, sent_at.elapsed());
-            return outcome;
+    let response = match exchange(&mut conn, &bytes, &job.head.id).await {
+        Ok(response) => response,
+        Err(ExchangeError::NotSent) => return Started::Failed(AttemptEnd::NotConnected),
+        Err(error) => {
+            record_failed(state, job, &choice.id, error, Some(reused), None);
+            record_sample(state, job, &choice.id, false, sent_at.elapsed());
+            return Started::Failed(error.end());
         }
     };
     record_limit(state, &endpoint, &response, sent_at);
@@ -147,70 +126,119 @@
     if response.meta.not_run {
         record_not_run(state, job, choice, &response);
         drain_rejection(state, address, conn, &response).await;
-        return AttemptOutcome::NotRun;
+        return Started::Failed(AttemptEnd::NotRun);
     }
-    let is_stream = job.route.retry_policy.is_stream() && response.head.status == OK;
-    let mut first_event = None;
-    forwarded.events.drop_partial();
-    let events = forwarded.events.count();
-    let outcome = if is_stream && response.meta.sealed {
-        let number = guard.number;
-        let on_event = || {
-            if first_event.is_none() {
+    let team = job.team.map(|team| &team.name);
+    if job.route.retry_policy.is_stream() && response.head.status == OK && response.meta.sealed {
+        return match OpenStream::open(conn, response, at.last).await {
+            Ok(stream) => {
                 let now = Std::now();
-                first_event = Some(now);
                 let mut table = state.endpoints.borrow_mut();
-                table.record_first_event(&choice.id, number, now);
+                table.record_first_event(&choice.id, guard.number, now);
+                drop(table);
                 state.measure(|metrics| metrics.record_first_event(job.arrived.elapsed()));
                 state.count_run(team, now);
+                Started::Open(Box::new(EndpointStream {
+                    stream,
+                    address,
+                    reused,
+                    sent_at,
+                    first_event: now,
+                    guard,
+                }))
             }
-        };
-        match forward_stream(&mut conn, &response, forwarded, write, &mut stall, on_event).await {
-            StreamEnd::Complete => {
-                let events = forwarded.events.count().saturating_sub(events + 1) as u32;
-                let tokens = events
-                    * job
-                        .service
-                        .engine
-                        .as_ref()
-                        .map_or(0, |row| row.event_tokens);
-                let mut table = state.endpoints.borrow_mut();
-                table.record_stream(&choice.id, number, tokens, Std::now());
-                AttemptOutcome::Streamed
+            Err(error) => {
+                record_failed(state, job, &choice.id, error, Some(reused), None);
+                record_sample(state, job, &choice.id, false, sent_at.elapsed());
+                Started::Failed(error.end())
             }
-            StreamEnd::CallerGone(loss) => return AttemptOutcome::CallerGone(loss),
-            StreamEnd::Broken => AttemptOutcome::Failed(ExchangeError::Broken),
-        }
-    } else {
-        read_response(&mut conn, &response, &mut stall).await
-    };
+        };
+    }
+    let body = read_response(&mut conn, &response).await;
     // A stream begins to run with its first event; an error in its place is no run.
     if !job.route.retry_policy.is_stream() {
         state.count_run(team, sent_at);
     }
-    let events = forwarded.events.count().saturating_sub(events).max(1);
-    let took = sent_at.elapsed() / u32::try_from(events).unwrap_or(u32::MAX);
-    record_sample(state, job, choice, &outcome, took);
-    if !matches!(outcome, AttemptOutcome::Failed(_)) && !state.crashes.borrow().is_empty() {
-        clear(state, job.fingerprint.get());
-    }
-    match &outcome {
-        AttemptOutcome::Failed(error) => {
-            record_failed(&guard, job, &endpoint, *error, reused, first_event);
-        }
-        AttemptOutcome::Complete(head, _) if head.status >= SERVER_ERROR => {
-            guard.update(|row| {
-                row.breaker.record_failure(Std::now());
-            });
+    match body {
+        Ok(body) => {
+            let is_good = response.head.status < SERVER_ERROR;
+            record_sample(state, job, &choice.id, is_good, sent_at.elapsed());
+            record_answered(state, job, &choice.id, is_good);
             keep_connection(state, address, conn, &response);
+            Started::Complete(response.head, body)
         }
-        _ => {
-            state.measure(|metrics| metrics.record_attempt("answered"));
-            guard.update(|row| row.breaker.record_success());
-            keep_connection(state, address, conn, &response);
+        Err(error) => {
+            record_failed(state, job, &choice.id, error, Some(reused), None);
+            record_sample(state, job, &choice.id, false, sent_at.elapsed());
+            Started::Failed(error.end())
+        }
+    }
+}
+
+/// A stream of an endpoint that has begun.
+#[derive(Debug)]
+pub(crate) struct EndpointStream {
+    pub(crate) stream: OpenStream,
+    address: SocketAddr,
+    /// Whether its connection was used before.
+    reused: bool,
+    sent_at: Std,
+    first_event: Std,
+    guard: RequestGuard,
+}
+
+impl EndpointStream {
+    /// Records that the whole stream was received, and keeps its connection.
+    pub(crate) fn complete(self, state: &Rc<State>, job: &Job<'_>) {
+        let events = self.stream.count().saturating_sub(1) as u32;
+        let engine = job.service.engine.as_ref();
+        let tokens = events * engine.map_or(0, |row| row.event_tokens);
+        let endpoint = &self.guard.endpoint;
+        let mut table = state.endpoints.borrow_mut();
+        table.record_stream(endpoint, self.guard.number, tokens, Std::now());
+        drop(table);
+        record_sample(state, job, endpoint, true, self.time_per_event());
+        record_answered(state, job, endpoint, true);
+        let OpenStream { conn, response, .. } = self.stream;
+        keep_connection(state, self.address, conn, &response);
+    }
+
+    /// Records that the stream broke off, or was given up.
+    pub(crate) fn fail(&self, state: &Rc<State>, job: &Job<'_>, error: ExchangeError) {
+        let endpoint = &self.guard.endpoint;
+        record_sample(state, job, endpoint, false, self.time_per_event());
+        let first_event = Some(self.first_event);
+        record_failed(state, job, endpoint, error, Some(self.reused), first_event);
+    }
+
+    fn time_per_event(&self) -> Duration {
+        let events = u32::try_from(self.stream.count().max(1)).unwrap_or(u32::MAX);
+        self.sent_at.elapsed() / events
+    }
+}
+
+/// Records that an endpoint was silent until its request was given up.
+pub(crate) fn record_silent(state: &Rc<State>, job: &Job<'_>, endpoint: &EndpointId) {
+    record_failed(state, job, endpoint, ExchangeError::TimedOut, None, None);
+    record_sample(state, job, endpoint, false, job.arrived.elapsed());
+}
+
+/// Records that an endpoint answered; `is_good` if that was no error.
+fn record_answered(state: &State, job: &Job<'_>, endpoint: &EndpointId, is_good: bool) {
+    if !state.crashes.borrow().is_empty() {
+        clear(state, job.fingerprint.get());
+    }
+    if is_good {
+        state.measure(|metrics| metrics.record_attempt("answered"));
+    }
+    let mut table = state.endpoints.borrow_mut();
+    if let Some(row) = table.get_mut(endpoint) {
+        if is_good {
+            row.breaker.record_success();
+        } else {
+            row.breaker.record_failure(Std::now());
         }
     }
-    outcome
 }
 
 /// Records the rate limit that an endpoint announced in its response to a request that was sent
@@ -374,20 +402,24 @@
     }
 }
 
-/// Whether an endpoint may have crashed because of a request whose attempt failed there.
+/// The endpoint if it may have crashed because of a request whose attempt failed there.
 /// `first_event` is when the first event of its stream was received.
-fn may_have_crashed(
+fn crash_suspect(
     state: &State,
-    endpoint: &Listing,
+    endpoint: &EndpointId,
     error: ExchangeError,
     first_event: Option<Std>,
-) -> bool {
+) -> Option<Listing> {
     let is_safe = first_event.is_some_and(|at| at.elapsed() >= SAFE_AFTER);
+    if error != ExchangeError::Broken || is_safe {
+        return None;
+    }
     let table = state.endpoints.borrow();
-    let row = table.get(&endpoint.id);
     // The process of a leaving endpoint ends in any case.
-    let is_leaving = row.is_none_or(|row| row.state == EndpointState::Leaving);
-    error == ExchangeError::Broken && !is_safe && !is_leaving
+    let row = table
+        .get(endpoint)
+        .filter(|row| row.state != EndpointState::Leaving);
+    row.map(|row| row.listing.clone())
 }
 
 /// Logs that a request is sent to an endpoint whose registry entry is missing. If the request
@@ -429,7 +461,7 @@
 }
 
 /// Head and body of the request as they are sent to the endpoint.
-fn encode_request(job: &Job<'_>, choice: &Choice, forwarded: &Forwarded) -> Bytes {
+fn encode_request(job: &Job<'_>, choice: &Choice, at: Forwarded) -> Bytes {
     let left = job.deadline.saturating_duration_since(Instant::now());
     let mut bytes = request_head(
         job.request,
@@ -438,10 +470,7 @@
             team: job.team.map(|team| team.name.as_str()),
             time_left: left,
             rank: job.head.prompt.is_some().then_some(job.rank),
-            resume: forwarded
-                .head_sent
-                .then(|| forwarded.events.last())
-                .flatten(),
+            resume: at.resume(),
             body_len: job.body.len(),
         },
     );
@@ -453,37 +482,18 @@
 async fn read_response(
     conn: &mut BufferedStream,
     response: &EndpointResponse,
-    stall: &mut StallTimeout<'_>,
-) -> AttemptOutcome {
-    let body = read_body(conn, &response.head, MAX_RESPONSE_BYTES);
-    match stall.wait(true, body).await {
-        Some(Ok(body)) if response.head.status >= 300 || response.meta.sealed => {
-            AttemptOutcome::Complete(response.head.clone(), body)
-        }
-        Some(Ok(_)) => AttemptOutcome::Failed(ExchangeError::Invalid),
-        Some(Err(_)) => AttemptOutcome::Failed(ExchangeError::Broken),
-        None => AttemptOutcome::Failed(ExchangeError::TimedOut),
+) -> Result<Bytes, ExchangeError> {
+    match read_body(conn, &response.head, MAX_RESPONSE_BYTES).await {
+        Ok(body) if response.head.status >= 300 || response.meta.sealed => Ok(body),
+        Ok(_) => Err(ExchangeError::Invalid),
+        Err(_) => Err(ExchangeError::Broken),
     }
 }
 
 /// Records the result of an attempt for a rollout of the service, which compares the versions.
-fn record_sample(
-    state: &State,
-    job: &Job<'_>,
-    choice: &Choice,
-    outcome: &AttemptOutcome,
-    took: Duration,
-) {
-    let good = match outcome {
-        AttemptOutcome::Complete(head, _) => head.status < SERVER_ERROR,
-        AttemptOutcome::Streamed => true,
-        AttemptOutcome::Failed(_) => false,
-        AttemptOutcome::NotRun | AttemptOutcome::NotSent | AttemptOutcome::CallerGone(_) => {
-            return;
-        }
-    };
+fn record_sample(state: &State, job: &Job<'_>, endpoint: &EndpointId, good: bool, took: Duration) {
     let table = state.endpoints.borrow();
-    let Some(row) = table.get(&choice.id) else {
+    let Some(row) = table.get(endpoint) else {
         return;
     };
     let version = &row.listing.version;
@@ -500,29 +510,31 @@
     }
 }
 
-/// Records a failed attempt. `first_event` is when the first event of its stream was received.
+/// Records a failed attempt. `reused` is whether its connection was used before, if that is known,
+/// `first_event` when the first event of its stream was received.
 fn record_failed(
-    guard: &RequestGuard,
+    state: &Rc<State>,
     job: &Job<'_>,
-    endpoint: &Listing,
+    endpoint: &EndpointId,
     error: ExchangeError,
-    reused: bool,
+    reused: Option<bool>,
     first_event: Option<Std>,
 ) {
-    let state = &guard.state;
-    let mut opened = false;
-    guard.update(|row| opened = row.breaker.record_failure(Std::now()));
+    let mut table = state.endpoints.borrow_mut();
+    let row = table.get_mut(endpoint);
+    let opened = row.is_some_and(|row| row.breaker.record_failure(Std::now()));
+    drop(table);
     state.measure(|metrics| metrics.record_attempt("failed"));
     reach::record_failure(state, &job.service.name);
     log::info!(
-        request = job.head.id.as_str(), endpoint = endpoint.id.as_str(), kept = reused,
+        request = job.head.id.as_str(), endpoint = endpoint.as_str(), kept = reused,
         left_out = opened, after_ms = job.arrived.elapsed().as_millis() as u64,
         content:% = format_args!("{:016x}", job.fingerprint.get()),
         ran_ms = first_event.map(|at| at.elapsed().as_millis() as u64);
         "send: failed, {error}."
     );
-    if may_have_crashed(state, endpoint, error, first_event) {
-        check_crash(state, endpoint, job.fingerprint.get());
+    if let Some(suspect) = crash_suspect(state, endpoint, error, first_event) {
+        check_crash(state, &suspect, job.fingerprint.get());
     }
 }
 
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -1,65 +1,113 @@
-//! Sends an admitted request to endpoints until one responds or no further attempt is allowed.
+//! Has a request served by endpoints until one has answered it or no further attempt is allowed.
 //!
 //! A request that no endpoint ran may be sent to another one whatever its route. One that ran, or
 //! may have, is retried only if its route allows that. Once the request has reached an endpoint,
 //! every further attempt is taken from the retry budget of its service.
+//!
+//! Silence of an endpoint ends no attempt: a sound one that is busy, or whose host is paused, goes
+//! on. After a while another endpoint is asked in addition, and whichever has an answer first goes
+//! on; the other attempt is then ended at once. An endpoint that only seemed to have room rejects
+//! the request, or breaks off, and nothing is lost.
+//!
+//! While this daemon reaches no endpoint of the service, other daemons take their place.
 
+use std::cell::{Cell, RefCell};
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::{Duration, Instant as Std};
 
 use bytes::Bytes;
+use compact_str::ToCompactString as _;
+use futures::StreamExt as _;
+use futures::future::LocalBoxFuture;
+use futures::stream::FuturesUnordered;
 use poplarvale_lib::http1::Response;
 use poplarvale_lib::relay::admit::Limits;
-use poplarvale_lib::relay::attempts::{AttemptEnd, Stop, Via};
+use poplarvale_lib::relay::attempts::{AttemptEnd, AttemptIndex, Stop, Via};
 use poplarvale_lib::relay::endpoint_table::EndpointState;
 use poplarvale_lib::relay::quota;
 use poplarvale_lib::relay::selection::{Choice, Criteria, SelectError, choose};
 use poplarvale_lib::{Code, EndpointId, ServiceId};
 use tokio::net::tcp::WriteHalf;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
-use super::attempt::{AttemptOutcome, Job, attempt};
+use super::attempt::{self, EndpointStream, Job, Started};
 use super::crash::quarantine_left;
-use super::exchange::{ExchangeError, SERVER_ERROR};
-use super::forward::{Forwarding, forward};
-use super::progress::{Loss, Tracker};
+use super::exchange::{ExchangeError, OK, SERVER_ERROR};
+use super::forward::{self, DaemonStream, MAX_DAEMONS};
+use super::progress::{Loss, Progress, Tracker};
 use super::reach;
 use super::serve::{Connection, RETRY_SOON, Rejection, connection, forward_response, reject};
 use super::state::State;
-use super::stream::{Forwarded, StallTimeout};
+use super::stream::{Forwarded, OpenStream};
 
-/// Maximum number of endpoints that a request is sent to, including those that did not run it.
-const MAX_ENDPOINTS: u32 = 3;
-/// Minimum time without a response after which a request is moved to another endpoint. The
-/// slowest of normal plain responses take about 200 ms.
-const MIN_STALL_TIME: Duration = Duration::from_millis(350);
+/// Shortest silence of an endpoint after which another one is asked. The slowest of normal plain
+/// responses take about 200 ms.
+const MIN_PATIENCE: Duration = Duration::from_millis(350);
 /// Time after which a caller may retry while all zones with endpoints are evacuated. Operators
 /// take a zone back seconds later at the earliest.
 const EVACUATION_RETRY: Duration = Duration::from_secs(2);
 /// Time left until the deadline below which an attempt is not worth making.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
-/// Progress of a request over its attempts.
+/// Whom a request is sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Scope {
+    /// Endpoints, or other daemons while none is reached.
+    Any,
+    /// Other daemons only.
+    Daemons,
+}
+
+/// A stream that has begun, and who sends it.
 #[derive(Debug)]
-struct Progress {
-    tracker: Tracker,
-    forwarded: Forwarded,
-    /// Endpoints of earlier attempts.
-    avoid: Vec<EndpointId>,
-    /// Number of attempts that ran the request, or may have.
-    runs: u32,
-    /// Number of attempts that sent the request to an endpoint.
-    reached: u32,
-    /// Whether a retry is already taken from the budget for the next attempt.
-    reserved: bool,
-    /// Whether an attempt failed after which the request may have run.
-    unknown: bool,
-    /// Whether its units were returned to its team.
-    refunded: bool,
-    /// Why no further attempt is made; `None` while one may be.
-    stopped: Option<SelectError>,
-    /// Error response of an endpoint; it is forwarded if no later attempt responds.
-    failure: Option<(Response, Bytes)>,
+enum Source {
+    Endpoint(Box<EndpointStream>),
+    Daemon(Box<DaemonStream>),
+}
+
+impl Source {
+    fn stream(&mut self) -> &mut OpenStream {
+        match self {
+            Self::Endpoint(source) => &mut source.stream,
+            Self::Daemon(source) => &mut source.stream,
+        }
+    }
+
+    fn via(&self) -> Via {
+        match self {
+            Self::Endpoint(_) => Via::Endpoint,
+            Self::Daemon(_) => Via::Daemon,
+        }
+    }
+}
+
+/// Answer of the attempt that began to answer first.
+#[derive(Debug)]
+enum Answer {
+    /// A complete response that is not a stream.
+    Complete(Response, Bytes),
+    Stream(Source),
+}
+
+/// The next attempt, or why there is none.
+type Begun = Result<(AttemptIndex, Answer), Stop>;
+/// An attempt that has not begun to answer.
+type Pending<'p> = LocalBoxFuture<'p, (AttemptIndex, Result<Answer, AttemptEnd>)>;
+
+/// How waiting for more of a stream ended.
+enum More {
+    Received,
+    /// The attempt has ended; this is what follows.
+    Next(Begun),
+}
+
+/// How a stream ended for its caller.
+enum StreamEnd {
+    Complete,
+    Lost(Loss),
+    /// The attempt has ended; this is what follows.
+    Next(Begun),
 }
 
 /// Serves a request that was admitted.
@@ -74,280 +122,482 @@
         .budget
         .borrow_mut()
         .record_request(&job.service.name, now);
-    let times = (job.arrived.into_std(), job.deadline.into_std());
-    let mut progress = Progress {
-        tracker: Tracker::new(state, job.head, job.route, times),
-        forwarded: Forwarded::new(job.head.resume, keep),
-        avoid: Vec::new(),
-        runs: 0,
-        reached: 0,
-        reserved: false,
-        unknown: false,
-        refunded: false,
-        stopped: None,
-        failure: None,
-    };
-    while let Some(choice) = progress.next_endpoint(state, job) {
-        let outcome = progress.send(state, job, &choice, write).await;
-        if let Some(connection) = progress.apply(state, job, &choice, outcome, write).await {
-            return connection;
-        }
+    let dispatch = Dispatch::new(state, job, Scope::Any);
+    match dispatch.run(write, keep).await {
+        Ok(connection) => connection,
+        Err((stop, keep)) => dispatch.reject(stop, write, keep).await,
     }
-    progress.finish(state, job, write).await
 }
 
-impl Progress {
-    /// Chooses the endpoint of the next attempt; `None` if there is to be none.
-    fn next_endpoint(&mut self, state: &State, job: &Job<'_>) -> Option<Choice> {
-        if self.may_forward(state, job) {
-            return None;
+/// Has other daemons serve a request. Returns `None` if none took it; it has not run then.
+pub(crate) async fn dispatch_to_daemons(
+    state: &Rc<State>,
+    job: &Job<'_>,
+    write: &mut WriteHalf<'_>,
+    keep: bool,
+) -> Option<Connection> {
+    let dispatch = Dispatch::new(state, job, Scope::Daemons);
+    match dispatch.run(write, keep).await {
+        Ok(connection) => Some(connection),
+        Err((stop, keep)) if dispatch.progress().attempts().is_unknown() => {
+            Some(dispatch.reject(stop, write, keep).await)
         }
-        if Instant::now() + MIN_TIME_LEFT >= job.deadline {
-            self.record_stop(Stop::Deadline);
-            return None;
+        Err(_) => {
+            dispatch.tracker.end();
+            None
         }
-        if self.stopped.is_some() {
-            return None;
+    }
+}
+
+/// A request that is being served.
+#[derive(Debug)]
+struct Dispatch<'a, 'r> {
+    state: &'a Rc<State>,
+    job: &'a Job<'r>,
+    scope: Scope,
+    tracker: Tracker,
+    /// Daemons of earlier attempts.
+    daemons: RefCell<Vec<Ipv4Addr>>,
+    /// Whether its units were returned to its team.
+    refunded: Cell<bool>,
+    /// Error response of an endpoint; it is forwarded if no later attempt answers.
+    failure: RefCell<Option<(Response, Bytes)>>,
+}
+
+impl<'a, 'r> Dispatch<'a, 'r> {
+    fn new(state: &'a Rc<State>, job: &'a Job<'r>, scope: Scope) -> Self {
+        let times = (job.arrived.into_std(), job.deadline.into_std());
+        Self {
+            state,
+            job,
+            scope,
+            tracker: Tracker::new(state, job.head, job.route, times),
+            daemons: RefCell::default(),
+            refunded: Cell::new(false),
+            failure: RefCell::default(),
         }
-        if quarantine_left(state, &job.fingerprint).is_some() {
-            self.record_stop(Stop::Quarantined);
-            self.stopped = Some(SelectError::None);
-            return None;
+    }
+
+    fn progress(&self) -> &Progress {
+        self.tracker.progress()
+    }
+
+    /// Serves the request.
+    ///
+    /// # Errors
+    /// Why it has no answer, if nothing was sent to the caller yet; and whether the connection of
+    /// the caller is kept.
+    async fn run(&self, write: &mut WriteHalf<'_>, keep: bool) -> Result<Connection, (Stop, bool)> {
+        let mut forwarded = Forwarded::new(self.job.head.resume, keep);
+        let mut next = self.begin(forwarded).await;
+        loop {
+            let (row, source) = match next {
+                Ok((row, Answer::Complete(head, body))) => {
+                    return Ok(self.forward_complete(row, &head, &body, write, keep).await);
+                }
+                Ok((row, Answer::Stream(source))) => (row, source),
+                Err(_) if forwarded.head_sent => return Ok(self.lose(Loss::CutOff)),
+                Err(stop) => return Err((stop, keep)),
+            };
+            next = match self
+                .forward_stream(row, source, &mut forwarded, write)
+                .await
+            {
+                StreamEnd::Complete => {
+                    self.tracker.end();
+                    return Ok(connection(keep));
+                }
+                StreamEnd::Lost(loss) => return Ok(self.lose(loss)),
+                StreamEnd::Next(next) => next,
+            };
         }
-        match pick(state, job, &self.avoid) {
-            Ok(choice) => {
-                let granted = std::mem::take(&mut self.reserved) || self.reached == 0;
-                if granted || (self.reached < MAX_ENDPOINTS && try_retry(state, &job.service.name))
-                {
-                    return Some(choice);
+    }
+
+    /// Ends an answer of which the caller lacks a part. Only closing the connection before the end
+    /// of the body shows the caller that a stream is incomplete.
+    fn lose(&self, loss: Loss) -> Connection {
+        self.tracker.lose(loss);
+        let route = &self.job.route.name;
+        let code = Code::Broken.number();
+        self.state
+            .measure(|metrics| metrics.record_request(route, code, Duration::ZERO));
+        Connection::Close
+    }
+
+    /// Sends the request to one target after the other until one has begun to answer. One that is
+    /// silent keeps the request until then.
+    async fn begin(&self, at: Forwarded) -> Begun {
+        let deadline = self.job.deadline;
+        let mut pending: FuturesUnordered<Pending<'_>> = FuturesUnordered::new();
+        let mut rows = Vec::new();
+        loop {
+            let patience = match self.next(at) {
+                Ok((row, patience, attempt)) => {
+                    rows.push(row);
+                    pending.push(attempt);
+                    patience
                 }
-                self.record_stop(if self.reached < MAX_ENDPOINTS {
-                    Stop::Budget
-                } else {
-                    Stop::Endpoints
-                });
-                self.stopped = Some(SelectError::Full);
-            }
-            Err(why) => {
-                self.record_stop(Stop::Select(why));
-                self.stopped = Some(why);
+                Err(stop) => {
+                    self.progress().record_stop(stop);
+                    if pending.is_empty() {
+                        return Err(stop);
+                    }
+                    self.pause(Via::Endpoint)
+                }
+            };
+            let until = deadline.min(Instant::now() + patience);
+            match timeout_at(until, pending.next()).await {
+                Ok(Some((row, result))) => {
+                    rows.retain(|other| *other != row);
+                    if let Some(answer) = self.settle(row, result, at) {
+                        self.give_up(&rows, AttemptEnd::TakenOver);
+                        return Ok((row, answer));
+                    }
+                }
+                Ok(None) => {}
+                Err(_) if Instant::now() >= deadline => {
+                    self.give_up(&rows, AttemptEnd::TimedOut);
+                    self.progress().record_stop(Stop::Deadline);
+                    return Err(Stop::Deadline);
+                }
+                Err(_) => reach::record_failure(self.state, &self.job.service.name),
             }
         }
-        None
     }
 
-    fn record_stop(&self, stop: Stop) {
-        self.tracker.progress().record_stop(stop);
+    /// Starts the next attempt. Returns it with the time after which its target counts as silent.
+    fn next(&self, at: Forwarded) -> Result<(AttemptIndex, Duration, Pending<'_>), Stop> {
+        if Instant::now() + MIN_TIME_LEFT >= self.job.deadline {
+            return Err(Stop::Deadline);
+        }
+        let is_forwarded = can_forward(self.state, self.job) && self.failure.borrow().is_none();
+        if self.scope == Scope::Daemons || is_forwarded {
+            self.next_daemon(at)
+        } else {
+            self.next_endpoint(at)
+        }
     }
 
-    /// Makes an attempt at the chosen endpoint.
-    async fn send(
-        &mut self,
-        state: &Rc<State>,
-        job: &Job<'_>,
-        choice: &Choice,
-        write: &mut WriteHalf<'_>,
-    ) -> AttemptOutcome {
-        self.avoid.push(choice.id.clone());
-        let progress = self.tracker.progress();
-        let row = progress.update(|row| row.begin(&choice.id, Via::Endpoint, Std::now()));
-        let may_continue = job.route.retry_policy.allows_retry()
-            && self.runs + 1 < job.route.attempts
-            && self.reached + 1 < MAX_ENDPOINTS;
-        let (avoid, reserved) = (&self.avoid, &mut self.reserved);
-        let mut try_move = || {
-            reach::record_failure(state, &job.service.name);
-            let may_move = can_forward(state, job) || pick(state, job, avoid).is_ok();
-            *reserved = may_continue && may_move && try_retry(state, &job.service.name);
-            *reserved
+    fn next_endpoint(&self, at: Forwarded) -> Result<(AttemptIndex, Duration, Pending<'_>), Stop> {
+        let (state, job) = (self.state, self.job);
+        if quarantine_left(state, &job.fingerprint).is_some() {
+            return Err(Stop::Quarantined);
+        }
+        let (sent, tried) = {
+            let attempts = self.progress().attempts();
+            attempts.check_next(Via::Endpoint)?;
+            (attempts.sent(), attempts.endpoints())
+        };
+        let choice = pick(state, job, &tried).map_err(Stop::Select)?;
+        if sent > 0 && !try_retry(state, &job.service.name) {
+            return Err(Stop::Budget);
+        }
+        let row = self.progress().begin(&choice.id, Via::Endpoint);
+        let patience = patience(job, choice.wait);
+        let attempt = async move {
+            let result = match attempt::begin(state, job, &choice, at).await {
+                Started::Complete(head, body) => Ok(Answer::Complete(head, body)),
+                Started::Open(stream) => Ok(Answer::Stream(Source::Endpoint(stream))),
+                Started::Failed(end) => Err(end),
+            };
+            (row, result)
         };
-        let stall = stall_timeout(job, choice.wait, &mut try_move);
-        let events = self.forwarded.events.count();
-        let outcome = attempt(state, job, choice, &mut self.forwarded, write, stall).await;
-        let events = self.forwarded.events.count() - events;
-        progress.record_event(self.forwarded.events.last());
-        progress.update(|rows| {
-            rows.record_events(row, events);
-            if let Some(end) = attempt_end(&outcome) {
-                rows.end(row, end, Std::now());
+        Ok((row, patience, Box::pin(attempt)))
+    }
+
+    fn next_daemon(&self, at: Forwarded) -> Result<(AttemptIndex, Duration, Pending<'_>), Stop> {
+        let (state, job) = (self.state, self.job);
+        let (sent, may_have_run) = {
+            let attempts = self.progress().attempts();
+            attempts.check_next(Via::Daemon)?;
+            if attempts.count(Via::Daemon) >= MAX_DAEMONS {
+                return Err(Stop::NoDaemon);
             }
+            (attempts.sent(), attempts.may_have_run())
+        };
+        let chosen = forward::choose(state, job, &self.daemons.borrow());
+        let daemon = chosen.ok_or(Stop::NoDaemon)?;
+        if sent > 0 && !try_retry(state, &job.service.name) {
+            return Err(Stop::Budget);
+        }
+        if self.scope == Scope::Any && !may_have_run {
+            // The other daemon counts the request against the rate of the team.
+            self.refund();
+        }
+        self.daemons.borrow_mut().push(daemon);
+        let row = self
+            .progress()
+            .begin(&daemon.to_compact_string(), Via::Daemon);
+        let attempt = async move {
+            let result = match forward::begin(state, job, daemon, at).await {
+                forward::Started::Complete(head, body) => Ok(Answer::Complete(head, body)),
+                forward::Started::Open(stream) => Ok(Answer::Stream(Source::Daemon(stream))),
+                forward::Started::Failed(end) => Err(end),
+            };
+            (row, result)
+        };
+        Ok((row, forward::patience(job), Box::pin(attempt)))
+    }
+
+    /// Applies the result of an attempt; `Some` if it is the answer of the request.
+    fn settle(
+        &self,
+        row: AttemptIndex,
+        result: Result<Answer, AttemptEnd>,
+        at: Forwarded,
+    ) -> Option<Answer> {
+        let (answer, end) = match result {
+            Ok(Answer::Stream(source)) => return Some(Answer::Stream(source)),
+            Ok(Answer::Complete(head, body)) => {
+                let is_error = head.status >= SERVER_ERROR;
+                let is_endpoint = self.progress().attempts().via(row) == Via::Endpoint;
+                let is_repeatable = self.job.route.retry_policy.allows_retry();
+                if at.head_sent {
+                    // It is no part of the stream that the caller has begun to receive.
+                    (None, AttemptEnd::Error)
+                } else if is_error && is_endpoint && is_repeatable {
+                    self.failure.replace(Some((head, body)));
+                    (None, AttemptEnd::Error)
+                } else {
+                    (Some(Answer::Complete(head, body)), AttemptEnd::Answered)
+                }
+            }
+            Err(end) => (None, end),
+        };
+        self.progress().end(row, end);
+        answer
+    }
+
+    /// Ends those of these attempts that are in progress and have no answer, because another one
+    /// has begun to answer, or the deadline has passed.
+    fn give_up(&self, rows: &[AttemptIndex], end: AttemptEnd) {
+        let ended = self.progress().update(|all| {
+            let now = Std::now();
+            let rows = rows.iter().copied();
+            let ended = rows.filter_map(|row| all.end_pending(row, end, now));
+            ended.collect::<Vec<_>>()
         });
-        outcome
+        for (via, target) in ended {
+            match via {
+                Via::Endpoint => attempt::record_silent(self.state, self.job, &target),
+                Via::Daemon => forward::record_silent(self.state, self.job, &target),
+            }
+        }
     }
 
-    /// Applies the outcome of an attempt; `Some` if the request is done.
-    async fn apply(
-        &mut self,
-        state: &State,
-        job: &Job<'_>,
-        choice: &Choice,
-        outcome: AttemptOutcome,
+    /// Forwards a stream to the caller until it ends.
+    async fn forward_stream(
+        &self,
+        row: AttemptIndex,
+        mut source: Source,
+        forwarded: &mut Forwarded,
         write: &mut WriteHalf<'_>,
-    ) -> Option<Connection> {
-        if !matches!(outcome, AttemptOutcome::NotSent) {
-            self.reached += 1;
-        }
-        let retryable = job.route.retry_policy.allows_retry();
-        match outcome {
-            AttemptOutcome::Streamed => {
-                self.tracker.end();
-                log_response(state, job, &choice.id, 200, self.reached);
-                Some(connection(self.forwarded.keep))
+    ) -> StreamEnd {
+        loop {
+            let stream = source.stream();
+            let events = stream.take();
+            let count = stream.count();
+            self.progress().update(|all| all.record_events(row, count));
+            if !events.is_empty() || stream.is_done() {
+                let sent = forwarded.write(write, stream, &events);
+                match timeout_at(self.job.deadline, sent).await {
+                    Ok(Ok(())) => self.progress().record_event(forwarded.last),
+                    Ok(Err(_)) => return StreamEnd::Lost(Loss::Disconnected),
+                    Err(_) => return StreamEnd::Lost(Loss::NotRead),
+                }
             }
-            AttemptOutcome::CallerGone(loss) => {
-                self.tracker.lose(loss);
-                Some(Connection::Close)
+            if source.stream().is_done() {
+                self.complete_stream(row, source);
+                return StreamEnd::Complete;
             }
-            AttemptOutcome::NotSent | AttemptOutcome::NotRun => None,
-            AttemptOutcome::Complete(head, body) => {
-                self.runs += 1;
-                let retries = head.status >= SERVER_ERROR && retryable && !self.forwarded.head_sent;
-                if retries && self.runs < job.route.attempts {
-                    self.failure = Some((head, body));
-                    return None;
+            if let More::Next(next) = self.receive(row, &mut source, *forwarded).await {
+                return StreamEnd::Next(next);
+            }
+        }
+    }
+
+    /// Receives more of a stream. If it is silent for a while, other attempts are made, and it goes
+    /// on unless one of them has an answer first.
+    async fn receive(&self, row: AttemptIndex, source: &mut Source, at: Forwarded) -> More {
+        let pause = self.pause(source.via());
+        let deadline = self.job.deadline;
+        let mut read = Box::pin(source.stream().read());
+        let failure = loop {
+            let until = deadline.min(Instant::now() + pause);
+            match timeout_at(until, &mut read).await {
+                Ok(Ok(())) => return More::Received,
+                Ok(Err(error)) => break error,
+                Err(_) if Instant::now() >= deadline => break ExchangeError::TimedOut,
+                Err(_) => reach::record_failure(self.state, &self.job.service.name),
+            }
+            let others = self.begin(at);
+            tokio::pin!(others);
+            let received = tokio::select! {
+                biased;
+                received = &mut read => received,
+                begun = &mut others => {
+                    if begun.is_ok() {
+                        drop(read);
+                        self.fail(row, source, ExchangeError::TimedOut, AttemptEnd::TakenOver);
+                        return More::Next(begun);
+                    }
+                    continue;
                 }
-                if self.forwarded.head_sent {
-                    return Some(self.cut_off(state, job));
+            };
+            match received {
+                Ok(()) => {
+                    self.withdraw(row);
+                    return More::Received;
                 }
-                self.tracker.end();
-                log_response(state, job, &choice.id, head.status, self.reached);
-                Some(forward_response(write, &head, &body, self.forwarded.keep).await)
-            }
-            AttemptOutcome::Failed(_) => {
-                self.runs += 1;
-                self.unknown = true;
-                if !retryable || self.runs >= job.route.attempts {
-                    self.record_stop(if retryable {
-                        Stop::Runs
-                    } else {
-                        Stop::NotRepeatable
-                    });
-                    self.stopped = Some(SelectError::None);
+                Err(error) => {
+                    drop(read);
+                    self.fail(row, source, error, error.end());
+                    return More::Next(others.await);
                 }
-                None
             }
+        };
+        drop(read);
+        self.fail(row, source, failure, failure.end());
+        More::Next(self.begin(at).await)
+    }
+
+    /// Ends all attempts but this one, which goes on after a silence.
+    fn withdraw(&self, row: AttemptIndex) {
+        let now = Std::now();
+        let end = AttemptEnd::Withdrawn;
+        let withdrawn = self.progress().update(|all| all.end_others(row, end, now));
+        for target in withdrawn {
+            log::info!(
+                request = self.job.head.id.as_str(), target = target.as_str();
+                "send: withdrawn, as the attempt before goes on."
+            );
         }
     }
 
-    /// Whether the request is to be forwarded to another daemon instead of a further attempt.
-    fn may_forward(&self, state: &State, job: &Job<'_>) -> bool {
-        can_forward(state, job) && (!self.unknown || job.route.retry_policy.allows_retry())
+    /// Records that the attempt at the source of a stream has ended early.
+    fn fail(&self, row: AttemptIndex, source: &Source, error: ExchangeError, end: AttemptEnd) {
+        self.progress().end(row, end);
+        match source {
+            Source::Endpoint(source) => source.fail(self.state, self.job, error),
+            Source::Daemon(source) => source.fail(self.state, self.job, error),
+        }
     }
 
-    /// Forwards the request to another daemon, if that is possible and useful; `None` if it is not,
-    /// or if no daemon took the request.
-    async fn forward(
-        &mut self,
-        state: &Rc<State>,
-        job: &Job<'_>,
-        write: &mut WriteHalf<'_>,
-    ) -> Option<Connection> {
-        let is_late = Instant::now() + MIN_TIME_LEFT >= job.deadline;
-        if is_late || self.failure.is_some() || !self.may_forward(state, job) {
-            return None;
+    fn complete_stream(&self, row: AttemptIndex, source: Source) {
+        self.progress().end(row, AttemptEnd::Answered);
+        match source {
+            Source::Endpoint(source) => {
+                source.complete(self.state, self.job);
+                self.log_response(row, OK);
+            }
+            Source::Daemon(source) => source.complete(self.state, self.job),
         }
-        let is_first = self.reached == 0 && !self.forwarded.head_sent;
-        if !is_first && !std::mem::take(&mut self.reserved) && !try_retry(state, &job.service.name)
-        {
-            return None;
+    }
+
+    /// Forwards a response that is not a stream.
+    async fn forward_complete(
+        &self,
+        row: AttemptIndex,
+        head: &Response,
+        body: &Bytes,
+        write: &mut WriteHalf<'_>,
+        keep: bool,
+    ) -> Connection {
+        self.tracker.end();
+        let via = self.progress().attempts().via(row);
+        if via == Via::Endpoint {
+            self.log_response(row, head.status);
         }
-        if !self.unknown {
-            // The other daemon counts the request against the rate of the team.
-            self.refund(state, job);
+        forward_response(write, head, body, keep).await
+    }
+
+    /// How long a stream may be silent before other attempts are made.
+    fn pause(&self, via: Via) -> Duration {
+        match via {
+            Via::Endpoint => {
+                let route = self.job.route;
+                route.pause_target.unwrap_or(route.target) * 3
+            }
+            Via::Daemon => forward::pause(self.job),
         }
-        let forwarding = Forwarding {
-            request: job.request,
-            body: job.body,
-            head: job.head,
-            route: job.route,
-            service: &job.service.name,
-            homes: job.homes.as_deref(),
-            arrived: job.arrived,
-            deadline: job.deadline,
-        };
-        forward(
-            state,
-            &forwarding,
-            &self.tracker,
-            &mut self.forwarded,
-            write,
-        )
-        .await
     }
 
     /// Returns the units of a request that did not run to its team.
-    fn refund(&mut self, state: &State, job: &Job<'_>) {
-        if let Some(team) = job.team
-            && !std::mem::replace(&mut self.refunded, true)
+    fn refund(&self) {
+        if let Some(team) = self.job.team
+            && !self.refunded.replace(true)
         {
-            let units = quota::units(team, job.head);
-            state.quota.borrow_mut().refund(team, units);
+            let units = quota::units(team, self.job.head);
+            self.state.quota.borrow_mut().refund(team, units);
         }
     }
 
-    /// Ends a request of which no further attempt is made.
-    async fn finish(
-        mut self,
-        state: &Rc<State>,
-        job: &Job<'_>,
-        write: &mut WriteHalf<'_>,
-    ) -> Connection {
-        if let Some(connection) = self.forward(state, job, write).await {
-            return connection;
-        }
-        if self.forwarded.head_sent {
-            return self.cut_off(state, job);
-        }
+    /// Answers a request of which nothing was sent to the caller, and of which no further attempt
+    /// is made.
+    async fn reject(&self, stop: Stop, write: &mut WriteHalf<'_>, keep: bool) -> Connection {
+        let (state, job) = (self.state, self.job);
         self.tracker.end();
-        if let Some((head, body)) = self.failure {
-            log_response(state, job, "", head.status, self.reached);
-            return forward_response(write, &head, &body, self.forwarded.keep).await;
+        let failure = self.failure.take();
+        if let Some((head, body)) = failure {
+            self.log_failure(head.status);
+            return forward_response(write, &head, &body, keep).await;
         }
-        if self.stopped == Some(SelectError::None) {
+        if stop == Stop::Select(SelectError::None) {
             log_unusable(state, job);
         }
-        let late = Instant::now() + MIN_TIME_LEFT >= job.deadline;
-        let rejection = match (self.unknown, self.stopped) {
-            (true, _) if late => Rejection::unknown_outcome(Code::Overdue),
+        let is_late = Instant::now() + MIN_TIME_LEFT >= job.deadline;
+        let is_unknown = self.progress().attempts().is_unknown();
+        let rejection = match (is_unknown, stop) {
+            (true, _) if is_late => Rejection::unknown_outcome(Code::Overdue),
             (true, _) => Rejection::unknown_outcome(Code::Broken),
-            (false, Some(SelectError::Busy(wait))) => Rejection::retry_later(Code::Full, wait),
-            (false, Some(SelectError::Full)) => Rejection::retry_later(Code::Full, RETRY_SOON),
-            (false, Some(SelectError::NoHome)) => Rejection::retry_later(Code::NoHome, RETRY_SOON),
-            (false, Some(SelectError::Evacuated)) => {
+            (false, Stop::Select(SelectError::Busy(wait))) => {
+                Rejection::retry_later(Code::Full, wait)
+            }
+            (false, Stop::Select(SelectError::Full) | Stop::Budget | Stop::Endpoints) => {
+                Rejection::retry_later(Code::Full, RETRY_SOON)
+            }
+            (false, Stop::Select(SelectError::NoHome)) => {
+                Rejection::retry_later(Code::NoHome, RETRY_SOON)
+            }
+            (false, Stop::Select(SelectError::Evacuated)) => {
                 Rejection::retry_later(Code::Evacuated, EVACUATION_RETRY)
             }
             (false, _) => Rejection::retry_later(Code::NoEndpoint, RETRY_SOON),
         };
-        if !self.unknown {
+        if is_unknown {
+            self.log_unanswered(stop);
+        } else {
             // A request that did not run does not count against the rate of its team.
-            self.refund(state, job);
+            self.refund();
         }
-        reject(state, write, job.head, rejection, self.forwarded.keep).await
+        reject(state, write, job.head, rejection, keep).await
     }
 
-    /// Ends a stream of which the caller has received a part. Only closing the connection before
-    /// the end of the body shows the caller that the stream is incomplete.
-    fn cut_off(&self, state: &State, job: &Job<'_>) -> Connection {
-        self.tracker.lose(Loss::CutOff);
-        let code = Code::Broken.number();
-        state.measure(|metrics| metrics.record_request(&job.route.name, code, Duration::ZERO));
-        Connection::Close
+    /// Logs the attempts of a request that may have run and has no answer.
+    fn log_unanswered(&self, stop: Stop) {
+        let attempts = self.progress().attempts();
+        log::info!(
+            request = self.job.head.id.as_str(), attempts:% = attempts,
+            left_ms = self.job.deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
+            "serve: no attempt was answered and {stop}."
+        );
+    }
+
+    fn log_failure(&self, status: u16) {
+        log_response(
+            self.state,
+            self.job,
+            "",
+            status,
+            self.progress().attempts().sent(),
+        );
     }
-}
 
-/// How an attempt ended; `None` if the caller ended it.
-fn attempt_end(outcome: &AttemptOutcome) -> Option<AttemptEnd> {
-    Some(match outcome {
-        AttemptOutcome::Streamed => AttemptEnd::Answered,
-        AttemptOutcome::Complete(head, _) if head.status >= SERVER_ERROR => AttemptEnd::Error,
-        AttemptOutcome::Complete(..) => AttemptEnd::Answered,
-        AttemptOutcome::NotRun => AttemptEnd::NotRun,
-        AttemptOutcome::NotSent => AttemptEnd::NotConnected,
-        AttemptOutcome::Failed(ExchangeError::TimedOut) => AttemptEnd::TimedOut,
-        AttemptOutcome::Failed(ExchangeError::Invalid) => AttemptEnd::Invalid,
-        AttemptOutcome::Failed(_) => AttemptEnd::Broken,
-        AttemptOutcome::CallerGone(_) => return None,
-    })
+    fn log_response(&self, row: AttemptIndex, status: u16) {
+        let attempts = self.progress().attempts();
+        let (endpoint, sends) = (attempts.target(row), attempts.sent());
+        log_response(self.state, self.job, endpoint, status, sends);
+    }
 }
 
 /// Whether a request may be forwarded now, as this daemon does not reach its service.
@@ -405,19 +655,9 @@
     }
 }
 
-/// How long an endpoint may send nothing before the request is moved, if it can be.
-fn stall_timeout<'m>(
-    job: &Job<'_>,
-    wait: Duration,
-    try_move: &'m mut dyn FnMut() -> bool,
-) -> StallTimeout<'m> {
-    let first_event = (wait * 3).max(job.route.target * 3 / 2).max(MIN_STALL_TIME);
-    StallTimeout {
-        first_event: Instant::now() + first_event,
-        pause: job.route.pause_target.unwrap_or(job.route.target) * 3,
-        deadline: job.deadline,
-        try_move,
-    }
+/// How long an endpoint is silent before another one is asked, too.
+fn patience(job: &Job<'_>, wait: Duration) -> Duration {
+    (wait * 3).max(job.route.target * 3 / 2).max(MIN_PATIENCE)
 }
 
 /// Logs why no endpoint of a service may be used, a few times a second: whether it has none, they
@@ -446,7 +686,7 @@
 }
 
 /// Logs how a request ended: always if it failed or was late, a few a second otherwise.
-fn log_response(state: &State, job: &Job<'_>, endpoint: &str, status: u16, reached: u32) {
+fn log_response(state: &State, job: &Job<'_>, endpoint: &str, status: u16, sends: usize) {
     let took = job.arrived.elapsed();
     state.measure(|metrics| metrics.record_request(&job.route.name, 0, took));
     let late = !job.route.retry_policy.is_stream() && took > job.route.target;
@@ -455,7 +695,7 @@
     }
     log::info!(
         request = job.head.id.as_str(), route = job.route.name.as_str(), endpoint,
-        team = job.team.map_or("", |team| team.name.as_str()), status, sends = reached,
+        team = job.team.map_or("", |team| team.name.as_str()), status, sends,
         took_ms = took.as_millis() as u64, catalog = job.version;
         "serve: answered."
     );
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use poplarvale_lib::http1::{Body, Response};
+use poplarvale_lib::relay::attempts::AttemptEnd;
 use poplarvale_platform::{ResponseMeta, read_response_meta};
 use tokio::io::AsyncWriteExt as _;
 
@@ -34,6 +35,18 @@
     Invalid,
 }
 
+impl ExchangeError {
+    /// How the attempt ended.
+    pub(crate) fn end(self) -> AttemptEnd {
+        match self {
+            Self::NotSent => AttemptEnd::NotConnected,
+            Self::Broken => AttemptEnd::Broken,
+            Self::TimedOut => AttemptEnd::TimedOut,
+            Self::Invalid => AttemptEnd::Invalid,
+        }
+    }
+}
+
 /// Head of an endpoint's response.
 #[derive(Debug)]
 pub(crate) struct EndpointResponse {
--- a/daemon/src/relay/progress.rs
+++ b/daemon/src/relay/progress.rs
@@ -4,12 +4,12 @@
 //! caller that disconnects or reads nothing, and the end of the process. The line tells the reason,
 //! the time that was left, how each attempt ended and why no further one was made.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
 use std::time::Instant;
 
 use compact_str::{CompactString, ToCompactString as _};
-use poplarvale_lib::relay::attempts::{Attempts, Stop};
+use poplarvale_lib::relay::attempts::{AttemptEnd, AttemptIndex, Attempts, Stop, Via};
 use poplarvale_lib::relay::catalog::Route;
 use poplarvale_lib::relay::request::RequestHead;
 
@@ -62,6 +62,20 @@
 }
 
 impl Progress {
+    pub(crate) fn attempts(&self) -> Ref<'_, Attempts> {
+        self.attempts.borrow()
+    }
+
+    /// Adds an attempt that begins now.
+    pub(crate) fn begin(&self, target: &str, via: Via) -> AttemptIndex {
+        self.update(|attempts| attempts.begin(target, via, Instant::now()))
+    }
+
+    /// Records the end of an attempt.
+    pub(crate) fn end(&self, at: AttemptIndex, end: AttemptEnd) {
+        self.update(|attempts| attempts.end(at, end, Instant::now()));
+    }
+
     /// Changes the attempts.
     pub(crate) fn update<T>(&self, change: impl FnOnce(&mut Attempts) -> T) -> T {
         change(&mut self.attempts.borrow_mut())
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -23,11 +23,8 @@
 
 use super::attempt::Job;
 use super::crash::{LazyFingerprint, quarantine_left};
-use super::dispatch::dispatch;
-use super::forward::{Forwarding, forward};
-use super::progress::Tracker;
+use super::dispatch::{dispatch, dispatch_to_daemons};
 use super::state::State;
-use super::stream::Forwarded;
 
 /// Rank of a team whose settings give none.
 const DEFAULT_RANK: u8 = 1;
@@ -166,30 +163,28 @@
         let rejection = Rejection::permanent(Code::NotTaken);
         return reject(state, write, head, rejection, keep).await;
     }
-    if is_cut_off {
-        let forwarding = Forwarding {
-            request,
-            body,
-            head,
-            route,
-            service: &service.name,
-            homes: homes.as_deref(),
-            arrived,
-            deadline: arrived + timeout,
-        };
-        let mut forwarded = Forwarded::new(head.resume, keep);
-        let tracker = Tracker::new(state, head, route, (arrived.into_std(), deadline));
-        let done = forward(state, &forwarding, &tracker, &mut forwarded, write).await;
-        if done.is_none() {
-            tracker.end();
-        }
-        if let Some(done) = done {
-            return done;
-        }
-    }
     let name = team.map_or("", |team| team.name.as_str());
-    let fingerprint = LazyFingerprint::new(name, &head.host, request, body);
-    if let Some(left) = quarantine_left(state, &fingerprint) {
+    let mut job = Job {
+        request,
+        body,
+        head,
+        route,
+        team,
+        service,
+        rank: rank(route, team.and_then(|team| team.rank)),
+        arrived,
+        deadline: arrived + timeout,
+        version: catalog.version,
+        versions: Versions::Any,
+        homes,
+        fingerprint: LazyFingerprint::new(name, &head.host, request, body),
+        // Otherwise no other daemon has taken it.
+        may_forward: origin == Origin::Caller && !is_cut_off,
+    };
+    if is_cut_off && let Some(done) = dispatch_to_daemons(state, &job, write, keep).await {
+        return done;
+    }
+    if let Some(left) = quarantine_left(state, &job.fingerprint) {
         let rejection = Rejection::retry_later(Code::Quarantined, left);
         return reject(state, write, head, rejection, keep).await;
     }
@@ -207,23 +202,7 @@
         let mut demand = state.demand.borrow_mut();
         demand.record(&service.name, work, Std::now());
     }
-    let job = Job {
-        request,
-        body,
-        head,
-        route,
-        team,
-        service,
-        rank: rank(route, team.and_then(|team| team.rank)),
-        arrived,
-        deadline: arrived + timeout,
-        version: catalog.version,
-        versions: versions(state, &service.name),
-        homes,
-        fingerprint,
-        // Otherwise no other daemon has taken it.
-        may_forward: origin == Origin::Caller && !is_cut_off,
-    };
+    job.versions = versions(state, &service.name);
     dispatch(state, &job, write, keep).await
 }
 
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -202,20 +202,30 @@
         self.rows[at].end.get_or_insert((now, end));
     }
 
-    /// Ends all attempts in progress other than `kept`, and returns their targets.
+    /// Ends an attempt that is in progress and returns its target; `None` if it had ended.
+    pub fn end_pending(
+        &mut self,
+        at: AttemptIndex,
+        end: AttemptEnd,
+        now: Instant,
+    ) -> Option<(Via, CompactString)> {
+        let row = self.rows.get_mut(at).filter(|row| row.end.is_none())?;
+        row.end = Some((now, end));
+        Some((row.via, row.target.clone()))
+    }
+
+    /// Ends all attempts in progress but one, and returns their targets.
     pub fn end_others(
         &mut self,
-        kept: Option<AttemptIndex>,
+        kept: AttemptIndex,
         end: AttemptEnd,
         now: Instant,
-    ) -> Vec<(Via, CompactString)> {
-        let rows = self.rows.iter_mut().enumerate();
-        let open = rows.filter(|(at, row)| Some(*at) != kept && row.end.is_none());
-        open.map(|(_, row)| {
-            row.end = Some((now, end));
-            (row.via, row.target.clone())
-        })
-        .collect()
+    ) -> Vec<CompactString> {
+        let others = (0..self.rows.len()).filter(|at| *at != kept);
+        let ended: Vec<_> = others
+            .filter_map(|at| self.end_pending(at, end, now))
+            .collect();
+        ended.into_iter().map(|(_, target)| target).collect()
     }
 
     /// Whether the request may be sent to a further target of this kind now.
@@ -233,13 +243,22 @@
         }
         match via {
             Via::Daemon if daemon_runs >= MAX_DAEMON_RUNS => Err(Stop::Runs),
-            Via::Daemon => Ok(()),
             Via::Endpoint if endpoint_runs + daemon_runs >= self.max_runs.max(1) => Err(Stop::Runs),
             Via::Endpoint if self.sent() >= MAX_ENDPOINTS => Err(Stop::Endpoints),
-            Via::Endpoint => Ok(()),
+            Via::Daemon | Via::Endpoint => Ok(()),
         }
     }
 
+    /// Who an attempt was made at.
+    pub fn via(&self, at: AttemptIndex) -> Via {
+        self.rows[at].via
+    }
+
+    /// Endpoint or daemon that an attempt was made at.
+    pub fn target(&self, at: AttemptIndex) -> &str {
+        &self.rows[at].target
+    }
+
     /// Number of targets that received the request, or may have.
     pub fn sent(&self) -> usize {
         self.rows.iter().filter(|row| row.was_sent()).count()
--- a/lib/src/relay/sse.rs
+++ b/lib/src/relay/sse.rs
@@ -40,7 +40,8 @@
 }
 
 impl Events {
-    /// Starts after the event with id `last`; `None` for a stream from its beginning.
+    /// Starts after the event with id `last`, also for the rest of a stream that another endpoint
+    /// began; `None` for a stream from its beginning.
     pub fn after(last: Option<u64>) -> Self {
         Self {
             partial: BytesMut::new(),
@@ -64,12 +65,6 @@
         !self.partial.is_empty()
     }
 
-    /// Prepares for the same stream from another endpoint: a partial event is dropped, as the
-    /// new attempt sends that event from its beginning.
-    pub fn drop_partial(&mut self) {
-        self.partial.clear();
-    }
-
     /// Adds received bytes and returns the events that they complete.
     ///
     /// # Errors
