tests: a stream that is cut at its deadline is not dropped by a shutdown

Cause: the streams of this test have deadlines of 400 ms, and their endpoints run on the thread of the test. When it stands still for longer, each daemon ends the streams in progress at their deadlines, as it should; plain requests get a complete 504, which the test allows.

The check now excludes a stream only if the daemon's log shows that its deadline had passed; one cut off earlier, or by the end of the process, counts as before. A second test holds the endpoints still during a shutdown.

--- a/daemon/tests/test_relay_closing.rs
+++ b/daemon/tests/test_relay_closing.rs
@@ -17,6 +17,7 @@
     Answer, Caller, Cloud, Endpoint, SeenRequest, Step, Store, event, plain, request, settings,
     stream,
 };
+use serde_json::Value;
 use testutils::folder::Folder;
 use testutils::process::Process;
 
@@ -182,6 +183,19 @@
     (process, callers)
 }
 
+/// Whether the daemon's log tells that the deadline of a stream had passed when it was cut off. Its
+/// caller waits no longer, whether the daemon shuts down or not.
+fn is_overdue(log: &str, id: &str) -> bool {
+    let lines = log
+        .lines()
+        .filter_map(|line| serde_json::from_str(line).ok());
+    let mut lines = lines.map(|line: Value| line["kvs"].clone());
+    lines.any(|fields| {
+        let attempts = fields["attempts"].as_str().unwrap_or_default();
+        fields["request"] == id && fields["left_ms"] == 0 && attempts.contains("deadline passed")
+    })
+}
+
 /// Shuts a daemon down while callers go on sending. Returns what went wrong with their requests.
 async fn shut_down_one(folder: &Folder, number: usize, seed: u64) -> Vec<String> {
     let mut random = Rng::with_seed(seed + number as u64);
@@ -214,17 +228,20 @@
         caller.await.expect("the caller task ends without a panic");
     }
     let reached: Vec<String> = endpoint.seen().iter().map(SeenRequest::id).collect();
+    let log = folder.path().join(format!("daemon-{number}.log"));
+    let log = std::fs::read_to_string(log).expect("the daemon's log can be read");
     let sent = calls.sent.borrow();
     sent.iter()
-        .filter_map(|sent| broken(sent, &reached))
+        .filter_map(|sent| broken(sent, &reached, &log))
         .collect()
 }
 
 /// What went wrong with a request; `None` if nothing did.
-fn broken(sent: &Sent, reached: &[String]) -> Option<String> {
+fn broken(sent: &Sent, reached: &[String], log: &str) -> Option<String> {
     let ran = reached.contains(&sent.id);
     let fault = match sent.response {
         Some((503, _)) if ran => "was rejected as not run, but it ran",
+        Some((_, false)) if is_overdue(log, &sent.id) => return None,
         Some((_, false)) => "got an incomplete response",
         None if ran => "ran and got no response",
         None if sent.written && sent.waited > CLOSE_RACE => "got no response",
@@ -256,3 +273,21 @@
     }
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+/// When all endpoints begin to stand still, and for how long; it is longer than the deadlines of
+/// the streams, and the daemons end meanwhile.
+const STANDSTILL_AFTER: Duration = Duration::from_millis(1500);
+const STANDSTILL_TIME: Duration = Duration::from_secs(5);
+
+/// The endpoints stand still while daemons shut down. Streams are cut off before their deadlines.
+#[actix_web::test]
+async fn a_standstill_of_the_endpoints_breaks_off_only_overdue_streams() {
+    let folder = Folder::new();
+    let standstill = async {
+        tokio::time::sleep(STANDSTILL_AFTER).await;
+        // The endpoints run on this thread.
+        std::thread::sleep(STANDSTILL_TIME);
+    };
+    let (broken, ()) = tokio::join!(shut_down_one(&folder, SHUTDOWNS + 1, 1), standstill);
+    assert!(broken.is_empty(), "{broken:#?}");
+}
