soak: streams that pause, endpoints without room, long streams

Endpoints of the soak pause in the middle of streams and have no room, also while configurations come in series and settings are read again; further callers send long streams. While nothing else is wrong no answer may be broken off.

--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -17,7 +17,7 @@
 use poplarvale_platform::SETTINGS_VARIABLE;
 use poplarvale_standin::{
     Answer, Caller, Cloud, Endpoint, Fault, Mode, Proxy, SeenRequest, Step, Store, announcing,
-    cold_config, event, plain, rejection_with, request, settings, stream,
+    cold_config, plain, rejection_with, request, settings,
 };
 use testutils::folder::Folder;
 use testutils::process::Process;
@@ -28,12 +28,23 @@
 mod announced;
 mod cold;
 mod config;
+mod silence;
 
 const DAEMONS: usize = 3;
 const ENDPOINTS: usize = 4;
+/// Callers of short requests, and of long streams.
 const CALLERS: usize = 8;
+const LONG_CALLERS: usize = 3;
+/// Prefixes of short requests.
+const SHORT_REQUESTS: [&str; 4] = ["/safe/", "/once/", "/resume/", "/stream/"];
 /// Number of events in a stream.
 const EVENTS: u64 = 6;
+/// Number of events in a long stream, which runs for about a second.
+const LONG_EVENTS: u64 = 60;
+/// Path of long streams.
+const LONG_STREAMS: &str = "/resume/long-";
+/// Time between two events.
+const EVENT_TIME: Duration = Duration::from_millis(15);
 /// Grace period from SIGTERM to SIGKILL in seconds.
 const GRACE_S: u64 = 6;
 /// How long an endpoint is cold after its start, and the requests a second that it takes meanwhile.
@@ -118,6 +129,10 @@
     leaving: Rc<RefCell<Vec<usize>>>,
     /// Whether they announce that they are brittle.
     brittle: Rc<Cell<bool>>,
+    /// Whether streams that begin pause.
+    pausing: Rc<Cell<bool>>,
+    /// Numbers of those that have no room.
+    full: Rc<RefCell<Vec<usize>>>,
 }
 
 /// An endpoint that fails on some requests, chosen by their ids.
@@ -136,10 +151,13 @@
             let rest = if roll < 2 { REST_FIELD } else { "" };
             return vec![rejection_with(seen, rest)];
         }
+        if let Some(rejected) = silence::reject(&work, number, seen) {
+            return rejected;
+        }
         let fields = announced::fields(&work, number);
         *work.runs.borrow_mut().entry(seen.id()).or_default() += 1;
         match roll {
-            _ if is_stream => events(seen, roll),
+            _ if is_stream => events(&work, seen, roll),
             4..6 => vec![Step::Close],
             6..8 => vec![plain(seen, 500, "failed")],
             8..10 => vec![answer(seen, &fields), plain(seen, 200, "a second answer")],
@@ -163,19 +181,26 @@
     announcing(seen, fields, &format!("answer to {}", seen.id()))
 }
 
-fn events(seen: &SeenRequest, roll: u64) -> Vec<Step> {
+/// Number of events of a stream.
+fn event_count(path: &str) -> u64 {
+    if path.starts_with(LONG_STREAMS) {
+        LONG_EVENTS
+    } else {
+        EVENTS
+    }
+}
+
+fn events(work: &Work, seen: &SeenRequest, roll: u64) -> Vec<Step> {
     let first = seen.last_event().parse::<u64>().map_or(0, |last| last + 1);
-    let mut steps = vec![stream(seen)];
-    for number in first..EVENTS {
-        if roll < 5 && number == first + 2 {
-            steps.push(Step::Close);
-            return steps;
-        }
-        steps.push(event(number));
-        steps.push(Step::Wait(Duration::from_millis(15)));
+    let end = event_count(&seen.target());
+    if roll < 5 && first + 2 < end {
+        let mut steps = silence::events(work, seen, first, first + 2);
+        // It breaks off before the end of the stream.
+        steps.pop();
+        steps.push(Step::Close);
+        return steps;
     }
-    steps.push(Step::Send("0\r\n\r\n".into()));
-    steps
+    silence::events(work, seen, first, end)
 }
 
 /// A loopback port that is free now.
@@ -318,14 +343,17 @@
     soak.until_ready().await;
     let mut random = Rng::with_seed(seed);
     let mut tasks = Vec::new();
-    for _ in 0..CALLERS {
+    let short = std::iter::repeat_n(&SHORT_REQUESTS[..], CALLERS);
+    for prefixes in short.chain([&[LONG_STREAMS][..]; LONG_CALLERS]) {
         let random = random.fork();
-        tasks.push(actix_web::rt::spawn(call(Rc::clone(&soak), random)));
+        let caller = call(Rc::clone(&soak), random, prefixes);
+        tasks.push(actix_web::rt::spawn(caller));
     }
     inject_faults(&soak, &mut random, time).await;
     end_faults(&soak);
     until_recovered(&soak).await;
     soak.no_faults.set(true);
+    silence::check_pauses(&soak, &mut random).await;
     config::check_large(&soak).await;
     cold::check_evacuation(&soak).await;
     stop_in_turn(&soak).await;
@@ -353,7 +381,7 @@
         let duration = Duration::from_millis(random.u64(200..1500));
         let daemon = random.usize(..DAEMONS);
         let endpoint = random.usize(..ENDPOINTS);
-        match random.u32(..22) {
+        match random.u32(..24) {
             0 => soak.daemons[daemon].borrow_mut().process.kill(),
             1 => pause_daemon(soak, daemon, duration),
             2 => soak.daemons[daemon].borrow().process.signal("TERM"),
@@ -381,6 +409,8 @@
                 let fault = Fault::Throttled(config::SLOW_LINK);
                 set_proxy_fault(&soak.store_proxy, fault, duration);
             }
+            21 => silence::pause(soak, duration),
+            22 => silence::fill(soak, endpoint, duration),
             _ => terminate_then_kill(soak, daemon),
         }
         let pause = Duration::from_millis(random.u64(50..400));
@@ -500,6 +530,7 @@
     soak.store.set(Mode::Healthy);
     cold::restore(soak);
     announced::restore(soak);
+    silence::restore(soak);
     for daemon in 0..DAEMONS {
         signal_if_alive(soak, daemon, "CONT");
     }
@@ -564,8 +595,9 @@
     soak.until_ready().await;
 }
 
-/// A caller: sends requests on one connection until it closes, then on a new one.
-async fn call(soak: Rc<Soak>, mut random: Rng) {
+/// A caller: sends requests with these prefixes on one connection until it closes, then on a new
+/// one.
+async fn call(soak: Rc<Soak>, mut random: Rng, prefixes: &'static [&'static str]) {
     let mut kept: Option<(usize, Caller)> = None;
     while !soak.stopped.get() {
         let (at, mut caller) = match kept.take() {
@@ -575,7 +607,7 @@
                 None => continue,
             },
         };
-        let prefix = ["/safe/", "/once/", "/resume/", "/stream/"][random.usize(..4)];
+        let prefix = prefixes[random.usize(..prefixes.len())];
         let number = soak.last_number.get() + 1;
         soak.last_number.set(number);
         let id = format!("r{number:x}");
@@ -639,9 +671,9 @@
 }
 
 fn check_body(soak: &Soak, id: &str, prefix: &str, body: &str) {
-    let expected = if prefix == "/resume/" || prefix == "/stream/" {
+    let expected = if ["/resume/", "/stream/", LONG_STREAMS].contains(&prefix) {
         let piece = |number: u64| format!("id: {number}\ndata: piece {number}\n\n");
-        (0..EVENTS).map(piece).collect()
+        (0..event_count(prefix)).map(piece).collect()
     } else {
         format!("answer to {id}")
     };
