relay: a stream that broke off waits a moment for an endpoint with room

Callers saw a stream closed at the moment its endpoint broke off, with seconds left, because all other endpoints were full, asked for a rest, or the retry budget was used up just then; a moment later they would have continued it.

Cause: who can continue a stream was asked once. The part that the caller has is worth nothing without the rest, unlike a request that was not begun, which is still rejected at once.

Now a stream that has begun stays open for up to two seconds while the reason may pass. Reasons that cannot pass, such as the runs that the route allows, end it at once as before.

test_relay_silence::a_stream_that_broke_off_is_continued_once_there_is_room failed before; a_stream_that_nobody_can_continue_is_closed_in_time bounds it.

--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -47,6 +47,11 @@
 /// Time after which a caller may retry while all zones with endpoints are evacuated. Operators
 /// take a zone back seconds later at the earliest.
 const EVACUATION_RETRY: Duration = Duration::from_secs(2);
+/// How long a stream that has begun is kept open while nobody can continue it. Its caller would get
+/// nothing for the part that it has; callers wait for the next event for two seconds at least.
+const RESUME_TIME: Duration = Duration::from_secs(2);
+/// Interval at which it is checked whether somebody can.
+const RESUME_INTERVAL: Duration = Duration::from_millis(100);
 /// Time left until the deadline below which an attempt is not worth making.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
@@ -228,6 +233,7 @@
     /// silent keeps the request until then.
     async fn begin(&self, at: Forwarded) -> Begun {
         let deadline = self.job.deadline;
+        let resume_until = Instant::now() + RESUME_TIME;
         let mut pending: FuturesUnordered<Pending<'_>> = FuturesUnordered::new();
         let mut rows = Vec::new();
         loop {
@@ -240,7 +246,12 @@
                 Err(stop) => {
                     self.progress().record_stop(stop);
                     if pending.is_empty() {
-                        return Err(stop);
+                        let is_late = Instant::now() >= resume_until;
+                        if !at.head_sent || !stop.may_pass() || is_late {
+                            return Err(stop);
+                        }
+                        tokio::time::sleep(RESUME_INTERVAL).await;
+                        continue;
                     }
                     self.pause(Via::Endpoint)
                 }
--- a/daemon/tests/test_relay_silence.rs
+++ b/daemon/tests/test_relay_silence.rs
@@ -2,17 +2,20 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::future::join_all;
 use poplarvale_standin::{
-    Answer, Endpoint, SeenRequest, Step, ask, config, event, plain, rejection, request, stream,
+    Answer, Endpoint, SeenRequest, Step, ask, config, event, plain, rejection, rejection_with,
+    request, stream,
 };
 
 use crate::relay_site::{ROUTES, Site};
 
 /// A pause after which the daemon looks for another endpoint, and before its callers leave.
 const PAUSE: Duration = Duration::from_millis(1200);
+/// Shortest time for which callers wait for the next event of a stream, and for a daemon to start.
+const CALLER_PATIENCE: Duration = Duration::from_millis(2800);
 /// Number of endpoints in a test.
 const ENDPOINTS: usize = 3;
 
@@ -154,3 +157,42 @@
     let later = ask(site.address(), &request("GET", "/stream/a", "r2", "")).await;
     assert_eq!(later.expect("an answer").status, 404);
 }
+
+/// A stream whose endpoint broke off is closed although the others have room a moment later.
+#[actix_web::test]
+async fn a_stream_that_broke_off_is_continued_once_there_is_room() {
+    let started = endpoints(|_, seen| {
+        if seen.target().starts_with("/safe/") {
+            return vec![rejection_with(seen, "Retry-After: 0.8\r\n")];
+        }
+        if is_continued(seen) {
+            return vec![stream(seen), event(1), event(2), end()];
+        }
+        vec![stream(seen), event(0), Step::Wait(PAUSE / 4), Step::Close]
+    });
+    let started = started.await;
+    let refs: Vec<&Endpoint> = started.iter().collect();
+    let site = Site::start(&refs).await;
+    let text = request("GET", "/resume/a", "r1", "");
+    // All endpoints reject it and ask for a rest while the stream runs.
+    let rejected = async {
+        tokio::time::sleep(PAUSE / 12).await;
+        ask(site.address(), &request("GET", "/safe/a", "r2", "")).await
+    };
+    let (answer, rejected) = tokio::join!(ask(site.address(), &text), rejected);
+    assert_eq!(rejected.expect("an answer").status, 503);
+    assert_whole(&answer.expect("an answer"));
+}
+
+/// A stream that nobody can continue is held until its deadline, although its caller has left.
+#[actix_web::test]
+async fn a_stream_that_nobody_can_continue_is_closed_in_time() {
+    let started = endpoints(|before, seen| match before {
+        0 => vec![stream(seen), event(0), Step::Close],
+        _ => vec![rejection_with(seen, "Retry-After: 9\r\n")],
+    });
+    let start = Instant::now();
+    let answer = ask_one(&started.await, "/resume/a").await;
+    assert!(!answer.complete, "nobody continued it");
+    assert!(start.elapsed() < CALLER_PATIENCE, "{:?}", start.elapsed());
+}
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -94,6 +94,24 @@
     NoDaemon,
 }
 
+impl Stop {
+    /// Whether a further attempt may be possible a moment later.
+    pub fn may_pass(self) -> bool {
+        match self {
+            Self::Budget | Self::NoDaemon => true,
+            Self::Select(error) => match error {
+                SelectError::None | SelectError::Full | SelectError::Busy(_) => true,
+                SelectError::NoHome | SelectError::Evacuated => false,
+            },
+            Self::Deadline
+            | Self::Runs
+            | Self::Endpoints
+            | Self::NotRepeatable
+            | Self::Quarantined => false,
+        }
+    }
+}
+
 impl fmt::Display for Stop {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
