duties: a holder that is no watcher orders nothing and gives up the duties

Callers saw four of five requests rejected with code 2010 for seconds: the duty holder had ordered a few endpoints in place of dozens.

Cause: a daemon that became a watcher while others were turned away by the store acquired the duties, then stopped being a watcher and kept them. Only watchers get what callers request of all daemons; the others hear sums of teams and loads alone. So it ordered for what itself was asked, a share of 1 in 82.

Now orders need the role, and a holder without it releases the lease, so that a watcher acquires it at once. It keeps the duties for a lease time after it acquired them, so that two daemons do not alternate within one.

test_relay_watchers::a_duty_holder_that_is_no_watcher_gives_up_the_duties failed before: the lease stayed with a daemon that is no watcher.

--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -5,6 +5,9 @@
 //! renews. Its writes to the store require that the key still has the revision at which it was
 //! created, and its calls to the cloud service carry this revision as a fencing token, so that both
 //! reject the calls of a former holder.
+//!
+//! Only watchers learn what callers request of all daemons, so a holder that stops being a watcher
+//! orders nothing any more and gives up the duties.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -159,6 +162,9 @@
     /// When a failed report may be retried.
     retry_at: Option<Instant>,
     orders: Orders,
+    /// From when on it may give up the duties. A holder that gave them up earlier could act again
+    /// within the lease time, after another one has acted.
+    release_after: Instant,
     /// When the next checkpoint is due.
     next_save: Instant,
 }
@@ -190,6 +196,12 @@
             release(store, &holder).await;
             return;
         }
+        let is_watcher = state.peers.borrow().is_watcher();
+        if !is_watcher && now >= holder.release_after {
+            log::info!("duty: this daemon is no watcher any more; giving up the duties.");
+            release(store, &holder).await;
+            return;
+        }
         write_statuses(state, store, &holder).await;
         if now >= holder.next_save {
             save_checkpoint(state, store, &mut holder).await;
@@ -198,7 +210,7 @@
             if state.settings.reports {
                 report_usage(state, store, cloud, &mut holder).await;
             }
-            if state.settings.orders {
+            if state.settings.orders && is_watcher {
                 order_endpoints(state, cloud, &mut holder).await;
             }
         }
@@ -251,6 +263,7 @@
             unsent: last.map(|last| (last.window, last.counts)),
             retry_at: Some(Instant::now() + REPORT_DELAY),
             orders,
+            release_after: Instant::now() + state.settings.bounds.lease,
             next_save: Instant::now(),
         });
     }
--- a/daemon/tests/test_relay_watchers.rs
+++ b/daemon/tests/test_relay_watchers.rs
@@ -8,7 +8,7 @@
 use poplarvale_standin::{Endpoint, Fault, Proxy, ask, config, plain, request};
 use poplarvaled::Relay;
 
-use crate::relay_site::{DAEMONS, ROUTES, Zone, free_port, store_with};
+use crate::relay_site::{DAEMONS, ROUTES, Zone, free_port, store_with, until};
 
 /// Daemons of a zone that watch the store.
 const WATCHERS: usize = 2;
@@ -170,3 +170,36 @@
     });
     futures::future::join_all(zones).await;
 }
+
+/// The duty holder stops being a watcher and keeps the duties, though it no longer learns what
+/// callers request of the other daemons: it orders endpoints for a small part of them.
+#[actix_web::test]
+async fn a_duty_holder_that_is_no_watcher_gives_up_the_duties() {
+    /// Time for the other daemons to become watchers and acquire the duties, and for them to return
+    /// the duties.
+    const HANDOVER_TIME: Duration = Duration::from_secs(12);
+    let number = 16;
+    let store = store_with(&[]).await;
+    let zone = Zone::start_with(number, store, &["usage"]).await;
+    let names: Vec<String> = (1..=DAEMONS)
+        .map(|host| format!("front-127.0.{number}.{host}"))
+        .collect();
+    let (watchers, others) = names.split_at(WATCHERS);
+    until(HANDOVER_TIME, async || holder_is_of(&zone, watchers)).await;
+    for (proxy, _) in &zone.daemons[..WATCHERS] {
+        proxy.set(Fault::Blocked);
+    }
+    until(HANDOVER_TIME, async || holder_is_of(&zone, others)).await;
+    for (proxy, _) in &zone.daemons[..WATCHERS] {
+        proxy.set(Fault::None);
+    }
+    until(HANDOVER_TIME, async || holder_is_of(&zone, watchers)).await;
+}
+
+/// Whether one of these daemons holds the duties, as the store tells.
+fn holder_is_of(zone: &Zone, names: &[String]) -> bool {
+    let value = zone.store.get("poplarvale/leader").unwrap_or_default();
+    let value = String::from_utf8_lossy(&value).into_owned();
+    let holder = value.split(' ').next().unwrap_or_default();
+    names.iter().any(|name| name == holder)
+}
