relay: one type for answers that have begun, and no busy wait beside a silent attempt

Attempts at endpoints and daemons returned two enums of the same shape, and an attempt recorded its failure in three places.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -65,15 +65,13 @@
     pub(crate) may_forward: bool,
 }
 
-/// What an attempt has led to so far.
+/// An answer that has begun; `S` is its stream and what is recorded of that.
 #[derive(Debug)]
-pub(crate) enum Started {
+pub(crate) enum Begun<S> {
     /// A complete response that is not a stream.
     Complete(Response, Bytes),
     /// A stream of which the first event was received.
-    Open(Box<EndpointStream>),
-    /// There is no answer.
-    Failed(AttemptEnd),
+    Stream(Box<S>),
 }
 
 /// Counts a request as in flight at an endpoint until the guard is dropped, however the task that
@@ -101,76 +99,91 @@
     job: &Job<'_>,
     choice: &Choice,
     at: Forwarded,
-) -> Started {
+) -> Result<Begun<EndpointStream>, AttemptEnd> {
     let guard = add_in_flight(state, job, choice);
     let Some((endpoint, mut conn, reused)) = connect(state, job, choice).await else {
-        return Started::Failed(AttemptEnd::NotConnected);
+        return Err(AttemptEnd::NotConnected);
     };
-    let address = endpoint.address;
     log_doubtful(state, job, choice);
     let bytes = encode_request(job, choice, at);
-    let sent_at = Std::now();
+    let sent = Sent {
+        address: endpoint.address,
+        reused,
+        at: Std::now(),
+        guard,
+    };
     let response = match exchange(&mut conn, &bytes, &job.head.id).await {
         Ok(response) => response,
-        Err(ExchangeError::NotSent) => return Started::Failed(AttemptEnd::NotConnected),
-        Err(error) => {
-            record_failed(state, job, &choice.id, error, Some(reused), None);
-            record_sample(state, job, &choice.id, false, sent_at.elapsed());
-            return Started::Failed(error.end());
-        }
+        Err(ExchangeError::NotSent) => return Err(AttemptEnd::NotConnected),
+        Err(error) => return sent.fail(state, job, error),
     };
-    record_limit(state, &endpoint, &response, sent_at);
-    record_brittle(state, &endpoint, &response, sent_at);
+    record_limit(state, &endpoint, &response, sent.at);
+    record_brittle(state, &endpoint, &response, sent.at);
     record_leaving(state, &endpoint, &response);
     record_rest(state, &endpoint, &response);
     if response.meta.not_run {
         record_not_run(state, job, choice, &response);
-        drain_rejection(state, address, conn, &response).await;
-        return Started::Failed(AttemptEnd::NotRun);
+        drain_rejection(state, sent.address, conn, &response).await;
+        return Err(AttemptEnd::NotRun);
     }
-    let team = job.team.map(|team| &team.name);
     if job.route.retry_policy.is_stream() && response.head.status == OK && response.meta.sealed {
         return match OpenStream::open(conn, response, at.last).await {
-            Ok(stream) => {
-                let now = Std::now();
-                let mut table = state.endpoints.borrow_mut();
-                table.record_first_event(&choice.id, guard.number, now);
-                drop(table);
-                state.measure(|metrics| metrics.record_first_event(job.arrived.elapsed()));
-                state.count_run(team, now);
-                Started::Open(Box::new(EndpointStream {
-                    stream,
-                    address,
-                    reused,
-                    sent_at,
-                    first_event: now,
-                    guard,
-                }))
-            }
-            Err(error) => {
-                record_failed(state, job, &choice.id, error, Some(reused), None);
-                record_sample(state, job, &choice.id, false, sent_at.elapsed());
-                Started::Failed(error.end())
-            }
+            Ok(stream) => Ok(Begun::Stream(Box::new(sent.stream(state, job, stream)))),
+            Err(error) => sent.fail(state, job, error),
         };
     }
     let body = read_response(&mut conn, &response).await;
     // A stream begins to run with its first event; an error in its place is no run.
     if !job.route.retry_policy.is_stream() {
-        state.count_run(team, sent_at);
+        state.count_run(job.team.map(|team| &team.name), sent.at);
     }
     match body {
         Ok(body) => {
             let is_good = response.head.status < SERVER_ERROR;
-            record_sample(state, job, &choice.id, is_good, sent_at.elapsed());
+            record_sample(state, job, &choice.id, is_good, sent.at.elapsed());
             record_answered(state, job, &choice.id, is_good);
-            keep_connection(state, address, conn, &response);
-            Started::Complete(response.head, body)
+            keep_connection(state, sent.address, conn, &response);
+            Ok(Begun::Complete(response.head, body))
         }
-        Err(error) => {
-            record_failed(state, job, &choice.id, error, Some(reused), None);
-            record_sample(state, job, &choice.id, false, sent_at.elapsed());
-            Started::Failed(error.end())
+        Err(error) => sent.fail(state, job, error),
+    }
+}
+
+/// A request that is sent to an endpoint.
+#[derive(Debug)]
+struct Sent {
+    address: SocketAddr,
+    /// Whether its connection was used before.
+    reused: bool,
+    at: Std,
+    guard: RequestGuard,
+}
+
+impl Sent {
+    /// Records that the attempt failed before the first event or the end of the response.
+    fn fail<T>(
+        &self,
+        state: &Rc<State>,
+        job: &Job<'_>,
+        error: ExchangeError,
+    ) -> Result<T, AttemptEnd> {
+        let endpoint = &self.guard.endpoint;
+        record_failed(state, job, endpoint, error, Some(self.reused), None);
+        record_sample(state, job, endpoint, false, self.at.elapsed());
+        Err(error.end())
+    }
+
+    /// Records the first event of a stream.
+    fn stream(self, state: &State, job: &Job<'_>, stream: OpenStream) -> EndpointStream {
+        let now = Std::now();
+        let mut table = state.endpoints.borrow_mut();
+        table.record_first_event(&self.guard.endpoint, self.guard.number, now);
+        state.measure(|metrics| metrics.record_first_event(job.arrived.elapsed()));
+        state.count_run(job.team.map(|team| &team.name), now);
+        EndpointStream {
+            stream,
+            sent: self,
+            first_event: now,
         }
     }
 }
@@ -179,12 +192,8 @@
 #[derive(Debug)]
 pub(crate) struct EndpointStream {
     pub(crate) stream: OpenStream,
-    address: SocketAddr,
-    /// Whether its connection was used before.
-    reused: bool,
-    sent_at: Std,
+    sent: Sent,
     first_event: Std,
-    guard: RequestGuard,
 }
 
 impl EndpointStream {
@@ -193,27 +202,29 @@
         let events = self.stream.count().saturating_sub(1) as u32;
         let engine = job.service.engine.as_ref();
         let tokens = events * engine.map_or(0, |row| row.event_tokens);
-        let endpoint = &self.guard.endpoint;
+        let RequestGuard {
+            endpoint, number, ..
+        } = &self.sent.guard;
         let mut table = state.endpoints.borrow_mut();
-        table.record_stream(endpoint, self.guard.number, tokens, Std::now());
+        table.record_stream(endpoint, *number, tokens, Std::now());
         drop(table);
         record_sample(state, job, endpoint, true, self.time_per_event());
         record_answered(state, job, endpoint, true);
         let OpenStream { conn, response, .. } = self.stream;
-        keep_connection(state, self.address, conn, &response);
+        keep_connection(state, self.sent.address, conn, &response);
     }
 
     /// Records that the stream broke off, or was given up.
     pub(crate) fn fail(&self, state: &Rc<State>, job: &Job<'_>, error: ExchangeError) {
-        let endpoint = &self.guard.endpoint;
+        let endpoint = &self.sent.guard.endpoint;
+        let (reused, first_event) = (Some(self.sent.reused), Some(self.first_event));
         record_sample(state, job, endpoint, false, self.time_per_event());
-        let first_event = Some(self.first_event);
-        record_failed(state, job, endpoint, error, Some(self.reused), first_event);
+        record_failed(state, job, endpoint, error, reused, first_event);
     }
 
     fn time_per_event(&self) -> Duration {
         let events = u32::try_from(self.stream.count().max(1)).unwrap_or(u32::MAX);
-        self.sent_at.elapsed() / events
+        self.sent.at.elapsed() / events
     }
 }
 
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -31,7 +31,7 @@
 use tokio::net::tcp::WriteHalf;
 use tokio::time::{Instant, timeout_at};
 
-use super::attempt::{self, EndpointStream, Job, Started};
+use super::attempt::{self, Begun, EndpointStream, Job};
 use super::crash::quarantine_left;
 use super::exchange::{ExchangeError, OK, SERVER_ERROR};
 use super::forward::{self, DaemonStream, MAX_DAEMONS};
@@ -95,8 +95,18 @@
     Stream(Source),
 }
 
+impl<S> Begun<S> {
+    /// The answer, whose stream comes from this kind of source.
+    fn answer(self, source: impl FnOnce(Box<S>) -> Source) -> Answer {
+        match self {
+            Self::Complete(head, body) => Answer::Complete(head, body),
+            Self::Stream(stream) => Answer::Stream(source(stream)),
+        }
+    }
+}
+
 /// The next attempt, or why there is none.
-type Begun = Result<(AttemptIndex, Answer), Stop>;
+type Next = Result<(AttemptIndex, Answer), Stop>;
 /// An attempt that has not begun to answer.
 type Pending<'p> = LocalBoxFuture<'p, (AttemptIndex, Result<Answer, AttemptEnd>)>;
 
@@ -104,7 +114,7 @@
 enum More {
     Received,
     /// The attempt has ended; this is what follows.
-    Next(Begun),
+    Next(Next),
 }
 
 /// How a stream ended for its caller.
@@ -112,7 +122,7 @@
     Complete,
     Lost(Loss),
     /// The attempt has ended; this is what follows.
-    Next(Begun),
+    Next(Next),
 }
 
 /// Serves a request that was admitted.
@@ -130,7 +140,7 @@
     let dispatch = Dispatch::new(state, job, Scope::Any);
     match dispatch.run(write, keep).await {
         Ok(connection) => connection,
-        Err((stop, keep)) => dispatch.reject(stop, write, keep).await,
+        Err(stop) => dispatch.reject(stop, write, keep).await,
     }
 }
 
@@ -144,7 +154,7 @@
     let dispatch = Dispatch::new(state, job, Scope::Daemons);
     match dispatch.run(write, keep).await {
         Ok(connection) => Some(connection),
-        Err((stop, keep)) if dispatch.progress().attempts().is_unknown() => {
+        Err(stop) if dispatch.progress().attempts().is_unknown() => {
             Some(dispatch.reject(stop, write, keep).await)
         }
         Err(_) => {
@@ -190,9 +200,8 @@
     /// Serves the request.
     ///
     /// # Errors
-    /// Why it has no answer, if nothing was sent to the caller yet; and whether the connection of
-    /// the caller is kept.
-    async fn run(&self, write: &mut WriteHalf<'_>, keep: bool) -> Result<Connection, (Stop, bool)> {
+    /// Why it has no answer, if nothing was sent to the caller yet.
+    async fn run(&self, write: &mut WriteHalf<'_>, keep: bool) -> Result<Connection, Stop> {
         let mut forwarded = Forwarded::new(self.job.head.resume, keep);
         let mut next = self.begin(forwarded).await;
         loop {
@@ -202,7 +211,7 @@
                 }
                 Ok((row, Answer::Stream(source))) => (row, source),
                 Err(_) if forwarded.head_sent => return Ok(self.lose(Loss::CutOff)),
-                Err(stop) => return Err((stop, keep)),
+                Err(stop) => return Err(stop),
             };
             next = match self
                 .forward_stream(row, source, &mut forwarded, write)
@@ -231,7 +240,7 @@
 
     /// Sends the request to one target after the other until one has begun to answer. One that is
     /// silent keeps the request until then.
-    async fn begin(&self, at: Forwarded) -> Begun {
+    async fn begin(&self, at: Forwarded) -> Next {
         let deadline = self.job.deadline;
         let resume_until = Instant::now() + RESUME_TIME;
         let mut pending: FuturesUnordered<Pending<'_>> = FuturesUnordered::new();
@@ -246,8 +255,10 @@
                 Err(stop) => {
                     self.progress().record_stop(stop);
                     if pending.is_empty() {
-                        let is_late = Instant::now() >= resume_until;
-                        if !at.head_sent || !stop.may_pass() || is_late {
+                        // A silent attempt that this one would replace may still go on.
+                        let is_only_way = !self.progress().attempts().is_any_pending();
+                        let may_wait = at.head_sent && is_only_way && stop.may_pass();
+                        if !may_wait || Instant::now() >= resume_until {
                             return Err(stop);
                         }
                         tokio::time::sleep(RESUME_INTERVAL).await;
@@ -306,12 +317,8 @@
         let row = self.progress().begin(&choice.id, Via::Endpoint);
         let patience = patience(job, choice.wait);
         let attempt = async move {
-            let result = match attempt::begin(state, job, &choice, at).await {
-                Started::Complete(head, body) => Ok(Answer::Complete(head, body)),
-                Started::Open(stream) => Ok(Answer::Stream(Source::Endpoint(stream))),
-                Started::Failed(end) => Err(end),
-            };
-            (row, result)
+            let started = attempt::begin(state, job, &choice, at).await;
+            (row, started.map(|begun| begun.answer(Source::Endpoint)))
         };
         Ok((row, patience, Box::pin(attempt)))
     }
@@ -340,12 +347,8 @@
             .progress()
             .begin(&daemon.to_compact_string(), Via::Daemon);
         let attempt = async move {
-            let result = match forward::begin(state, job, daemon, at).await {
-                forward::Started::Complete(head, body) => Ok(Answer::Complete(head, body)),
-                forward::Started::Open(stream) => Ok(Answer::Stream(Source::Daemon(stream))),
-                forward::Started::Failed(end) => Err(end),
-            };
-            (row, result)
+            let started = forward::begin(state, job, daemon, at).await;
+            (row, started.map(|begun| begun.answer(Source::Daemon)))
         };
         Ok((row, forward::patience(job), Box::pin(attempt)))
     }
--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -10,15 +10,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant as Std};
 
-use bytes::Bytes;
-use poplarvale_lib::http1::Response;
 use poplarvale_lib::relay::attempts::AttemptEnd;
 use poplarvale_lib::relay::quota::name_hash;
 use poplarvale_lib::{ZoneHash, ZoneId};
 use poplarvale_platform::{Onward, onward_head};
 use tokio::time::Instant;
 
-use super::attempt::{Job, MAX_RESPONSE_BYTES};
+use super::attempt::{Begun, Job, MAX_RESPONSE_BYTES};
 use super::buffered_stream::BufferedStream;
 use super::exchange::{EndpointResponse, ExchangeError, OK, exchange, read_body};
 use super::state::State;
@@ -32,17 +30,6 @@
 /// Shortest silence of a daemon after which another one is asked.
 const MIN_PATIENCE: Duration = Duration::from_secs(1);
 
-/// What an attempt has led to so far.
-#[derive(Debug)]
-pub(crate) enum Started {
-    /// A complete response that is not a stream.
-    Complete(Response, Bytes),
-    /// A stream of which the first event was received.
-    Open(Box<DaemonStream>),
-    /// There is no answer.
-    Failed(AttemptEnd),
-}
-
 /// A stream that another daemon forwards.
 #[derive(Debug)]
 pub(crate) struct DaemonStream {
@@ -90,10 +77,10 @@
     job: &Job<'_>,
     daemon: Ipv4Addr,
     at: Forwarded,
-) -> Started {
+) -> Result<Begun<DaemonStream>, AttemptEnd> {
     let not_taken = |end, why: &dyn Display| {
         log_failed(state, job, &daemon, "not taken", why);
-        Started::Failed(end)
+        Err(end)
     };
     let address = peer_address(state, daemon);
     let mut conn = match state.upstreams.get(address).await {
@@ -125,7 +112,7 @@
     }
     if job.route.retry_policy.is_stream() && response.head.status == OK && response.meta.sealed {
         return match OpenStream::open(conn, response, at.last).await {
-            Ok(stream) => Started::Open(Box::new(DaemonStream { stream, daemon })),
+            Ok(stream) => Ok(Begun::Stream(Box::new(DaemonStream { stream, daemon }))),
             Err(error) => failed(state, job, daemon, error),
         };
     }
@@ -133,7 +120,7 @@
         Ok(body) => {
             log_done(state, job, daemon);
             keep_connection(state, daemon, conn, &response);
-            Started::Complete(response.head, body)
+            Ok(Begun::Complete(response.head, body))
         }
         Err(_) => failed(state, job, daemon, ExchangeError::Broken),
     }
@@ -143,9 +130,15 @@
     SocketAddr::new(daemon.into(), state.settings.peers.port())
 }
 
-fn failed(state: &State, job: &Job<'_>, daemon: Ipv4Addr, error: ExchangeError) -> Started {
+/// Logs an attempt that failed after something was sent.
+fn failed<T>(
+    state: &State,
+    job: &Job<'_>,
+    daemon: Ipv4Addr,
+    error: ExchangeError,
+) -> Result<T, AttemptEnd> {
     log_failed(state, job, &daemon, "failed", &error);
-    Started::Failed(error.end())
+    Err(error.end())
 }
 
 /// Keeps a connection to a daemon if its exchange ended cleanly.
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -292,6 +292,11 @@
         self.rows.iter().any(|row| row.is_unknown(self.is_stream))
     }
 
+    /// Whether an attempt is in progress.
+    pub fn is_any_pending(&self) -> bool {
+        self.rows.iter().any(|row| row.end.is_none())
+    }
+
     /// Whether the request may run at an endpoint now, or may have run there.
     pub fn may_have_run(&self) -> bool {
         self.rows.iter().any(|row| row.may_have_run(self.is_stream))
