soak: choose ports that are free at all addresses of the daemons

Three soaks ran at the same time. Their daemons use the same loopback addresses, and a port was chosen that was free at another address only. Now it has to be free at all of them.

--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -203,9 +203,9 @@
     silence::events(work, seen, first, end)
 }
 
-/// A loopback port that is free now.
+/// A port that is free now at all loopback addresses; daemons of other runs listen at several.
 pub(crate) fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listener = TcpListener::bind("0.0.0.0:0").expect("a free port");
     listener
         .local_addr()
         .expect("the listener has an address")
