rollout: log the counts that a verdict rests on

The line of a roll-back named the request that tipped it and nothing about either version, so neither a wrong nor a missing verdict could be explained from the logs.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -512,9 +512,12 @@
     let sample = Sample { good, took };
     let mut rollouts = state.rollouts.borrow_mut();
     if rollouts.record(service, route, version, sample, state.unix_ms()) {
+        let totals = rollouts.totals(service);
         log::warn!(
             request = job.head.id.as_str(), route = route.as_str(), good,
-            took_ms = took.as_millis() as u64;
+            took_ms = took.as_millis() as u64,
+            old = totals.old.requests, old_failed = totals.old.failures,
+            new = totals.new.requests, new_failed = totals.new.failures;
             "rollout: {service} is rolled back from version {version}."
         );
         state.digest_due.notify_one();
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -525,9 +525,14 @@
 /// Merges what another daemon reports of a version move.
 fn merge_move(state: &State, name: &CompactString, message: digest::Move) {
     let report = decode_move(message);
-    if state.rollouts.borrow_mut().merge(name, &report) {
+    let mut rollouts = state.rollouts.borrow_mut();
+    if rollouts.merge(name, &report) {
         let order = &report.order;
+        let totals = rollouts.totals(&order.service);
         log::info!(
+            outcome:? = report.outcome,
+            old = totals.old.requests, old_failed = totals.old.failures,
+            new = totals.new.requests, new_failed = totals.new.failures;
             "rollout: {} to version {} has ended, {name} reports.",
             order.service,
             order.target
--- a/lib/src/relay/rollout.rs
+++ b/lib/src/relay/rollout.rs
@@ -330,6 +330,14 @@
         due
     }
 
+    /// Counts of all daemons for the move of a service, over the whole move and all routes.
+    pub fn totals(&self, service: &str) -> Comparison {
+        let found = self.find(service).ok();
+        found.map_or_else(Comparison::default, |at| {
+            self.moves[at].observations.totals()
+        })
+    }
+
     /// Whether any move was ordered.
     pub fn is_empty(&self) -> bool {
         self.moves.is_empty()
--- a/lib/src/relay/rollout/evidence.rs
+++ b/lib/src/relay/rollout/evidence.rs
@@ -124,6 +124,16 @@
         self.own.iter().filter(recent).copied().collect()
     }
 
+    /// Counts of all daemons over the whole move and all routes.
+    pub fn totals(&self) -> Comparison {
+        let others = self.others.iter().flat_map(|peer| &peer.counts);
+        let rows = self.own.iter().chain(others);
+        Comparison {
+            old: sum(rows.clone().map(|row| row.1.old)),
+            new: sum(rows.map(|row| row.1.new)),
+        }
+    }
+
     /// Whether the new version is bad on any route, in any span from the start of a slot until
     /// now.
     pub fn is_bad(&self) -> bool {
