tests: version moves beside faults that have nothing to do with the version

Nine daemons, nine endpoints of each version, eight routes and 20 s a move, on virtual time. Bad versions are to be contained beside outages, failing, slow and crashing endpoints, daemons that are cut off, partitioned, restarted or reset; good ones are not to be rolled back for any of these.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -8,6 +8,7 @@
 mod generate;
 
 mod relay_engines;
+mod rollout_fleet;
 mod test_claims;
 mod test_claims_races;
 mod test_code;
@@ -39,6 +40,7 @@
 mod test_relay_quota;
 mod test_relay_reachability;
 mod test_relay_rollout;
+mod test_relay_rollout_troubles;
 mod test_relay_selection;
 mod test_relay_shared;
 mod test_relay_shutdown;
