relay: log the shared parts of prompts whose attempt failed

The lines of crashes name the content of whole requests, so they cannot tell whether different requests crash endpoints because of a part that they share.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -4,6 +4,7 @@
 //! If the connection breaks, the endpoint may have crashed because of the request, so it is
 //! checked.
 
+use std::fmt::{self, Display, Formatter};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,7 +18,7 @@
 use poplarvale_lib::relay::endpoint_table::EndpointState;
 use poplarvale_lib::relay::limit::AnnouncedLimit;
 use poplarvale_lib::relay::listing::Listing;
-use poplarvale_lib::relay::request::RequestHead;
+use poplarvale_lib::relay::request::{Prompt, RequestHead};
 use poplarvale_lib::relay::rollout::evidence::Sample;
 use poplarvale_lib::relay::rollout::{MoveChange, Versions};
 use poplarvale_lib::relay::selection::{self, Choice, Criteria};
@@ -563,6 +564,20 @@
     state.digest_due.notify_one();
 }
 
+/// Ids of the parts that a prompt may share with others, for a log line.
+struct SharedParts<'r>(Option<&'r Prompt>);
+
+impl Display for SharedParts<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let parts = self.0.map_or(&[][..], Prompt::shared_parts);
+        for (at, (id, _)) in parts.iter().enumerate() {
+            let comma = if at == 0 { "" } else { "," };
+            write!(f, "{comma}{id:x}")?;
+        }
+        Ok(())
+    }
+}
+
 /// Records a failed attempt. `reused` is whether its connection was used before, if that is known,
 /// `first_event` when the first event of its stream was received.
 fn record_failed(
@@ -583,7 +598,8 @@
         request = job.head.id.as_str(), endpoint = endpoint.as_str(), kept = reused,
         left_out = opened, after_ms = job.arrived.elapsed().as_millis() as u64,
         content:% = format_args!("{:016x}", job.fingerprint.get()),
-        ran_ms = first_event.map(|at| at.elapsed().as_millis() as u64);
+        ran_ms = first_event.map(|at| at.elapsed().as_millis() as u64),
+        parts:% = SharedParts(job.head.prompt.as_ref());
         "send: failed, {error}."
     );
     if let Some(suspect) = crash_suspect(state, endpoint, error, first_event) {
--- a/lib/src/relay/request.rs
+++ b/lib/src/relay/request.rs
@@ -38,3 +38,10 @@
     /// Parts in order; all but the last may be shared with other requests.
     pub parts: Vec<Part>,
 }
+
+impl Prompt {
+    /// Parts that other requests may share.
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
