--- a/daemon/tests/test_relay_crash.rs
+++ b/daemon/tests/test_relay_crash.rs
@@ -8,7 +8,8 @@
 
 use futures::future::join_all;
 use poplarvale_standin::{
-    Answer, Cloud, Endpoint, SeenRequest, Step, ask, event, plain, request, settings, stream,
+    Answer, Cloud, Endpoint, SeenRequest, Step, ask, event, plain, prompt, request, settings,
+    stream,
 };
 
 use crate::relay_site::{DAEMONS, Site, Zone, store_with, until};
@@ -45,6 +46,85 @@
     answer.status == 503 && answer.body.contains("2011") && answer.body.contains("\"no\"")
 }
 
+/// Part of a prompt that crashes endpoints, and parts that deadly and sound requests share.
+const FATAL_PART: u64 = 0xdead;
+const SHARED_PARTS: [u64; 2] = [0xaa, 0xbb];
+/// Crashes under a part, and the time after them from which on at most [`MOST_LATE`] requests with it
+/// may be sent. After twice that time, half of the sound requests must be served.
+const KNOWN_CRASHES: usize = 5;
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+const MOST_LATE: usize = 3;
+
+/// Endpoints that crash a moment after the first event of any request with the fatal part. Sound
+/// requests take a while, so that crashes break them off.
+async fn endpoints_for_parts(count: u32, arrivals: &Arrivals) -> Vec<Endpoint> {
+    let start = |number: u32| {
+        let arrivals = Rc::clone(arrivals);
+        let script = move |seen: &SeenRequest| {
+            if seen.parts().contains(&FATAL_PART) {
+                arrivals.borrow_mut().push(Instant::now());
+                let ran = Step::Wait(Duration::from_millis(30));
+                return vec![stream(seen), event(0), ran, Step::Crash];
+            }
+            let work = Step::Wait(Duration::from_millis(120));
+            vec![work, plain(seen, 200, "done")]
+        };
+        async move { Endpoint::start(&format!("i-{number:02}"), script).await }
+    };
+    join_all((0..count).map(start)).await
+}
+
+/// Requests that crash endpoints share one part of their prompts and nothing else that sound requests
+/// of the same caller do not have. Once enough endpoints have crashed, none of them may be sent, and
+/// the sound ones must be served.
+#[actix_web::test]
+async fn a_prompt_part_that_crashes_endpoints_stops_reaching_them() {
+    let arrivals = Arrivals::default();
+    let endpoints = endpoints_for_parts(30, &arrivals).await;
+    let all: Vec<&Endpoint> = endpoints.iter().collect();
+    let zone = Zone::start(26, store_with(&all).await).await;
+    let mut sound = Vec::new();
+    for number in 0..240_u64 {
+        let (_, relay) = &zone.daemons[(number / 2) as usize % usize::from(DAEMONS)];
+        let address = relay.callers();
+        let is_fatal = number.is_multiple_of(2);
+        let own = 0x1000 + number;
+        let parts = if is_fatal {
+            vec![SHARED_PARTS[0], FATAL_PART, own]
+        } else {
+            vec![SHARED_PARTS[0], SHARED_PARTS[1], own]
+        };
+        let path = format!("/stream/{number}");
+        let text = request("GET", &path, &format!("r{number}"), &prompt(&parts));
+        let sent = Instant::now();
+        let answer = actix_web::rt::spawn(async move { ask(address, &text).await });
+        if !is_fatal {
+            sound.push((sent, answer));
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let known = arrivals.borrow()[KNOWN_CRASHES - 1];
+    let late = arrivals.borrow();
+    let late = late.iter().filter(|at| **at > known + CONTACT_TIME).count();
+    let crashed = endpoints.iter().filter(|row| row.has_crashed()).count();
+    assert!(
+        late <= MOST_LATE,
+        "{late} late attempts; {crashed} endpoints crashed in all"
+    );
+    let (mut asked, mut served) = (0, 0);
+    for (sent, answer) in sound {
+        let answer = answer.await.expect("the task does not panic");
+        if sent > known + CONTACT_TIME * 2 {
+            asked += 1;
+            served += usize::from(answer.is_ok_and(|answer| answer.status == 200));
+        }
+    }
+    assert!(
+        asked > 0 && served * 2 >= asked,
+        "{served} of {asked} sound requests served"
+    );
+}
+
 /// A caller retries a request that crashes every endpoint through one daemon after the other. Once
 /// enough endpoints have crashed, no daemon may send it on; otherwise it crashes all of them.
 #[actix_web::test]
