crash: suspect the parts that prompts share beside whole requests

Requests of one kind crashed endpoint after endpoint, and broke off the sound requests beside them.

Cause: a crash was charged to the content of the whole request. Requests that share a part of their prompt and nothing else never add up to the three crashes of a quarantine. Class: an identity narrower than the fault.

Now the shared parts of a prompt are suspects of their own, by team. A part that was served within 3 s is none, here or at a daemon that reports so. If the first crashes leave several suspects, one that sound requests have may be quarantined with the fatal one; a request is then tried if something that it does not have explains the crashes as well. Served, it clears its parts; a crash ends the trials. Retry-After is short while that is open.

The test failed before: all 30 endpoints crashed, 0 of 58 sound requests were served. It passes now. An earlier form of it answered sound requests with something that is no stream, so it could not have passed; its bounds are unchanged.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -27,7 +27,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::buffered_stream::BufferedStream;
-use super::crash::{LazyFingerprint, check_crash, clear};
+use super::crash::{LazyFingerprint, check_crash, clear, record_served};
 use super::exchange::{EndpointResponse, ExchangeError, OK, SERVER_ERROR, exchange, read_body};
 use super::reach;
 use super::state::State;
@@ -62,6 +62,8 @@
     /// Sorted zones that it may be sent to; `None` for all.
     pub(crate) homes: Option<Vec<ZoneId>>,
     pub(crate) fingerprint: LazyFingerprint<'r>,
+    /// Whether it is sent once although something in it is quarantined.
+    pub(crate) is_trial: bool,
     /// Whether it may be forwarded to another daemon.
     pub(crate) may_forward: bool,
 }
@@ -219,6 +221,9 @@
     pub(crate) fn fail(&self, state: &Rc<State>, job: &Job<'_>, error: ExchangeError) {
         let endpoint = &self.sent.guard.endpoint;
         let (reused, first_event) = (Some(self.sent.reused), Some(self.first_event));
+        if self.first_event.elapsed() >= SAFE_AFTER {
+            record_served(state, &job.fingerprint);
+        }
         record_sample(state, job, endpoint, false, self.timing());
         record_failed(state, job, endpoint, error, reused, first_event);
     }
@@ -247,10 +252,9 @@
 
 /// Records that an endpoint answered; `is_good` if that was no error.
 fn record_answered(state: &State, job: &Job<'_>, endpoint: &EndpointId, is_good: bool) {
-    if !state.crashes.borrow().is_empty() {
-        clear(state, job.fingerprint.get());
-    }
+    clear(state, &job.fingerprint);
     if is_good {
+        record_served(state, &job.fingerprint);
         state.measure(|metrics| metrics.record_attempt("answered"));
     }
     let mut table = state.endpoints.borrow_mut();
@@ -603,7 +607,7 @@
         "send: failed, {error}."
     );
     if let Some(suspect) = crash_suspect(state, endpoint, error, first_event) {
-        check_crash(state, &suspect, job.fingerprint.get());
+        check_crash(state, &suspect, &job.fingerprint);
     }
 }
 
--- a/daemon/src/relay/crash.rs
+++ b/daemon/src/relay/crash.rs
@@ -15,9 +15,10 @@
 use poplarvale_lib::protos::relay::digest;
 use poplarvale_lib::relay::crash::{
     CRASH_TTL, Crash, CrashUpdate, Fingerprint, IncarnationHash, QUARANTINE_CRASHES, fingerprint,
-    incarnation_hash,
+    incarnation_hash, part_fingerprint,
 };
 use poplarvale_lib::relay::listing::Listing;
+use poplarvale_lib::relay::request::{Prompt, RequestHead};
 use poplarvale_platform::{Txn, grant_lease, read_lease, read_txn, txn};
 use prost::Message as _;
 
@@ -33,75 +34,142 @@
 const URGENT_CRASHES: usize = QUARANTINE_CRASHES - 1;
 /// Timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest time until the first trial of a request with a quarantined part.
+const MAX_TRIAL_DELAY: Duration = Duration::from_millis(1500);
+/// When a request that may be tried is to come back.
+const TRIAL_RETRY: Duration = Duration::from_secs(1);
 /// Pause after a request could not be saved.
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
 /// Maximum number of attempts to save a request; the other daemons that observed a crash
 /// under it try too.
 const MAX_TRIES: u32 = 20;
 
-/// Fingerprint of a request, computed when it is first needed.
+/// Fingerprint of a request, computed when it is first needed, and those of the shared parts of its
+/// prompt.
 #[derive(Debug)]
 pub(crate) struct LazyFingerprint<'r> {
     team: &'r str,
-    host: &'r str,
+    head: &'r RequestHead,
     request: &'r Request,
     body: &'r [u8],
     value: OnceCell<Fingerprint>,
 }
 
 impl<'r> LazyFingerprint<'r> {
-    pub(crate) fn new(team: &'r str, host: &'r str, request: &'r Request, body: &'r [u8]) -> Self {
+    pub(crate) fn new(
+        team: &'r str,
+        head: &'r RequestHead,
+        request: &'r Request,
+        body: &'r [u8],
+    ) -> Self {
         Self {
             team,
-            host,
+            head,
             request,
             body,
             value: OnceCell::new(),
         }
     }
 
+    /// Fingerprints of the parts of the prompt that other requests may share.
+    fn parts(&self) -> Vec<Fingerprint> {
+        let parts = self.head.prompt.as_ref().map(Prompt::shared_parts);
+        let parts = parts.unwrap_or_default().iter();
+        parts
+            .map(|(id, _)| part_fingerprint(self.team, *id))
+            .collect()
+    }
+
+    /// What may have crashed an endpoint: the request, and the shared parts of its prompt.
+    fn suspects(&self) -> Vec<Fingerprint> {
+        let mut suspects = self.parts();
+        suspects.push(self.get());
+        suspects
+    }
+
     pub(crate) fn get(&self) -> Fingerprint {
         let (method, target) = (&self.request.method, &self.request.target);
         *self
             .value
-            .get_or_init(|| fingerprint(self.team, self.host, method, target, self.body))
+            .get_or_init(|| fingerprint(self.team, &self.head.host, method, target, self.body))
     }
 }
 
-/// How long a request is still quarantined because endpoints crashed under it; `None` if it may
-/// be sent.
-pub(crate) fn quarantine_left(
-    state: &State,
-    fingerprint: &LazyFingerprint<'_>,
-) -> Option<Duration> {
-    let crashes = state.crashes.borrow();
+/// Whether a request may be sent, as far as crashes of endpoints are known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Clearance {
+    /// Nothing quarantined is in it.
+    Clear,
+    /// It is tried, as something that is not in it explains the crashes as well.
+    Trial,
+    /// It may come back after this time.
+    Quarantined(Duration),
+}
+
+/// Whether a request may be sent to an endpoint.
+pub(crate) fn clearance(state: &State, fingerprint: &LazyFingerprint<'_>) -> Clearance {
+    let mut crashes = state.crashes.borrow_mut();
     if crashes.is_empty() {
-        return None;
+        return Clearance::Clear;
+    }
+    let now = Instant::now();
+    let suspects = fingerprint.suspects();
+    let left = suspects
+        .iter()
+        .filter_map(|row| crashes.quarantine_left(*row, now));
+    let Some(left) = left.max() else {
+        return Clearance::Clear;
+    };
+    let delay = MAX_TRIAL_DELAY.mul_f64(fastrand::f64());
+    if crashes.take_trial(&suspects, delay, now) {
+        return Clearance::Trial;
     }
-    crashes.quarantine_left(fingerprint.get(), Instant::now())
+    let may_try = crashes.may_try(&suspects, now);
+    Clearance::Quarantined(if may_try { left.min(TRIAL_RETRY) } else { left })
 }
 
-/// Endpoint that is being checked for a crash, and the requests that broke off there.
+/// Whether something in a request is quarantined.
+pub(crate) fn is_quarantined(state: &State, fingerprint: &LazyFingerprint<'_>) -> bool {
+    let crashes = state.crashes.borrow();
+    let now = Instant::now();
+    let is_known = |row: &Fingerprint| crashes.quarantine_left(*row, now).is_some();
+    !crashes.is_empty() && fingerprint.suspects().iter().any(is_known)
+}
+
+/// Endpoint that is being checked for a crash, the number of requests that broke off there, and what
+/// of them may have crashed it.
 #[derive(Debug)]
 pub(crate) struct CrashCheck {
     incarnation: IncarnationHash,
-    fingerprints: Vec<Fingerprint>,
+    requests: usize,
+    /// Sorted.
+    suspects: Vec<Fingerprint>,
 }
 
 /// Checks whether an endpoint crashed under a request that broke off there.
-pub(crate) fn check_crash(state: &Rc<State>, endpoint: &Listing, fingerprint: Fingerprint) {
+pub(crate) fn check_crash(
+    state: &Rc<State>,
+    endpoint: &Listing,
+    fingerprint: &LazyFingerprint<'_>,
+) {
     let incarnation = incarnation_hash(endpoint);
+    let mut suspects = fingerprint.suspects();
     let mut crash_checks = state.crash_checks.borrow_mut();
     if let Some(row) = crash_checks
         .iter_mut()
         .find(|row| row.incarnation == incarnation)
     {
-        row.fingerprints.push(fingerprint);
+        row.requests += 1;
+        row.suspects.append(&mut suspects);
+        row.suspects.sort_unstable();
+        row.suspects.dedup();
         return;
     }
+    suspects.sort_unstable();
     crash_checks.push(CrashCheck {
         incarnation,
-        fingerprints: vec![fingerprint],
+        requests: 1,
+        suspects,
     });
     actix_web::rt::spawn(probe(Rc::clone(state), endpoint.clone(), incarnation));
 }
@@ -115,25 +183,23 @@
         .is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused);
     // Behind a partition of this host all endpoints refuse connections, as crashed ones do.
     let is_own_fault = is_refused && !reach::reaches_others(&state, &endpoint.id).await;
-    let fingerprints = take_check(&state, incarnation);
+    let (requests, suspects) = take_check(&state, incarnation);
     match connected {
         Ok(conn) => state.upstreams.put(endpoint.address, conn, None),
         Err(_) if is_own_fault => log::info!(
-            requests = fingerprints.len();
+            requests;
             "crash: endpoint {} refuses connections as others do, no crash is recorded.",
             endpoint.id
         ),
         Err(_) if is_refused => {
             log::info!(
-                requests = fingerprints.len();
+                requests, suspects = suspects.len();
                 "crash: endpoint {} crashed while it ran requests.", endpoint.id
             );
-            for fingerprint in fingerprints {
-                let update =
-                    state
-                        .crashes
-                        .borrow_mut()
-                        .record(fingerprint, incarnation, Instant::now());
+            let mut crashes = state.crashes.borrow_mut();
+            let updates = crashes.record_crash(&suspects, incarnation, Instant::now());
+            drop(crashes);
+            for (fingerprint, update) in updates {
                 publish(&state, fingerprint, update, &endpoint.id);
             }
         }
@@ -144,13 +210,17 @@
     }
 }
 
-/// Ends the check of an endpoint and returns the requests that broke off there.
-fn take_check(state: &State, incarnation: IncarnationHash) -> Vec<Fingerprint> {
+/// Ends the check of an endpoint and returns how many requests broke off there, and what of them may
+/// have crashed it.
+fn take_check(state: &State, incarnation: IncarnationHash) -> (usize, Vec<Fingerprint>) {
     let mut crash_checks = state.crash_checks.borrow_mut();
     let at = crash_checks
         .iter()
         .position(|row| row.incarnation == incarnation);
-    at.map_or_else(Vec::new, |at| crash_checks.swap_remove(at).fingerprints)
+    at.map_or_else(Default::default, |at| {
+        let check = crash_checks.swap_remove(at);
+        (check.requests, check.suspects)
+    })
 }
 
 /// Logs a change of a request's crashes. From [`URGENT_CRASHES`] on it is sent to the other daemons
@@ -161,7 +231,7 @@
         CrashUpdate::Suspected(crashes) => {
             log::info!(
                 content:% = format_args!("{fingerprint:016x}"), lives = crashes;
-                "crash: request suspected of crashing endpoints (source: {source})."
+                "crash: request or part of prompts suspected of crashing endpoints (source: {source})."
             );
             if crashes < URGENT_CRASHES {
                 return;
@@ -170,7 +240,7 @@
         CrashUpdate::Quarantined => {
             log::warn!(
                 content:% = format_args!("{fingerprint:016x}");
-                "crash: request quarantined and no longer served (source: {source})."
+                "crash: request or part of prompts quarantined and no longer served (source: {source})."
             );
             state.measure(Metrics::record_quarantine);
             state.quarantined.notify_one();
@@ -199,7 +269,7 @@
     if was_suspected {
         log::info!(
             content:% = format_args!("{fingerprint:016x}");
-            "crash: request cleared (source: {name})."
+            "crash: request or part of prompts cleared (source: {name})."
         );
     }
 }
@@ -212,21 +282,41 @@
     }
 }
 
-/// Clears a request that an endpoint served.
-pub(crate) fn clear(state: &State, fingerprint: Fingerprint) {
-    if state
+/// Clears a request that an endpoint answered.
+pub(crate) fn clear(state: &State, fingerprint: &LazyFingerprint<'_>) {
+    let mut crashes = state.crashes.borrow_mut();
+    if crashes.is_empty() {
+        return;
+    }
+    let fingerprint = fingerprint.get();
+    if crashes.clear(fingerprint, Instant::now()) {
+        log_cleared(state, fingerprint);
+    }
+}
+
+/// Records that an endpoint served the parts of a prompt, which clears them.
+pub(crate) fn record_served(state: &State, fingerprint: &LazyFingerprint<'_>) {
+    let parts = fingerprint.parts();
+    if parts.is_empty() {
+        return;
+    }
+    let cleared = state
         .crashes
         .borrow_mut()
-        .clear(fingerprint, Instant::now())
-    {
-        log::info!(
-            content:% = format_args!("{fingerprint:016x}");
-            "crash: request cleared, an endpoint served it."
-        );
-        state.digest_due.notify_one();
+        .record_served(&parts, Instant::now());
+    for part in cleared {
+        log_cleared(state, part);
     }
 }
 
+fn log_cleared(state: &State, fingerprint: Fingerprint) {
+    log::info!(
+        content:% = format_args!("{fingerprint:016x}");
+        "crash: request or part of prompts cleared, an endpoint served it."
+    );
+    state.digest_due.notify_one();
+}
+
 /// Crashes under a request as they stand in digests and in the store.
 pub(crate) fn to_digest(crash: Crash) -> digest::Crash {
     digest::Crash {
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -32,7 +32,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{self, Begun, EndpointStream, Job};
-use super::crash::quarantine_left;
+use super::crash::is_quarantined;
 use super::exchange::{ExchangeError, OK, SERVER_ERROR};
 use super::forward::{self, DaemonStream, MAX_DAEMONS};
 use super::progress::{Loss, Progress, Tracker};
@@ -302,14 +302,15 @@
 
     fn next_endpoint(&self, at: Forwarded) -> Result<(AttemptIndex, Duration, Pending<'_>), Stop> {
         let (state, job) = (self.state, self.job);
-        if quarantine_left(state, &job.fingerprint).is_some() {
-            return Err(Stop::Quarantined);
-        }
         let (sent, tried) = {
             let attempts = self.progress().attempts();
             attempts.check_next(Via::Endpoint)?;
             (attempts.sent(), attempts.endpoints())
         };
+        let is_tried = job.is_trial && sent == 0;
+        if !is_tried && is_quarantined(state, &job.fingerprint) {
+            return Err(Stop::Quarantined);
+        }
         let choice = pick(state, job, &tried).map_err(Stop::Select)?;
         if sent > 0 && !try_retry(state, &job.service.name) {
             return Err(Stop::Budget);
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -22,7 +22,7 @@
 use tokio::time::Instant;
 
 use super::attempt::Job;
-use super::crash::{LazyFingerprint, quarantine_left};
+use super::crash::{Clearance, LazyFingerprint, clearance};
 use super::dispatch::{dispatch, dispatch_to_daemons};
 use super::state::State;
 
@@ -177,16 +177,27 @@
         version: catalog.version,
         versions: Versions::Any,
         homes,
-        fingerprint: LazyFingerprint::new(name, &head.host, request, body),
+        fingerprint: LazyFingerprint::new(name, head, request, body),
+        is_trial: false,
         // Otherwise no other daemon has taken it.
         may_forward: origin == Origin::Caller && !is_cut_off,
     };
     if is_cut_off && let Some(done) = dispatch_to_daemons(state, &job, write, keep).await {
         return done;
     }
-    if let Some(left) = quarantine_left(state, &job.fingerprint) {
-        let rejection = Rejection::retry_later(Code::Quarantined, left);
-        return reject(state, write, head, rejection, keep).await;
+    match clearance(state, &job.fingerprint) {
+        Clearance::Clear => {}
+        Clearance::Trial => {
+            log::info!(
+                request = head.id.as_str();
+                "crash: request is tried, something else may have crashed the endpoints."
+            );
+            job.is_trial = true;
+        }
+        Clearance::Quarantined(left) => {
+            let rejection = Rejection::retry_later(Code::Quarantined, left);
+            return reject(state, write, head, rejection, keep).await;
+        }
     }
     let units = team.map_or(0.0, |team| quota::units(team, head));
     let admission = team.map(|team| state.quota.borrow_mut().admit(team, units, Std::now()));
--- a/daemon/tests/test_relay_crash.rs
+++ b/daemon/tests/test_relay_crash.rs
@@ -49,7 +49,7 @@
 /// Part of a prompt that crashes endpoints, and parts that deadly and sound requests share.
 const FATAL_PART: u64 = 0xdead;
 const SHARED_PARTS: [u64; 2] = [0xaa, 0xbb];
-/// Crashes under a part, and the time after them from which on at most [`MOST_LATE`] requests with it
+/// Crashes under a part, or fewer if it crashes no more, and the time after them from which on at most [`MOST_LATE`] requests with it
 /// may be sent. After twice that time, half of the sound requests must be served.
 const KNOWN_CRASHES: usize = 5;
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -67,7 +67,8 @@
                 return vec![stream(seen), event(0), ran, Step::Crash];
             }
             let work = Step::Wait(Duration::from_millis(120));
-            vec![work, plain(seen, 200, "done")]
+            let end = Step::Send("0\r\n\r\n".into());
+            vec![work, stream(seen), event(0), end]
         };
         async move { Endpoint::start(&format!("i-{number:02}"), script).await }
     };
@@ -103,9 +104,11 @@
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    let known = arrivals.borrow()[KNOWN_CRASHES - 1];
-    let late = arrivals.borrow();
-    let late = late.iter().filter(|at| **at > known + CONTACT_TIME).count();
+    let arrivals = arrivals.borrow();
+    let known = arrivals.iter().take(KNOWN_CRASHES).next_back();
+    let known = *known.expect("an endpoint was reached");
+    let is_late = |at: &&Instant| **at > known + CONTACT_TIME;
+    let late = arrivals.iter().filter(is_late).count();
     let crashed = endpoints.iter().filter(|row| row.has_crashed()).count();
     assert!(
         late <= MOST_LATE,
--- a/lib/src/relay/crash.rs
+++ b/lib/src/relay/crash.rs
@@ -1,4 +1,4 @@
-//! Quarantine of requests that crash the endpoints that run them.
+//! Quarantine of requests, and of parts of prompts, that crash the endpoints that run them.
 //!
 //! A request whose content crashes every endpoint that starts it is retried again and again
 //! under new ids and through any daemon. Each crash also breaks the other requests of that
@@ -11,6 +11,20 @@
 //! repeated digests do no harm. Once [`QUARANTINE_CRASHES`] different incarnations have crashed
 //! under a request, it is quarantined: no daemon sends it any more.
 //!
+//! Requests that are no two alike may crash endpoints by a part of the prompt that they share. So the
+//! parts that other requests may share are recorded beside the whole request, each by a fingerprint
+//! of its own. A team may name any part in its requests, so a part counts for its team only.
+//!
+//! A part that was served lately is no suspect: sound requests of the same team share most of the
+//! parts of those that crash endpoints. Once a suspect has been seen in enough crashes, further ones
+//! do not count against those beside it.
+//!
+//! The first crashes may leave several suspects: all deadly requests have the part that crashes
+//! endpoints and one that sound requests have too. A request is tried if each of its quarantined
+//! suspects has an alternative, another suspect with the same crashes that the request does not
+//! have. If it is served, its suspects are cleared; if it crashes the endpoint, no alternative
+//! explains that crash, and nothing more is tried.
+//!
 //! Two rules protect requests that merely ran on a crashing endpoint. A request that had run
 //! for [`SAFE_AFTER`] did not cause the crash, and one that is served anywhere is cleared
 //! everywhere.
@@ -22,7 +36,8 @@
 
 use super::listing::Listing;
 
-/// Hash of what a request asks for, the same for each attempt by any caller.
+/// Hash of what a request asks for, the same for each attempt by any caller, or of a part of the
+/// prompts of a team.
 pub type Fingerprint = u64;
 /// Hash of one incarnation of an endpoint.
 pub type IncarnationHash = u32;
@@ -34,6 +49,18 @@
 pub const SAFE_AFTER: Duration = Duration::from_secs(1);
 /// How long a request stays quarantined, and how long a crash counts against it.
 pub const CRASH_TTL: Duration = Duration::from_mins(10);
+/// How long a part is no suspect after it was served; in a quiet second a shared part is served
+/// several times.
+const SERVED_TTL: Duration = Duration::from_secs(3);
+/// Most parts whose last answer is remembered.
+const MAX_SERVED: usize = 4096;
+/// Crashes under a suspect from which on a further one does not count against those beside it. With
+/// fewer, the one that is quarantined first may be the wrong one.
+const SETTLED_CRASHES: usize = QUARANTINE_CRASHES + 1;
+/// Most crashes of a suspect that are told apart.
+const MAX_CRASHES: usize = 6;
+/// Time between two trials of a request with a quarantined part at one daemon.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(3);
 /// How long digests contain a change; short network partitions end sooner.
 const REPORT_TIME: Duration = Duration::from_secs(5);
 /// Most requests that are tracked, so that a wave of crashes uses little memory.
@@ -61,6 +88,11 @@
     hash.digest()
 }
 
+/// Fingerprint of a part of a team's prompts.
+pub fn part_fingerprint(team: &str, part: u64) -> Fingerprint {
+    xxh3_64_with_seed(team.as_bytes(), part)
+}
+
 /// Hash of the endpoint incarnation that a registry entry belongs to. An endpoint may start
 /// again under the same id.
 pub fn incarnation_hash(listing: &Listing) -> IncarnationHash {
@@ -94,7 +126,7 @@
 #[derive(Clone, Debug)]
 struct Suspect {
     fingerprint: Fingerprint,
-    /// Incarnations that crashed under it, sorted, at most [`QUARANTINE_CRASHES`].
+    /// Incarnations that crashed under it, sorted, at most [`MAX_CRASHES`].
     incarnations: Vec<IncarnationHash>,
     /// Whether this daemon itself observed one of the crashes.
     is_local: bool,
@@ -104,6 +136,8 @@
     report_until: Instant,
     /// Whether it was handed out to be written to the store.
     is_saved: bool,
+    /// When this daemon may try a request that has it.
+    trial_at: Option<Instant>,
 }
 
 impl Suspect {
@@ -127,6 +161,8 @@
     /// Requests that were suspected and then served, and until when digests contain that;
     /// sorted.
     cleared: Vec<(Fingerprint, Instant)>,
+    /// Parts that this daemon has seen served, and until when they are no suspects; sorted.
+    served: Vec<(Fingerprint, Instant)>,
 }
 
 impl Crashes {
@@ -155,6 +191,48 @@
         (row.is_quarantined() && !left.is_zero()).then_some(left)
     }
 
+    /// Whether a request with these suspects, of which some are quarantined, may be tried now. The
+    /// first trial comes after the given delay, which differs between daemons so that one learns from
+    /// another.
+    pub fn take_trial(&mut self, suspects: &[Fingerprint], delay: Duration, now: Instant) -> bool {
+        if !self.may_try(suspects, now) {
+            return false;
+        }
+        let mut is_due = true;
+        for suspect in suspects {
+            let Ok(at) = self.find(*suspect) else {
+                continue;
+            };
+            let trial_at = self.rows[at].trial_at.get_or_insert(now + delay);
+            is_due &= now >= *trial_at;
+        }
+        if is_due {
+            for suspect in suspects {
+                if let Ok(at) = self.find(*suspect) {
+                    self.rows[at].trial_at = Some(now + TRIAL_INTERVAL + delay);
+                }
+            }
+        }
+        is_due
+    }
+
+    /// Whether each quarantined suspect of a request has an alternative that the request does not
+    /// have.
+    pub fn may_try(&self, suspects: &[Fingerprint], now: Instant) -> bool {
+        let quarantined = || self.rows.iter().filter(|row| row.is_quarantined());
+        let has_alternative = |suspect: &Suspect| {
+            let others = quarantined().filter(|row| !suspects.contains(&row.fingerprint));
+            let mut others = others.filter(|row| now < row.expires);
+            others.any(|row| {
+                let mut crashes = suspect.incarnations.iter();
+                crashes.all(|crash| row.incarnations.binary_search(crash).is_ok())
+            })
+        };
+        quarantined()
+            .filter(|row| suspects.contains(&row.fingerprint))
+            .all(has_alternative)
+    }
+
     /// Records that an endpoint incarnation crashed while it ran a request from this daemon.
     pub fn record(
         &mut self,
@@ -170,11 +248,74 @@
         self.apply(&crash, true, now)
     }
 
+    /// Records that an endpoint incarnation crashed while it ran requests from this daemon.
+    /// `suspects` are these requests and the shared parts of their prompts. Returns what changed.
+    pub fn record_crash(
+        &mut self,
+        suspects: &[Fingerprint],
+        incarnation: IncarnationHash,
+        now: Instant,
+    ) -> Vec<(Fingerprint, CrashUpdate)> {
+        let is_settled = |row: &Fingerprint| {
+            let found = self.find(*row);
+            let crashes = found.map_or(0, |at| self.rows[at].incarnations.len());
+            crashes >= SETTLED_CRASHES
+        };
+        let known: Vec<Fingerprint> = suspects.iter().copied().filter(is_settled).collect();
+        let suspects = if known.is_empty() { suspects } else { &known };
+        let suspects = suspects.iter().copied();
+        let suspects: Vec<Fingerprint> = suspects
+            .filter(|row| !self.was_served_lately(*row, now))
+            .collect();
+        let updates = suspects.into_iter().map(|fingerprint| {
+            let update = self.record(fingerprint, incarnation, now);
+            (fingerprint, update)
+        });
+        updates.collect()
+    }
+
+    /// Records that an endpoint served a request with these shared parts. Returns the parts that
+    /// were suspected.
+    pub fn record_served(&mut self, parts: &[Fingerprint], now: Instant) -> Vec<Fingerprint> {
+        for part in parts {
+            match self.find_served(*part) {
+                Ok(at) => self.served[at].1 = now + SERVED_TTL,
+                Err(_) => self.insert_served(*part, now),
+            }
+        }
+        let parts = parts.iter().copied();
+        parts.filter(|part| self.clear(*part, now)).collect()
+    }
+
+    /// Adds a part that was served. If there are too many, the one that was served first is dropped.
+    fn insert_served(&mut self, part: Fingerprint, now: Instant) {
+        if self.served.len() >= MAX_SERVED {
+            let rows = self.served.iter().enumerate();
+            let oldest = rows.min_by_key(|(_, row)| row.1).map(|(at, _)| at);
+            if let Some(at) = oldest {
+                self.served.remove(at);
+            }
+        }
+        let at = self.find_served(part).unwrap_or_else(|at| at);
+        self.served.insert(at, (part, now + SERVED_TTL));
+    }
+
+    /// Whether a part was served so lately that it is no suspect.
+    fn was_served_lately(&self, part: Fingerprint, now: Instant) -> bool {
+        let found = self.find_served(part);
+        found.is_ok_and(|at| now < self.served[at].1)
+    }
+
     /// Merges a report of another daemon or of the store.
     pub fn merge(&mut self, crash: &Crash, now: Instant) -> CrashUpdate {
         if self.find_cleared(crash.fingerprint).is_ok() {
             return CrashUpdate::Unchanged;
         }
+        if self.was_served_lately(crash.fingerprint, now) {
+            // The other daemon has not seen it served.
+            self.report_as_cleared(crash.fingerprint, now);
+            return CrashUpdate::Unchanged;
+        }
         self.apply(crash, false, now)
     }
 
@@ -192,7 +333,7 @@
         let (before, was_quarantined) = (row.incarnations.len(), row.is_quarantined());
         for incarnation in &crash.incarnations {
             if let Err(at) = row.incarnations.binary_search(incarnation)
-                && row.incarnations.len() < QUARANTINE_CRASHES
+                && row.incarnations.len() < MAX_CRASHES
             {
                 row.incarnations.insert(at, *incarnation);
             }
@@ -228,6 +369,7 @@
             expires: now,
             report_until: now,
             is_saved: false,
+            trial_at: None,
         };
         let at = self.find(fingerprint).unwrap_or_else(|at| at);
         self.rows.insert(at, row);
@@ -238,14 +380,18 @@
     pub fn clear(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
         let was_suspected = self.remove(fingerprint);
         if was_suspected {
-            match self.find_cleared(fingerprint) {
-                Ok(at) => self.cleared[at].1 = now + REPORT_TIME,
-                Err(at) => self.cleared.insert(at, (fingerprint, now + REPORT_TIME)),
-            }
+            self.report_as_cleared(fingerprint, now);
         }
         was_suspected
     }
 
+    fn report_as_cleared(&mut self, fingerprint: Fingerprint, now: Instant) {
+        match self.find_cleared(fingerprint) {
+            Ok(at) => self.cleared[at].1 = now + REPORT_TIME,
+            Err(at) => self.cleared.insert(at, (fingerprint, now + REPORT_TIME)),
+        }
+    }
+
     /// Applies that another daemon has seen a request served; returns whether it was suspected
     /// here.
     pub fn merge_cleared(&mut self, fingerprint: Fingerprint) -> bool {
@@ -307,6 +453,7 @@
     pub fn expire(&mut self, now: Instant) {
         self.rows.retain(|row| now < row.expires);
         self.cleared.retain(|row| now < row.1);
+        self.served.retain(|row| now < row.1);
     }
 
     fn find(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
@@ -314,6 +461,10 @@
             .binary_search_by_key(&fingerprint, |row| row.fingerprint)
     }
 
+    fn find_served(&self, part: Fingerprint) -> Result<usize, usize> {
+        self.served.binary_search_by_key(&part, |row| row.0)
+    }
+
     fn find_cleared(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
         self.cleared.binary_search_by_key(&fingerprint, |row| row.0)
     }
--- a/lib/tests/test_relay_crash.rs
+++ b/lib/tests/test_relay_crash.rs
@@ -93,6 +93,86 @@
     assert!(one.is_empty() && other.is_empty());
 }
 
+/// Requests that are no two alike crash endpoints by one part of their prompts, among parts that
+/// sound requests have too.
+#[test]
+fn a_part_that_different_requests_share_is_quarantined() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    crashes.record_served(&[OTHER], now);
+    for incarnation in 0..QUARANTINE_CRASHES as u32 {
+        let whole = 100 + u64::from(incarnation);
+        crashes.record_crash(&[OTHER, FATAL, whole], incarnation, now);
+    }
+    assert!(crashes.quarantine_left(FATAL, now).is_some());
+    assert_eq!(crashes.quarantine_left(OTHER, now), None);
+}
+
+/// Requests that were sent before the quarantine go on crashing endpoints. These crashes do not count
+/// against the requests beside them.
+#[test]
+fn crashes_by_a_quarantined_part_do_not_count_against_others() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    for incarnation in 0..QUARANTINE_CRASHES as u32 {
+        crashes.record_crash(&[FATAL], incarnation, now);
+    }
+    for incarnation in 10..20 {
+        crashes.record_crash(&[FATAL, OTHER], incarnation, now);
+    }
+    assert_eq!(crashes.quarantine_left(OTHER, now), None);
+}
+
+/// One daemon serves requests with a part that another one only sees break off beside others.
+#[test]
+fn a_part_that_another_daemon_serves_is_cleared() {
+    let now = Instant::now();
+    let (mut one, mut other) = (Crashes::default(), Crashes::default());
+    for incarnation in 0..QUARANTINE_CRASHES as u32 {
+        one.record_crash(&[OTHER], incarnation, now);
+    }
+    other.record_served(&[OTHER], now);
+    digest(&one, &mut other, false, now);
+    assert_eq!(other.quarantine_left(OTHER, now), None);
+    digest(&other, &mut one, false, now);
+    assert_eq!(one.quarantine_left(OTHER, now), None);
+}
+
+/// The first crashes leave the fatal part and one that sound requests share, too. Sound requests are
+/// tried and clear theirs, deadly ones are not tried.
+#[test]
+fn a_request_is_tried_if_something_else_explains_the_crashes() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    for incarnation in 0..QUARANTINE_CRASHES as u32 {
+        crashes.record_crash(&[FATAL, OTHER], incarnation, now);
+    }
+    assert!(!crashes.take_trial(&[FATAL, OTHER], Duration::ZERO, now));
+    assert!(!crashes.take_trial(&[OTHER], PERIOD, now));
+    assert!(crashes.take_trial(&[OTHER], PERIOD, now + PERIOD));
+    assert!(
+        !crashes.take_trial(&[OTHER], PERIOD, now + PERIOD),
+        "one trial at a time"
+    );
+    crashes.record_served(&[OTHER], now + PERIOD);
+    assert_eq!(crashes.quarantine_left(OTHER, now + PERIOD), None);
+    assert!(!crashes.may_try(&[FATAL], now + PERIOD));
+}
+
+/// A trial that crashes its endpoint leaves no other explanation, so nothing more is tried.
+#[test]
+fn a_trial_that_crashes_is_the_last_one() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    for incarnation in 0..QUARANTINE_CRASHES as u32 {
+        crashes.record_crash(&[FATAL, OTHER], incarnation, now);
+    }
+    assert!(crashes.take_trial(&[FATAL], Duration::ZERO, now));
+    crashes.record_crash(&[FATAL], 99, now);
+    assert!(!crashes.may_try(&[FATAL], now));
+    assert!(crashes.may_try(&[OTHER], now));
+}
+
 /// A wave of crashes makes many requests suspected at once. They must not displace the record
 /// of the quarantined one, nor fill the digests.
 #[test]
