--- a/daemon/tests/test_relay_crash.rs
+++ b/daemon/tests/test_relay_crash.rs
@@ -104,7 +104,7 @@
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    let arrivals = arrivals.borrow();
+    let arrivals = arrivals.borrow().clone();
     let known = arrivals.iter().take(KNOWN_CRASHES).next_back();
     let known = *known.expect("an endpoint was reached");
     let is_late = |at: &&Instant| **at > known + CONTACT_TIME;
@@ -147,7 +147,7 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
     assert!(started.elapsed() > PROPAGATION_TIME * 2);
-    let arrivals = arrivals.borrow();
+    let arrivals = arrivals.borrow().clone();
     assert!(
         arrivals.len() >= QUARANTINE_CRASHES,
         "too few endpoints were reached"
