--- a/lib/src/relay/rollout.rs
+++ b/lib/src/relay/rollout.rs
@@ -48,6 +48,8 @@
 /// Suspicions during the last stage after which the new version stays on trial. One that fails only
 /// under the load of all requests does well again as soon as it is on trial.
 const MAX_SUSPICIONS: usize = 3;
+/// Most suspicions that are remembered; older ones matter only for answers that are long under way.
+const KEPT_SUSPICIONS: usize = 32;
 /// Number of time slots of a move that are counted separately, and bounds of a slot's length in
 /// milliseconds.
 const SLOTS: u64 = 12;
@@ -529,7 +531,9 @@
 
     /// Looks at the evidence, unless that was just done.
     fn check(&mut self, now: UnixMs) -> MoveChange {
-        if self.outcome != Outcome::Running || now < self.next_check {
+        // A deadline further ahead was set before the clock was set back.
+        let is_early = now < self.next_check && self.next_check <= now + CHECK_MS;
+        if self.outcome != Outcome::Running || is_early {
             return MoveChange::None;
         }
         self.next_check = now + CHECK_MS;
@@ -554,6 +558,10 @@
         let at_full = self.stage(now) > SUSPECTED_STAGE;
         let before = self.suspicions.iter().filter(|row| row.at_full).count();
         let is_last = at_full && before + 1 >= MAX_SUSPICIONS;
+        if self.suspicions.len() >= KEPT_SUSPICIONS {
+            let oldest = self.suspicions.iter().position(|row| !row.at_full);
+            self.suspicions.remove(oldest.unwrap_or_default());
+        }
         self.suspicions.push(Suspicion {
             from: now,
             until: if is_last { UnixMs::MAX } else { until },
--- a/lib/src/relay/rollout/evidence.rs
+++ b/lib/src/relay/rollout/evidence.rs
@@ -10,9 +10,8 @@
 //! and would count against a good one that got more of the requests then.
 //!
 //! Single endpoints fail by themselves. As long as the version has several, it must also have done
-//! worse without the few at which it did worst. A request counts in the period
-//! in which it was sent: failures end sooner than good answers, so among the first answers of a
-//! period they are too many.
+//! worse without the few at which it did worst. A request counts in the period in which it was sent:
+//! failures end sooner than good answers, so among the first answers of a period they are too many.
 //!
 //! Each daemon's counts only grow and are changed by that daemon alone, so digests that arrive twice
 //! or late do no harm.
@@ -42,8 +41,8 @@
 const MIN_ENDPOINTS: usize = 6;
 /// Requests at the old version in a slot from which on they count for its baseline.
 const BASELINE_REQUESTS: u32 = 10;
-/// The usual time is that in the old version's best slots, one of this many, so that a slow hour
-/// does not lengthen it.
+/// The usual time is that in the old version's best slots, one of this many, so that slow ones do not
+/// lengthen it.
 const BEST_SLOTS: usize = 3;
 /// The usual share of failures is the least that a slot shows, with so many standard errors added.
 const STANDARD_ERRORS: f64 = 1.5;
