crash: never try a request that is quarantined as a whole

A request that crashes endpoints whenever it is repeated could be tried again if another one had crashed the same endpoints. Found by reading the code; no run has shown it.

--- a/daemon/src/relay/crash.rs
+++ b/daemon/src/relay/crash.rs
@@ -120,12 +120,17 @@
     let Some(left) = left.max() else {
         return Clearance::Clear;
     };
+    // Only a part may be quarantined for what it merely ran beside again and again.
+    let is_whole = crashes.quarantine_left(fingerprint.get(), now).is_some();
+    if is_whole || !crashes.may_try(&suspects, now) {
+        return Clearance::Quarantined(left);
+    }
     let delay = MAX_TRIAL_DELAY.mul_f64(fastrand::f64());
     if crashes.take_trial(&suspects, delay, now) {
-        return Clearance::Trial;
+        Clearance::Trial
+    } else {
+        Clearance::Quarantined(left.min(TRIAL_RETRY))
     }
-    let may_try = crashes.may_try(&suspects, now);
-    Clearance::Quarantined(if may_try { left.min(TRIAL_RETRY) } else { left })
 }
 
 /// Whether something in a request is quarantined.
