--- a/lib/tests/test_relay_rollout_troubles.rs
+++ b/lib/tests/test_relay_rollout_troubles.rs
@@ -67,6 +67,26 @@
     assert!(wrong.is_empty(), "{trouble:?}: {wrong:?}");
 }
 
+/// A version turns bad some time after it got all requests. What it got before that is no measure, but
+/// it must be rolled back in time after its first failures.
+#[test]
+fn a_version_that_turns_bad_with_all_requests_is_rolled_back_in_time() {
+    let mut violations = Vec::new();
+    for trouble in [Trouble::None, Trouble::Outage(0.4)] {
+        let new = Behaviour {
+            fails: 0.5,
+            from: 0.65,
+            ..GOOD
+        };
+        for (seed, result) in beside(trouble, new, 20) {
+            if result.late > 0 || !result.outcomes.contains(&Outcome::RolledBack) {
+                violations.push((trouble, seed, result));
+            }
+        }
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 /// Each trouble may neither hide a bad version nor get a good one rolled back.
 macro_rules! beside_troubles {
     ($($name:ident: $trouble:expr,)*) => {
