rollout: endpoints that have left do not make the rest stand for the version

The number of endpoints of the new version was that of the last request. If all but one had left or crashed, a verdict would rest on that one without a check against others. Found by reading; no run has shown it. Now the most that were seen count. The log lines of a suspicion and a roll-back say what the version gets from then on.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -554,9 +554,9 @@
     }
     let totals = rollouts.totals(service);
     let what = if change == MoveChange::Ended {
-        "rolled back"
+        "rolled back and gets no further requests"
     } else {
-        "suspected"
+        "suspected and gets the share of a trial"
     };
     log::warn!(
         request = job.head.id.as_str(), route = route.as_str(), good,
--- a/lib/src/relay/rollout.rs
+++ b/lib/src/relay/rollout.rs
@@ -197,7 +197,8 @@
     share: f64,
     requests: u64,
     moved: u64,
-    /// Endpoints of the new version, as of the last request.
+    /// Most endpoints of the new version that were seen. Those that have left since do not make the
+    /// rest stand for the version.
     endpoints: u32,
     /// In the order of time; the last one may still be extended.
     suspicions: Vec<Suspicion>,
@@ -327,7 +328,7 @@
             Outcome::Running => {}
         }
         let endpoints = endpoints(&target);
-        row.endpoints = endpoints.new;
+        row.endpoints = row.endpoints.max(endpoints.new);
         if endpoints.old == 0 {
             // There is no endpoint left to compare with or to fall back to.
             return Versions::Any;
