relay: a stream without length and without events is no answer

Callers got an empty stream that looked complete when an endpoint ended the connection before the first event of an answer that has neither a length nor chunks. Cause: the end of the connection ends such a body, and nothing asked whether anything had come. Class: the absence of more is taken for the end. Only the rest of a stream that a caller resumes may be empty.

Test that failed before: test_relay_answers::a_stream_without_length_and_events_is_no_answer. Four more tests of answers without length passed on the code before: whole answers and streams, a reset, and an end inside an event with and without a resumable route.

--- a/daemon/src/relay/stream.rs
+++ b/daemon/src/relay/stream.rs
@@ -99,6 +99,11 @@
         while stream.ready.is_empty() && !stream.is_done() {
             stream.read().await?;
         }
+        // Without a length an end says nothing, and the rest of a stream that ends here may be empty.
+        let is_cut = stream.response.head.framing == Framing::Close && last.is_none();
+        if is_cut && stream.ready.is_empty() {
+            return Err(ExchangeError::Broken);
+        }
         Ok(stream)
     }
 
--- a/daemon/tests/test_relay_answers.rs
+++ b/daemon/tests/test_relay_answers.rs
@@ -3,7 +3,10 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use poplarvale_standin::{Endpoint, Step, ask, event, plain, rejection, request, response, stream};
+use poplarvale_standin::{
+    Endpoint, SeenRequest, Step, ask, event, event_text, plain, rejection, request, response,
+    stream, without_length,
+};
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpSocket;
@@ -217,3 +220,92 @@
     let answer = ask(site.address(), &text).await.expect("an answer");
     assert_eq!((answer.status, answer.body.as_str()), (200, "done"));
 }
+
+/// An answer has neither a length nor chunks and ends with its connection. It is whole.
+#[actix_web::test]
+async fn an_answer_without_length_is_passed_on_whole() {
+    let script = |seen: &SeenRequest| {
+        let rest = Step::Send("the rest".into());
+        let pause = Step::Wait(Duration::from_millis(50));
+        vec![without_length(seen, "begin, "), pause, rest, Step::Close]
+    };
+    let endpoint = Endpoint::start("i-1", script).await;
+    let site = Site::start(&[&endpoint]).await;
+    for number in 0..2 {
+        let text = request("GET", "/safe/a", &format!("r{number}"), "");
+        let answer = ask(site.address(), &text).await.expect("an answer");
+        assert!(answer.complete);
+        assert_eq!(
+            (answer.status, answer.body.as_str()),
+            (200, "begin, the rest")
+        );
+    }
+}
+
+/// The connection of an answer without length is reset. What came of it must not look complete.
+#[actix_web::test]
+async fn an_answer_without_length_that_is_reset_is_not_complete() {
+    let script = |seen: &SeenRequest| {
+        let pause = Step::Wait(Duration::from_millis(50));
+        vec![without_length(seen, "begin, "), pause, Step::Reset]
+    };
+    let endpoint = Endpoint::start("i-1", script).await;
+    let site = Site::start(&[&endpoint]).await;
+    let answer = ask(site.address(), &request("POST", "/once/a", "r1", "")).await;
+    assert_eq!(answer.expect("an answer").status, 502);
+}
+
+/// A stream without length that ends after an event is whole.
+#[actix_web::test]
+async fn a_stream_without_length_ends_with_its_connection() {
+    let script = |seen: &SeenRequest| {
+        let pause = Step::Wait(Duration::from_millis(50));
+        let events = Step::Send(event_text(1) + &event_text(2));
+        vec![
+            without_length(seen, &event_text(0)),
+            pause,
+            events,
+            Step::Close,
+        ]
+    };
+    let endpoint = Endpoint::start("i-1", script).await;
+    let site = Site::start(&[&endpoint]).await;
+    let answer = ask(site.address(), &request("GET", "/stream/a", "r1", "")).await;
+    let answer = answer.expect("an answer");
+    assert!(answer.complete);
+    assert_eq!(answer.body, event_text(0) + &event_text(1) + &event_text(2));
+    assert_eq!(endpoint.seen().len(), 1);
+}
+
+/// A stream without length that ends inside an event was broken off: it is continued elsewhere if it
+/// may be, and does not look complete otherwise.
+#[actix_web::test]
+async fn a_stream_without_length_that_ends_inside_an_event_is_broken_off() {
+    let script = |seen: &SeenRequest| {
+        if seen.last_event() == "0" {
+            return vec![without_length(seen, &event_text(1)), Step::Close];
+        }
+        let half = event_text(0) + "id: 1\nda";
+        vec![without_length(seen, &half), Step::Close]
+    };
+    let one = Endpoint::start("i-1", script).await;
+    let other = Endpoint::start("i-2", script).await;
+    let site = Site::start(&[&one, &other]).await;
+    let answer = ask(site.address(), &request("GET", "/resume/a", "r1", "")).await;
+    let answer = answer.expect("an answer");
+    assert!(answer.complete);
+    assert_eq!(answer.body, event_text(0) + &event_text(1));
+    let answer = ask(site.address(), &request("GET", "/stream/a", "r2", "")).await;
+    assert!(answer.is_ok_and(|answer| !answer.complete && answer.body == event_text(0)));
+}
+
+/// An endpoint ends the connection of a stream before its first event. Without a length nothing
+/// says that this is the whole stream.
+#[actix_web::test]
+async fn a_stream_without_length_and_events_is_no_answer() {
+    let script = |seen: &SeenRequest| vec![without_length(seen, ""), Step::Close];
+    let endpoint = Endpoint::start("i-1", script).await;
+    let site = Site::start(&[&endpoint]).await;
+    let answer = ask(site.address(), &request("GET", "/stream/a", "r1", "")).await;
+    assert!(answer.is_ok_and(|answer| answer.status == 502));
+}
