soak: version moves, connections at one daemon, answers without length

Moves to a version that fails most requests, or to a good one, are ordered among the other faults; after them a bad one must be rolled back within 6 s. New connections go to one daemon for a while. One answer or stream in seven has neither a length nor chunks. Parts of prompts that crash endpoints are not in the soak yet.

--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -17,7 +17,7 @@
 use poplarvale_platform::SETTINGS_VARIABLE;
 use poplarvale_standin::{
     Answer, Caller, Cloud, Endpoint, Fault, Mode, Proxy, SeenRequest, Step, Store, announcing,
-    cold_config, plain, rejection_with, request, settings,
+    cold_config, plain, rejection_with, request, settings, without_length,
 };
 use testutils::folder::Folder;
 use testutils::process::Process;
@@ -29,6 +29,7 @@
 mod cold;
 mod config;
 mod silence;
+mod versions;
 
 const DAEMONS: usize = 3;
 const ENDPOINTS: usize = 4;
@@ -43,6 +44,8 @@
 const LONG_EVENTS: u64 = 60;
 /// Path of long streams.
 const LONG_STREAMS: &str = "/resume/long-";
+/// Share of the answers that end with their connection, in percent.
+const UNFRAMED_SHARE: u64 = 15;
 /// Time between two events.
 const EVENT_TIME: Duration = Duration::from_millis(15);
 /// Grace period from SIGTERM to SIGKILL in seconds.
@@ -98,6 +101,8 @@
     last_endpoint: Cell<usize>,
     /// Start time of each endpoint's incarnation, as its entry tells it.
     born: Vec<Cell<u64>>,
+    /// Daemon that gets all new connections, if one does.
+    target: Cell<Option<usize>>,
 }
 
 struct Daemon {
@@ -133,6 +138,8 @@
     pausing: Rc<Cell<bool>>,
     /// Numbers of those that have no room.
     full: Rc<RefCell<Vec<usize>>>,
+    /// Whether the newer version fails most requests.
+    bad_version: Rc<Cell<bool>>,
 }
 
 /// An endpoint that fails on some requests, chosen by their ids.
@@ -156,11 +163,18 @@
         }
         let fields = announced::fields(&work, number);
         *work.runs.borrow_mut().entry(seen.id()).or_default() += 1;
+        if let Some(failed) = versions::fail(&work, number, seen) {
+            return failed;
+        }
         match roll {
             _ if is_stream => events(&work, seen, roll),
             4..6 => vec![Step::Close],
             6..8 => vec![plain(seen, 500, "failed")],
             8..10 => vec![answer(seen, &fields), plain(seen, 200, "a second answer")],
+            _ if ends_with_connection(seen) => {
+                let body = format!("answer to {}", seen.id());
+                vec![without_length(seen, &body), Step::Close]
+            }
             _ => vec![
                 Step::Wait(Duration::from_millis(roll % 20)),
                 answer(seen, &fields),
@@ -181,6 +195,11 @@
     announcing(seen, fields, &format!("answer to {}", seen.id()))
 }
 
+/// Whether an answer has neither a length nor chunks.
+fn ends_with_connection(seen: &SeenRequest) -> bool {
+    roll(&seen.id(), ENDPOINTS) < UNFRAMED_SHARE
+}
+
 /// Number of events of a stream.
 fn event_count(path: &str) -> u64 {
     if path.starts_with(LONG_STREAMS) {
@@ -197,6 +216,10 @@
         let mut steps = silence::events(work, seen, first, first + 2);
         // It breaks off before the end of the stream.
         steps.pop();
+        if ends_with_connection(seen) {
+            // Otherwise its end would be that of the stream.
+            steps.push(Step::Send("id: ".into()));
+        }
         steps.push(Step::Close);
         return steps;
     }
@@ -252,6 +275,7 @@
             version: Cell::new(1),
             last_endpoint: Cell::new(ENDPOINTS - 1),
             born: vec![Cell::new(1); ENDPOINTS],
+            target: Cell::new(None),
         }
     }
 
@@ -284,6 +308,8 @@
 
 fn entry(endpoint: &Endpoint, proxy: &Proxy, number: usize, state: &str) -> String {
     let entry = endpoint.entry_in(zone_of(number), "app", state);
+    let version = format!("\"version\":\"{}\"", versions::version_of(number));
+    let entry = entry.replace("\"version\":\"v1\"", &version);
     entry.replace(&endpoint.address.to_string(), &proxy.address.to_string())
 }
 
@@ -356,6 +382,7 @@
     silence::check_pauses(&soak, &mut random).await;
     config::check_large(&soak).await;
     cold::check_evacuation(&soak).await;
+    versions::check_roll_back(&soak).await;
     stop_in_turn(&soak).await;
     stop_overlapping(&soak).await;
     soak.stopped.set(true);
@@ -381,7 +408,7 @@
         let duration = Duration::from_millis(random.u64(200..1500));
         let daemon = random.usize(..DAEMONS);
         let endpoint = random.usize(..ENDPOINTS);
-        match random.u32(..24) {
+        match random.u32(..28) {
             0 => soak.daemons[daemon].borrow_mut().process.kill(),
             1 => pause_daemon(soak, daemon, duration),
             2 => soak.daemons[daemon].borrow().process.signal("TERM"),
@@ -411,6 +438,8 @@
             }
             21 => silence::pause(soak, duration),
             22 => silence::fill(soak, endpoint, duration),
+            23..25 => gather(soak, daemon, duration),
+            25..27 => versions::order(soak, random.bool()),
             _ => terminate_then_kill(soak, daemon),
         }
         let pause = Duration::from_millis(random.u64(50..400));
@@ -523,7 +552,19 @@
         .put(&format!("servers/i-{number}"), entry.as_bytes());
 }
 
+/// Sends all new connections to one daemon for a while.
+fn gather(soak: &Rc<Soak>, daemon: usize, duration: Duration) {
+    soak.target.set(Some(daemon));
+    let soak = Rc::clone(soak);
+    actix_web::rt::spawn(async move {
+        tokio::time::sleep(duration).await;
+        soak.target.set(None);
+    });
+}
+
 fn end_faults(soak: &Soak) {
+    soak.target.set(None);
+    versions::restore(soak);
     for proxy in soak.proxies.iter().chain([&soak.store_proxy]) {
         proxy.set(Fault::None);
     }
@@ -626,7 +667,8 @@
 }
 
 async fn connect(soak: &Soak, random: &mut Rng) -> Option<(usize, Caller)> {
-    let at = random.usize(..DAEMONS);
+    let any = random.usize(..DAEMONS);
+    let at = soak.target.get().unwrap_or(any);
     let (callers, ready) = {
         let daemon = soak.daemons[at].borrow();
         (daemon.callers, daemon.ready)
--- a/daemon/tests/soak/silence.rs
+++ b/daemon/tests/soak/silence.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fastrand::Rng;
-use poplarvale_standin::{SeenRequest, Step, event, rejection, stream};
+use poplarvale_standin::{SeenRequest, Step, event, event_text, rejection, stream, without_length};
 
 use super::{DAEMONS, ENDPOINTS, Soak, Work, config, signal_if_alive};
 
@@ -24,15 +24,28 @@
 
 /// A stream from `first` to the event before `end`, which pauses if streams pause now.
 pub(super) fn events(work: &Work, seen: &SeenRequest, first: u64, end: u64) -> Vec<Step> {
-    let mut steps = vec![stream(seen)];
+    let is_unframed = super::ends_with_connection(seen);
+    let mut steps = vec![if is_unframed {
+        without_length(seen, "")
+    } else {
+        stream(seen)
+    }];
     for number in first..end {
         if work.pausing.get() && number == first + PAUSED_EVENT {
             steps.push(Step::Wait(PAUSE));
         }
-        steps.push(event(number));
+        steps.push(if is_unframed {
+            Step::Send(event_text(number))
+        } else {
+            event(number)
+        });
         steps.push(Step::Wait(super::EVENT_TIME));
     }
-    steps.push(Step::Send("0\r\n\r\n".into()));
+    steps.push(if is_unframed {
+        Step::Close
+    } else {
+        Step::Send("0\r\n\r\n".into())
+    });
     steps
 }
 
