tests: one daemon gets all callers while endpoints have limits

What callers would see: while the load balancer hands all new connections of a zone to one daemon, three quarters of them are rejected with 2010, although the endpoints take half as much again as is asked.

Cause: a limit that an endpoint announces, and the rate of a cold endpoint, are divided among daemons chosen by hash, whoever has the callers. Ruled out: the endpoints' room (evenly all are served).

--- a/daemon/tests/relay_site.rs
+++ b/daemon/tests/relay_site.rs
@@ -5,7 +5,9 @@
 
 use futures::future::join_all;
 use poplarvale_platform::read_settings;
-use poplarvale_standin::{Cloud, Endpoint, PROBE, Proxy, Route, Store, config, settings};
+use poplarvale_standin::{
+    Cloud, Endpoint, PROBE, Proxy, Route, Store, ask, config, request, settings,
+};
 use poplarvaled::Relay;
 use serde_json::{Value, json};
 
@@ -203,3 +205,18 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Sends `rate` requests a second for a time span, to these daemons in turn, each on a new
+/// connection. Returns the share that was served at the first attempt.
+pub(crate) async fn share_served(relays: &[&Relay], rate: f64, span: Duration) -> f64 {
+    let count = (span.as_secs_f64() * rate) as usize;
+    let relays = relays.iter().cycle().take(count).enumerate();
+    let callers = relays.map(|(number, relay)| async move {
+        tokio::time::sleep(Duration::from_secs_f64(number as f64 / rate)).await;
+        let text = request("GET", "/safe/a", &format!("r{number}"), "");
+        let answer = ask(relay.callers(), &text).await;
+        usize::from(answer.is_ok_and(|answer| answer.status == 200))
+    });
+    let served: usize = join_all(callers).await.into_iter().sum();
+    served as f64 / count as f64
+}
--- a/daemon/tests/test_relay_cold.rs
+++ b/daemon/tests/test_relay_cold.rs
@@ -5,7 +5,7 @@
 use futures::future::join_all;
 use poplarvale_standin::{Endpoint, Fault, Step, ask, cold_config, plain, request};
 
-use crate::relay_site::{ROUTES, Zone, store_with};
+use crate::relay_site::{ROUTES, Zone, share_served, store_with};
 
 /// Requests a second that a cold endpoint takes.
 const RATE: f64 = 4.0;
@@ -136,3 +136,33 @@
     assert!(rejected.iter().all(|row| row.body.contains("\"no\"")
         && row.head.fields.text("Retry-After").is_some()));
 }
+
+/// The load balancer hands all new connections of a zone to one daemon while all endpoints are
+/// cold. Guards against a daemon that rejects callers because others share the rates.
+#[actix_web::test]
+async fn a_daemon_that_gets_all_callers_uses_the_rates_of_all_for_cold_endpoints() {
+    /// Requests a second of all callers: less than half of what the endpoints take.
+    const DEMAND: f64 = 18.0;
+    const SPAN: Duration = Duration::from_secs(4);
+    let mut cold = Vec::new();
+    for number in 1..=12 {
+        let endpoint = endpoint(&format!("i-{number}")).await;
+        endpoint.chill(Duration::from_secs(30), BOUND);
+        cold.push(endpoint);
+    }
+    let endpoints: Vec<&Endpoint> = cold.iter().collect();
+    let zone = zone(38, &endpoints).await;
+    let all: Vec<_> = zone.daemons.iter().map(|(_, relay)| relay).collect();
+    share_served(&all, DEMAND, PROPAGATION_TIME).await;
+    let evenly = share_served(&all, DEMAND, SPAN).await;
+    share_served(&all[..1], DEMAND, Duration::from_secs(1)).await;
+    let at_one = share_served(&all[..1], DEMAND, SPAN).await;
+    assert!(
+        at_one >= evenly * 0.75,
+        "{at_one} served at one daemon, {evenly} evenly"
+    );
+    assert!(
+        cold.iter().all(|endpoint| !endpoint.has_crashed()),
+        "they got too many requests"
+    );
+}
--- a/daemon/tests/test_relay_limit.rs
+++ b/daemon/tests/test_relay_limit.rs
@@ -7,7 +7,7 @@
 use futures::future::join_all;
 use poplarvale_standin::{Endpoint, SeenRequest, Step, ask, limited, plain, request};
 
-use crate::relay_site::{Site, Zone, store_with};
+use crate::relay_site::{Site, Zone, share_served, store_with};
 
 /// Time span in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -154,3 +154,37 @@
         .expect("a time");
     assert!((0.5..=2.0).contains(&retry_after), "{retry_after}");
 }
+
+/// The load balancer hands all new connections of a zone to one daemon, and all endpoints announce
+/// limits. Guards against a daemon that rejects callers because others hold the shares.
+#[actix_web::test]
+async fn a_daemon_that_gets_all_callers_uses_the_limits_of_all() {
+    /// Announced by each endpoint, in requests a second.
+    const EACH: f64 = 15.0;
+    /// Requests a second of all callers: two thirds of what the endpoints take.
+    const DEMAND: f64 = 40.0;
+    let mut busy = Vec::new();
+    for number in 1..=4 {
+        busy.push(LimitedEndpoint::start(&format!("i-{number}"), EACH).await);
+    }
+    let endpoints: Vec<&Endpoint> = busy.iter().map(|row| &row.endpoint).collect();
+    let zone = Zone::start(25, store_with(&endpoints).await).await;
+    for row in &busy {
+        row.overloaded.set(true);
+    }
+    let all: Vec<_> = zone.daemons.iter().map(|(_, relay)| relay).collect();
+    share_served(&all, DEMAND, SPREAD_TIME).await;
+    let since = Instant::now();
+    let evenly = share_served(&all, DEMAND, WINDOW).await;
+    share_served(&all[..1], DEMAND, Duration::from_secs(1)).await;
+    let at_one = share_served(&all[..1], DEMAND, WINDOW).await;
+    assert!(
+        at_one >= evenly * 0.75,
+        "{at_one} served at one daemon, {evenly} evenly"
+    );
+    let most: Vec<usize> = busy.iter().map(|row| row.most_since(since)).collect();
+    assert!(
+        most.iter().all(|most| *most <= allowed(EACH)),
+        "{most:?} in {WINDOW:?}"
+    );
+}
