forward: daemons with a share of a rate left serve requests beyond this one's

What callers saw: while the load balancer hands all new connections of a zone to one daemon, it rejects most requests for endpoints that announce limits, or are cold, although the endpoints have room.

Cause: a daemon decides by its own share only, and whoever has the callers need not have the shares. Class: capacity divided in advance among daemons, demand that moves. Ruled out: shares that follow the demand (their sum would depend on messages that arrive), more sharers (a burst of all passes the limit).

Change: if only used shares keep an endpoint with room from getting a request, it is forwarded to a daemon that shares the rate, as is done for a service that is not reached. What a daemon counted of a request (units, retry budget) it takes back once another one has taken it, not before: a request that none takes and that is then sent from here was not counted at all. Demand is counted by the daemon that has the caller, no longer twice.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -30,6 +30,7 @@
 use super::crash::{LazyFingerprint, check_crash, clear, record_served};
 use super::exchange::{EndpointResponse, ExchangeError, OK, SERVER_ERROR, exchange, read_body};
 use super::reach;
+use super::serve::Origin;
 use super::state::State;
 use super::stream::{Forwarded, OpenStream};
 
@@ -64,6 +65,7 @@
     pub(crate) fingerprint: LazyFingerprint<'r>,
     /// Whether it is sent once although something in it is quarantined.
     pub(crate) is_trial: bool,
+    pub(crate) origin: Origin,
     /// Whether it may be forwarded to another daemon.
     pub(crate) may_forward: bool,
 }
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -9,7 +9,8 @@
 //! on; the other attempt is then ended at once. An endpoint that only seemed to have room rejects
 //! the request, or breaks off, and nothing is lost.
 //!
-//! While this daemon reaches no endpoint of the service, other daemons take their place.
+//! While this daemon reaches no endpoint of the service, other daemons take their place. They also
+//! get requests for which this daemon has used its shares of the rates of endpoints.
 
 use std::cell::{Cell, RefCell};
 use std::net::Ipv4Addr;
@@ -24,9 +25,9 @@
 use poplarvale_lib::http1::Response;
 use poplarvale_lib::relay::admit::Limits;
 use poplarvale_lib::relay::attempts::{AttemptEnd, AttemptIndex, Stop, Via};
-use poplarvale_lib::relay::endpoint_table::EndpointState;
+use poplarvale_lib::relay::endpoint_table::{EndpointState, EndpointTable};
 use poplarvale_lib::relay::quota;
-use poplarvale_lib::relay::selection::{Choice, Criteria, SelectError, choose};
+use poplarvale_lib::relay::selection::{Choice, Criteria, SelectError, choose, sharers};
 use poplarvale_lib::{Code, EndpointId, ServiceId};
 use tokio::net::tcp::WriteHalf;
 use tokio::time::{Instant, timeout_at};
@@ -37,7 +38,9 @@
 use super::forward::{self, DaemonStream, MAX_DAEMONS};
 use super::progress::{Loss, Progress, Tracker};
 use super::reach;
-use super::serve::{Connection, RETRY_SOON, Rejection, connection, forward_response, reject};
+use super::serve::{
+    Connection, Origin, RETRY_SOON, Rejection, connection, forward_response, reject,
+};
 use super::state::State;
 use super::stream::{Forwarded, OpenStream};
 
@@ -52,6 +55,8 @@
 const RESUME_TIME: Duration = Duration::from_secs(2);
 /// Interval at which it is checked whether somebody can.
 const RESUME_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest time for which a daemon that has no room gets no further forwarded request.
+const FORWARD_PAUSE: Duration = Duration::from_millis(250);
 /// Time left until the deadline below which an attempt is not worth making.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
@@ -175,6 +180,8 @@
     daemons: RefCell<Vec<Ipv4Addr>>,
     /// Whether its units were returned to its team.
     refunded: Cell<bool>,
+    /// Whether another daemon counts it.
+    handed_over: Cell<bool>,
     /// Error response of an endpoint; it is forwarded if no later attempt answers.
     failure: RefCell<Option<(Response, Bytes)>>,
 }
@@ -189,6 +196,7 @@
             tracker: Tracker::new(state, job.head, job.route, times),
             daemons: RefCell::default(),
             refunded: Cell::new(false),
+            handed_over: Cell::new(false),
             failure: RefCell::default(),
         }
     }
@@ -292,11 +300,21 @@
         if Instant::now() + MIN_TIME_LEFT >= self.job.deadline {
             return Err(Stop::Deadline);
         }
-        let is_forwarded = can_forward(self.state, self.job) && self.failure.borrow().is_none();
-        if self.scope == Scope::Daemons || is_forwarded {
-            self.next_daemon(at)
-        } else {
-            self.next_endpoint(at)
+        let may_forward = self.job.may_forward && self.failure.borrow().is_none();
+        let is_cut_off = self.state.reach.borrow().is_cut_off(&self.job.service.name);
+        if self.scope == Scope::Daemons || (may_forward && is_cut_off) {
+            return self.next_daemon(at, |_| true);
+        }
+        match self.next_endpoint(at) {
+            Err(Stop::Select(SelectError::Shares(wait))) if may_forward => {
+                let sharers = pick_sharers(self.state, self.job);
+                let next = self.next_daemon(at, |daemon| sharers.contains(&daemon));
+                next.map_err(|stop| match stop {
+                    Stop::NoDaemon => Stop::Select(SelectError::Shares(wait)),
+                    stop => stop,
+                })
+            }
+            next => next,
         }
     }
 
@@ -324,7 +342,12 @@
         Ok((row, patience, Box::pin(attempt)))
     }
 
-    fn next_daemon(&self, at: Forwarded) -> Result<(AttemptIndex, Duration, Pending<'_>), Stop> {
+    /// Starts an attempt at a daemon for which `may` holds.
+    fn next_daemon(
+        &self,
+        at: Forwarded,
+        may: impl Fn(Ipv4Addr) -> bool,
+    ) -> Result<(AttemptIndex, Duration, Pending<'_>), Stop> {
         let (state, job) = (self.state, self.job);
         let (sent, may_have_run) = {
             let attempts = self.progress().attempts();
@@ -334,21 +357,21 @@
             }
             (attempts.sent(), attempts.may_have_run())
         };
-        let chosen = forward::choose(state, job, &self.daemons.borrow());
-        let daemon = chosen.ok_or(Stop::NoDaemon)?;
+        let may = |daemon| !self.daemons.borrow().contains(&daemon) && may(daemon);
+        let daemon = forward::choose(state, job, may).ok_or(Stop::NoDaemon)?;
         if sent > 0 && !try_retry(state, &job.service.name) {
             return Err(Stop::Budget);
         }
-        if self.scope == Scope::Any && !may_have_run {
-            // The other daemon counts the request against the rate of the team.
-            self.refund();
-        }
         self.daemons.borrow_mut().push(daemon);
         let row = self
             .progress()
             .begin(&daemon.to_compact_string(), Via::Daemon);
         let attempt = async move {
             let started = forward::begin(state, job, daemon, at).await;
+            let is_taken = !matches!(started, Err(AttemptEnd::NotConnected | AttemptEnd::NotRun));
+            if is_taken && !may_have_run {
+                self.hand_over();
+            }
             (row, started.map(|begun| begun.answer(Source::Daemon)))
         };
         Ok((row, forward::patience(job), Box::pin(attempt)))
@@ -537,6 +560,17 @@
         }
     }
 
+    /// Takes back what was counted here of a request that another daemon has taken, which counts it
+    /// too.
+    fn hand_over(&self) {
+        if self.scope == Scope::Any && !self.handed_over.replace(true) {
+            let mut budget = self.state.budget.borrow_mut();
+            budget.withdraw_request(&self.job.service.name);
+            drop(budget);
+            self.refund();
+        }
+    }
+
     /// Returns the units of a request that did not run to its team.
     fn refund(&self) {
         if let Some(team) = self.job.team
@@ -565,10 +599,11 @@
         let rejection = match (is_unknown, stop) {
             (true, _) if is_late => Rejection::unknown_outcome(Code::Overdue),
             (true, _) => Rejection::unknown_outcome(Code::Broken),
-            (false, Stop::Select(SelectError::Busy(wait))) => {
-                Rejection::retry_later(Code::Full, wait)
+            (false, Stop::Select(SelectError::Busy(wait) | SelectError::Shares(wait))) => {
+                self.no_room(wait)
             }
-            (false, Stop::Select(SelectError::Full) | Stop::Budget | Stop::Endpoints) => {
+            (false, Stop::Select(SelectError::Full)) => self.no_room(RETRY_SOON),
+            (false, Stop::Budget | Stop::Endpoints) => {
                 Rejection::retry_later(Code::Full, RETRY_SOON)
             }
             (false, Stop::Select(SelectError::NoHome)) => {
@@ -588,6 +623,16 @@
         reject(state, write, job.head, rejection, keep).await
     }
 
+    /// Rejection of a request that did not run, for want of room until after `wait`. If no endpoint
+    /// got it, the daemon that forwarded it may try another one.
+    fn no_room(&self, wait: Duration) -> Rejection {
+        if self.job.origin == Origin::Daemon && self.progress().attempts().sent() == 0 {
+            Rejection::retry_later(Code::NotTaken, wait.max(FORWARD_PAUSE))
+        } else {
+            Rejection::retry_later(Code::Full, wait)
+        }
+    }
+
     /// Logs the attempts of a request that may have run and has no answer.
     fn log_unanswered(&self, stop: Stop) {
         let attempts = self.progress().attempts();
@@ -615,11 +660,6 @@
     }
 }
 
-/// Whether a request may be forwarded now, as this daemon does not reach its service.
-fn can_forward(state: &State, job: &Job<'_>) -> bool {
-    job.may_forward && state.reach.borrow().is_cut_off(&job.service.name)
-}
-
 /// Takes a retry of a request from the budget of its service; `false` if none is left.
 pub(crate) fn try_retry(state: &State, service: &ServiceId) -> bool {
     let now = Std::now();
@@ -641,9 +681,24 @@
     Some(Limits::new(shortest, job.rank, left))
 }
 
-/// Chooses an endpoint for the request, other than those of its earlier attempts. If none of the
-/// chosen versions can take it, the fallback versions are tried.
+/// Chooses an endpoint for the request, other than those of its earlier attempts.
 fn pick(state: &State, job: &Job<'_>, avoid: &[EndpointId]) -> Result<Choice, SelectError> {
+    select(state, job, avoid, choose)
+}
+
+/// Other daemons that may have a share of the rate of an endpoint left for the request.
+fn pick_sharers(state: &State, job: &Job<'_>) -> Vec<Ipv4Addr> {
+    select(state, job, &[], sharers).unwrap_or_default()
+}
+
+/// Selects by the request's criteria. If nothing is found for the chosen versions, the fallback
+/// versions are tried.
+fn select<T>(
+    state: &State,
+    job: &Job<'_>,
+    avoid: &[EndpointId],
+    select: impl Fn(&EndpointTable, &Criteria<'_>) -> Result<T, SelectError>,
+) -> Result<T, SelectError> {
     let table = state.endpoints.borrow();
     let rollouts = state.rollouts.borrow();
     let versions = rollouts.still_allowed(&job.service.name, &job.versions);
@@ -660,16 +715,16 @@
         seed: fastrand::u64(..),
         now: Std::now(),
     };
-    let chosen = choose(&table, &criteria);
+    let selected = select(&table, &criteria);
     match versions.fallback() {
-        Some(versions) if chosen.is_err() => choose(
+        Some(versions) if selected.is_err() => select(
             &table,
             &Criteria {
                 versions: &versions,
                 ..criteria
             },
         ),
-        _ => chosen,
+        _ => selected,
     }
 }
 
--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -1,9 +1,10 @@
-//! Forwards requests to other daemons while this one reaches no endpoint of their service.
+//! Forwards requests to other daemons: while this one reaches no endpoint of their service, and when
+//! it has used its shares of the rates of endpoints that have room.
 //!
 //! The other daemon handles a forwarded request like one of its own callers: it checks the API key,
 //! counts the request against the team's allowance and chooses the endpoint. It never forwards the
-//! request again. If it does not reach the service either, or is shutting down, the next daemon is
-//! tried.
+//! request again. If it does not reach the service either, has no room or is shutting down, the next
+//! daemon is tried.
 
 use std::fmt::Display;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -13,7 +14,7 @@
 use poplarvale_lib::relay::attempts::AttemptEnd;
 use poplarvale_lib::relay::quota::name_hash;
 use poplarvale_lib::{ZoneHash, ZoneId};
-use poplarvale_platform::{Onward, onward_head};
+use poplarvale_platform::{Announced, Onward, onward_head};
 use tokio::time::Instant;
 
 use super::attempt::{Begun, Job, MAX_RESPONSE_BYTES};
@@ -51,8 +52,13 @@
     }
 }
 
-/// Chooses a daemon at random: of this zone, or else of the others that the request may be sent to.
-pub(crate) fn choose(state: &State, job: &Job<'_>, avoid: &[Ipv4Addr]) -> Option<Ipv4Addr> {
+/// Chooses a daemon at random, of those for which `may` holds: of this zone, or else of the others
+/// that the request may be sent to.
+pub(crate) fn choose(
+    state: &State,
+    job: &Job<'_>,
+    may: impl Fn(Ipv4Addr) -> bool,
+) -> Option<Ipv4Addr> {
     let regions = &state.settings.regions;
     let own = regions.iter().find(|row| row.0 == state.settings.zone);
     let own = own.map(|row| &row.1);
@@ -66,7 +72,7 @@
     let zones: Vec<ZoneHash> = zones.map(|(zone, _)| name_hash(zone)).collect();
     let peers = state.peers.borrow();
     let service = name_hash(&job.service.name);
-    peers.forwarder(service, &zones, avoid, Std::now(), |count| {
+    peers.forwarder(service, &zones, may, Std::now(), |count| {
         fastrand::usize(..count)
     })
 }
@@ -104,10 +110,13 @@
         Err(error) => return failed(state, job, daemon, error),
     };
     if response.meta.not_run {
-        let service = name_hash(&job.service.name);
-        let mut peers = state.peers.borrow_mut();
-        peers.record_cut_off(daemon, service, Std::now());
-        drop(peers);
+        record_not_taken(state, job, daemon, &response);
+        if read_body(&mut conn, &response.head, MAX_RESPONSE_BYTES)
+            .await
+            .is_ok()
+        {
+            keep_connection(state, daemon, conn, &response);
+        }
         return not_taken(AttemptEnd::NotRun, &"it cannot serve it either");
     }
     if job.route.retry_policy.is_stream() && response.head.status == OK && response.meta.sealed {
@@ -126,6 +135,18 @@
     }
 }
 
+/// Records that a daemon did not take a request: for as long as it says, or because it does not
+/// reach the service.
+fn record_not_taken(state: &State, job: &Job<'_>, daemon: Ipv4Addr, response: &EndpointResponse) {
+    let service = name_hash(&job.service.name);
+    let now = Std::now();
+    let mut peers = state.peers.borrow_mut();
+    match response.meta.rest {
+        Announced::Value(rest) => peers.record_full(daemon, service, now + rest, now),
+        Announced::Absent | Announced::Invalid => peers.record_cut_off(daemon, service, now),
+    }
+}
+
 fn peer_address(state: &State, daemon: Ipv4Addr) -> SocketAddr {
     SocketAddr::new(daemon.into(), state.settings.peers.port())
 }
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -92,7 +92,7 @@
 pub(crate) enum Origin {
     /// A caller.
     Caller,
-    /// Another daemon, which does not reach the service. It is not forwarded again.
+    /// Another daemon, which cannot send it to an endpoint itself. It is not forwarded again.
     Daemon,
 }
 
@@ -179,6 +179,7 @@
         homes,
         fingerprint: LazyFingerprint::new(name, head, request, body),
         is_trial: false,
+        origin,
         // Otherwise no other daemon has taken it.
         may_forward: origin == Origin::Caller && !is_cut_off,
     };
@@ -208,7 +209,10 @@
         let rejection = Rejection::retry_later(Code::TokenRate, retry_after);
         return reject(state, write, head, rejection, keep).await;
     }
-    if let Some(prompt) = &head.prompt {
+    // The daemon that forwards a request has counted it.
+    if let Some(prompt) = &head.prompt
+        && origin == Origin::Caller
+    {
         let work = demand::work(prompt);
         let mut demand = state.demand.borrow_mut();
         demand.record(&service.name, work, Std::now());
--- a/daemon/tests/test_relay_limit.rs
+++ b/daemon/tests/test_relay_limit.rs
@@ -188,3 +188,48 @@
         "{most:?} in {WINDOW:?}"
     );
 }
+
+/// All callers come to one daemon and ask for more than the endpoints take. Guards against
+/// requests that are offered to one daemon after the other in place of a rejection at once.
+#[actix_web::test]
+async fn requests_beyond_the_shares_of_all_daemons_are_rejected_at_once() {
+    const EACH: f64 = 10.0;
+    const CALLERS: usize = 12;
+    let (one, two) = (
+        LimitedEndpoint::start("i-1", EACH).await,
+        LimitedEndpoint::start("i-2", EACH).await,
+    );
+    let endpoints = [&one.endpoint, &two.endpoint];
+    let zone = Zone::start(28, store_with(&endpoints).await).await;
+    one.overloaded.set(true);
+    two.overloaded.set(true);
+    let (_, relay) = &zone.daemons[0];
+    let end = Instant::now() + SPREAD_TIME + WINDOW;
+    let callers = (0..CALLERS).map(|_| async {
+        let mut rejected = Vec::new();
+        while Instant::now() < end {
+            let started = Instant::now();
+            let answer = ask(relay.callers(), &request("GET", "/safe/a", "r1", "")).await;
+            if answer.is_ok_and(|answer| answer.status == 503) {
+                rejected.push(started.elapsed());
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        rejected
+    });
+    let since = Instant::now() + SPREAD_TIME;
+    let mut rejected = join_all(callers).await.concat();
+    rejected.sort_unstable();
+    let median = rejected[rejected.len() / 2];
+    assert!(median < PAUSE, "{median:?}");
+    let most = [&one, &two].map(|row| row.most_since(since));
+    assert!(
+        most.iter().all(|most| *most <= allowed(EACH)),
+        "{most:?} in {WINDOW:?}"
+    );
+    let least = (EACH * WINDOW.as_secs_f64() * 0.75) as usize;
+    assert!(
+        most.iter().all(|most| *most >= least),
+        "{most:?} in {WINDOW:?}"
+    );
+}
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -100,7 +100,10 @@
         match self {
             Self::Budget | Self::NoDaemon => true,
             Self::Select(error) => match error {
-                SelectError::None | SelectError::Full | SelectError::Busy(_) => true,
+                SelectError::None
+                | SelectError::Full
+                | SelectError::Busy(_)
+                | SelectError::Shares(_) => true,
                 SelectError::NoHome | SelectError::Evacuated => false,
             },
             Self::Deadline
@@ -126,6 +129,7 @@
             Self::Select(SelectError::Evacuated) => "all zones are evacuated",
             Self::Select(SelectError::Full) => "all other endpoints are full",
             Self::Select(SelectError::Busy(_)) => "the other endpoints have no room in time",
+            Self::Select(SelectError::Shares(_)) => "no daemon has a share of a rate left",
             Self::NoDaemon => "no other daemon can take it",
         })
     }
--- a/lib/src/relay/budget.rs
+++ b/lib/src/relay/budget.rs
@@ -51,6 +51,15 @@
         self.step(service, now).1 += 1;
     }
 
+    /// Takes back a request that another daemon counts.
+    pub fn withdraw_request(&mut self, service: &ServiceId) {
+        let at = self.row(service);
+        let mut steps = self.rows[at].steps.iter_mut().rev();
+        if let Some(step) = steps.find(|step| step.1 > 0) {
+            step.1 -= 1;
+        }
+    }
+
     /// Counts a retry and returns `true` if the budget allows one; `daemons` share the fixed
     /// number.
     pub fn try_retry(&mut self, service: &ServiceId, daemons: usize, now: Instant) -> bool {
--- a/lib/src/relay/endpoint_table.rs
+++ b/lib/src/relay/endpoint_table.rs
@@ -9,7 +9,7 @@
 //! the registry, the same holds for missing entries as soon as another daemon advertises that
 //! the registry was available meanwhile.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -819,6 +819,20 @@
         }
     }
 
+    /// The other daemons that share the rate at which an endpoint may be sent requests; none if
+    /// every daemon may send them.
+    pub(crate) fn other_sharers(&self, row: &Endpoint, now: Instant) -> Vec<Ipv4Addr> {
+        if let Some(limit) = row.limit.as_ref().filter(|limit| limit.check(now).is_err()) {
+            return limit.other_sharers(row.hash, &self.sharers);
+        }
+        match (&row.cold, self.slow_start(&row.listing.service)) {
+            (Some(cold), Some(limit)) if cold.check(now).is_err() => {
+                ColdEndpoint::other_sharers(row.hash, limit, &self.daemons)
+            }
+            _ => Vec::new(),
+        }
+    }
+
     /// Starts the grace for missing entries: the registry is back after it was unavailable or
     /// rejected this daemon.
     pub fn registry_back(&mut self, now: Instant) {
@@ -934,6 +948,13 @@
         limit.max(cold).max(rest).map_or(Ok(()), Err)
     }
 
+    /// Whether only this daemon's share of its rate is used up, so that other daemons may send it
+    /// requests now.
+    pub(crate) fn is_share_used(&self, now: Instant) -> bool {
+        let is_resting = self.rest_until.is_some_and(|until| now < until);
+        !is_resting && self.check_rate(now).is_err()
+    }
+
     /// Requests in progress, from all daemons.
     pub fn active_requests(&self) -> u32 {
         self.in_flight.len() as u32 + self.remote_load.requests
--- a/lib/src/relay/limit.rs
+++ b/lib/src/relay/limit.rs
@@ -9,12 +9,14 @@
 //! So a few daemons share the limit of an endpoint, and the others send it nothing. The sharers
 //! are chosen without coordination, by rendezvous hashing over the daemons that were received
 //! from lately. They are few enough that even if all of them spend their accumulated tokens at
-//! once, that is little compared with the limit. Daemons also report to each other what
+//! once, that is little compared with the limit. A daemon whose share does not cover its callers
+//! forwards requests to other sharers. Daemons also report to each other what
 //! endpoints announced, and the newest report wins, so that those that no longer send to an
 //! endpoint learn of a change.
 //!
 //! A limit does not expire: only an answer without one shows that the overload is over.
 
+use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
 use super::sharers::Sharers;
@@ -137,16 +139,26 @@
     pub fn take(&mut self, now: Instant) {
         self.bucket.take(now);
     }
+
+    /// The other daemons that share the limit.
+    pub(crate) fn other_sharers(&self, endpoint: u32, sharers: &Sharers) -> Vec<Ipv4Addr> {
+        let rate = self.announced.rate.unwrap_or_default();
+        sharers.other_sharers(endpoint, sharer_count(rate, sharers))
+    }
 }
 
 /// Requests a second that this daemon may send to an endpoint that takes `rate` in all.
 fn share(endpoint: u32, rate: f64, sharers: &Sharers) -> f64 {
-    let rate = rate.max(MIN_RATE);
-    let most = (rate as usize).saturating_add(EXTRA_SHARERS);
-    let count = most.min(sharers.others.len() + 1);
+    let count = sharer_count(rate, sharers);
     if sharers.is_sharer(endpoint, count) {
-        rate / count as f64
+        rate.max(MIN_RATE) / count as f64
     } else {
         0.0
     }
 }
+
+/// Number of daemons that share the limit of an endpoint that takes `rate` requests a second.
+fn sharer_count(rate: f64, sharers: &Sharers) -> usize {
+    let most = (rate.max(MIN_RATE) as usize).saturating_add(EXTRA_SHARERS);
+    most.min(sharers.others.len() + 1)
+}
--- a/lib/src/relay/membership.rs
+++ b/lib/src/relay/membership.rs
@@ -117,6 +117,9 @@
     failed: Option<Instant>,
     /// Hashes of the services that it does not reach, and until when that holds.
     cut_off: Vec<(u32, Instant)>,
+    /// Hashes of the services for which it has no room, and until when it takes no forwarded
+    /// request for them.
+    full: Vec<(u32, Instant)>,
 }
 
 /// The other daemons, sorted by address.
@@ -168,6 +171,7 @@
             expected: None,
             failed: None,
             cut_off: Vec::new(),
+            full: Vec::new(),
         }
     }
 
@@ -320,22 +324,31 @@
         }
     }
 
-    /// Random daemon to which this one forwards a request for a service that it does not reach
-    /// itself: one of this zone if any may take it, else one of the other `zones`. `None` if there
-    /// is none but those to `avoid`. `choose` returns a number below the given one.
+    /// Records that a daemon did not take a forwarded request, as it has no room for a service
+    /// until some moment.
+    pub fn record_full(&mut self, address: Ipv4Addr, service: u32, until: Instant, now: Instant) {
+        if let Some(row) = self.entry(address, now) {
+            row.full.retain(|known| known.0 != service);
+            row.full.push((service, until));
+        }
+    }
+
+    /// Random daemon to which this one forwards a request for a service: one of this zone if any
+    /// may take it, else one of the other `zones`. `None` if there is none for which `may` holds.
+    /// `choose` returns a number below the given one.
     pub fn forwarder(
         &self,
         service: u32,
         zones: &[ZoneHash],
-        avoid: &[Ipv4Addr],
+        may: impl Fn(Ipv4Addr) -> bool,
         now: Instant,
         choose: impl FnOnce(usize) -> usize,
     ) -> Option<Ipv4Addr> {
         let may_take = |row: &&Peer| {
-            let mut cut_off = row.cut_off.iter();
-            let is_cut_off = cut_off.any(|(known, until)| *known == service && now < *until);
+            let mut refusals = row.cut_off.iter().chain(&row.full);
+            let is_refused = refusals.any(|(known, until)| *known == service && now < *until);
             let is_allowed = row.location.is_some_and(|at| zones.contains(&at.zone));
-            is_allowed && !is_cut_off && !row.is_closing && !avoid.contains(&row.address)
+            is_allowed && !is_refused && !row.is_closing && may(row.address)
         };
         let (local, remote): (Vec<&Peer>, Vec<&Peer>) = self
             .recent(now)
--- a/lib/src/relay/selection.rs
+++ b/lib/src/relay/selection.rs
@@ -12,6 +12,7 @@
 //! last reported idle, until the next report. So a plain request is placed at the best of a
 //! small sample: random endpoints of its own zone, and one of another zone.
 
+use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -52,6 +53,8 @@
 /// Number of endpoints in the sample for a plain request: of its own zone, and of others.
 const SAME_ZONE_SAMPLE: usize = 2;
 const OTHER_ZONE_SAMPLE: usize = 1;
+/// Number of endpoints whose sharers are considered when a request is forwarded.
+const SHARED_SAMPLE: usize = 4;
 
 /// What the endpoint of a request must fulfil, and how endpoints are compared.
 #[derive(Clone, Copy, Debug)]
@@ -113,6 +116,9 @@
     Full,
     /// It would wait too long; there will be room after this time.
     Busy(Duration),
+    /// This daemon has used its shares of the rates of endpoints that have room; it has one again
+    /// after this time, and other daemons may have one now.
+    Shares(Duration),
 }
 
 /// Chooses an endpoint.
@@ -127,6 +133,35 @@
     best(table, criteria, Some(&sample)).or_else(|_| best(table, criteria, None))
 }
 
+/// Other daemons that share the rates of a few random endpoints at which this daemon has used its
+/// share.
+///
+/// # Errors
+/// If there are none.
+pub fn sharers(
+    table: &EndpointTable,
+    criteria: &Criteria<'_>,
+) -> Result<Vec<Ipv4Addr>, SelectError> {
+    let step = table.concurrency_step(&criteria.service.name);
+    let rows = table.rows().iter().filter(|row| {
+        is_eligible(row, criteria)
+            && !is_full(row, criteria, step)
+            && row.is_share_used(criteria.now)
+    });
+    let rank = |row: &&Endpoint| xxh3_64_with_seed(row.listing.id.as_bytes(), criteria.seed);
+    let mut rows: Vec<&Endpoint> = rows.collect();
+    rows.sort_by_cached_key(rank);
+    let rows = rows.into_iter().take(SHARED_SAMPLE);
+    let found = rows.flat_map(|row| table.other_sharers(row, criteria.now));
+    let mut found: Vec<Ipv4Addr> = found.collect();
+    found.sort_unstable();
+    found.dedup();
+    if found.is_empty() {
+        return Err(SelectError::None);
+    }
+    Ok(found)
+}
+
 /// The endpoint of least cost, of those with these ids or of all.
 fn best(
     table: &EndpointTable,
@@ -141,6 +176,7 @@
     let mut best: Option<(f64, Choice)> = None;
     let mut full = false;
     let mut limited: Option<Duration> = None;
+    let mut is_share_used = false;
     for row in table.rows() {
         let may = is_one_of(row, among) && is_one_of(row, trial.as_deref());
         if !may || !may_serve(row, criteria) {
@@ -151,10 +187,15 @@
             // One that has just rejected the request counts too: its caller may come back then.
             limited = Some(limited.map_or(wait, |least| least.min(wait)));
         }
-        if rate.is_err() || is_avoided(row, criteria) {
+        if is_avoided(row, criteria) {
+            continue;
+        }
+        let has_room = !is_full(row, criteria, step);
+        if rate.is_err() {
+            is_share_used |= has_room && row.is_share_used(criteria.now);
             continue;
         }
-        if is_full(row, criteria, step) {
+        if !has_room {
             full = true;
             continue;
         }
@@ -163,22 +204,26 @@
             best = Some((cost, choice));
         }
     }
-    match best {
-        Some((_, choice)) => {
-            let checked = criteria
-                .limits
-                .map(|row| row.check(choice.queue, choice.wait));
-            match checked {
-                Some(Err(wait)) => Err(SelectError::Busy(wait)),
-                Some(Ok(())) | None => Ok(choice),
-            }
-        }
-        None if full => Err(SelectError::Full),
-        None => Err(match limited {
-            Some(wait) => SelectError::Busy(wait.min(MAX_RETRY_AFTER)),
+    let limited = limited.map(|wait| wait.min(MAX_RETRY_AFTER));
+    let error = match best {
+        Some((_, choice)) => match criteria
+            .limits
+            .map(|row| row.check(choice.queue, choice.wait))
+        {
+            Some(Err(wait)) => SelectError::Busy(wait),
+            Some(Ok(())) | None => return Ok(choice),
+        },
+        None if full => SelectError::Full,
+        None => match limited {
+            Some(wait) => SelectError::Busy(wait),
             None => no_endpoint(table, criteria),
-        }),
-    }
+        },
+    };
+    Err(match (limited.filter(|_| is_share_used), error) {
+        (Some(share), SelectError::Busy(wait)) => SelectError::Shares(wait.min(share)),
+        (Some(share), _) => SelectError::Shares(share),
+        (None, error) => error,
+    })
 }
 
 /// Why no endpoint may get the request, whatever their load.
--- a/lib/src/relay/sharers.rs
+++ b/lib/src/relay/sharers.rs
@@ -42,6 +42,20 @@
         let before = self.others.iter().filter(|other| rank(**other) < own_rank);
         before.count() < count
     }
+
+    /// The `count` sharers of an endpoint, without this daemon.
+    pub(crate) fn other_sharers(&self, endpoint: u32, count: usize) -> Vec<Ipv4Addr> {
+        let all = self.others.iter().chain([&self.me]);
+        let mut all: Vec<(u64, Ipv4Addr)> = all
+            .map(|daemon| (rank(endpoint, *daemon), *daemon))
+            .collect();
+        if count < all.len() {
+            all.select_nth_unstable(count);
+            all.truncate(count);
+        }
+        let all = all.into_iter().map(|(_, daemon)| daemon);
+        all.filter(|daemon| *daemon != self.me).collect()
+    }
 }
 
 /// Rank of a daemon for an endpoint; the lowest ranks share its rate.
--- a/lib/src/relay/slow_start.rs
+++ b/lib/src/relay/slow_start.rs
@@ -4,7 +4,8 @@
 //! is warm, and crashes at a rate well above that. Hundreds of daemons see an idle endpoint at
 //! the same moment, and some of them may not hear one another. So, like a limit that an
 //! endpoint announces, the rate is shared by a few daemons chosen by rendezvous hashing, and
-//! the others send nothing until the endpoint is warm. What bounds the sum:
+//! the others send nothing until the endpoint is warm, but may forward requests to the sharers.
+//! What bounds the sum:
 //!
 //! - *One set of sharers*: each sharer has an empty bucket at first, which holds one token at
 //!   most and fills at a fixed part of the rate. In any second a sharer sends at most two
@@ -117,6 +118,15 @@
         self.is_sharer = daemons.is_sharer(endpoint, limit.shares().0);
     }
 
+    /// The other daemons that share the rate of the endpoint.
+    pub(crate) fn other_sharers(
+        endpoint: u32,
+        limit: &SlowStart,
+        daemons: &Sharers,
+    ) -> Vec<Ipv4Addr> {
+        daemons.other_sharers(endpoint, limit.shares().0)
+    }
+
     /// When the endpoint is warm.
     pub fn warm_at(&self) -> Instant {
         self.warm_at
--- a/lib/tests/test_relay_membership.rs
+++ b/lib/tests/test_relay_membership.rs
@@ -365,8 +365,9 @@
         peers.update(address(at), statement, now);
     }
     let chosen = |peers: &Peers, zones: &[u32], avoid: &[Ipv4Addr]| -> Vec<usize> {
+        let may = |daemon| !avoid.contains(&daemon);
         let choose =
-            |wanted| peers.forwarder(SERVICE, zones, avoid, now, |count: usize| wanted % count);
+            |wanted| peers.forwarder(SERVICE, zones, may, now, |count: usize| wanted % count);
         let mut chosen: Vec<usize> = (0..20).filter_map(choose).map(index).collect();
         chosen.sort_unstable();
         chosen.dedup();
@@ -384,4 +385,8 @@
     );
     peers.set_cut_off(address(ZONES), &[], now);
     assert_eq!(chosen(&peers, &zones, &[]), [ZONES]);
+    peers.record_full(address(ZONES), SERVICE, now + PERIOD, now);
+    assert_eq!(chosen(&peers, &[0, 3], &[]), [3, 3 + ZONES]);
+    peers.record_full(address(ZONES), SERVICE, now, now);
+    assert_eq!(chosen(&peers, &zones, &[]), [ZONES]);
 }
--- a/lib/tests/test_relay_selection.rs
+++ b/lib/tests/test_relay_selection.rs
@@ -1,16 +1,19 @@
 //! Endpoint selection under loads for which the fewest requests are a bad criterion.
 
+use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
 use poplarvale_lib::relay::breaker::CircuitBreaker;
 use poplarvale_lib::relay::catalog::{Engine, Service};
 use poplarvale_lib::relay::endpoint_table::{EndpointTable, InFlight};
+use poplarvale_lib::relay::limit::{AnnouncedLimit, Source};
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::load_reports::{Load, Reporter};
 use poplarvale_lib::relay::quota::name_hash;
 use poplarvale_lib::relay::request::Prompt;
 use poplarvale_lib::relay::rollout::Versions;
-use poplarvale_lib::relay::selection::{Choice, Criteria, SelectError, book, choose};
+use poplarvale_lib::relay::selection::{Choice, Criteria, SelectError, book, choose, sharers};
+use poplarvale_lib::relay::sharers::Sharers;
 
 use crate::relay_engines::engines;
 
@@ -169,6 +172,48 @@
     );
 }
 
+/// Guards against requests that are rejected while other daemons have a share of an endpoint's
+/// limit left, and against requests that are forwarded in vain.
+#[test]
+fn requests_beyond_a_share_go_to_the_other_sharers_of_endpoints_with_room() {
+    let mut fixture = Fixture::new(1);
+    let others: Vec<Ipv4Addr> = (2..=9).map(|host| Ipv4Addr::new(10, 0, 0, host)).collect();
+    let daemons = Sharers {
+        me: Ipv4Addr::new(10, 0, 0, 1),
+        others: others.clone(),
+        is_isolated: false,
+    };
+    fixture.table.set_sharers(daemons, fixture.now);
+    let row = &fixture.table.rows()[0];
+    let (hash, id) = (row.hash, row.listing.id.clone());
+    let limit = AnnouncedLimit {
+        rate: Some(1.0),
+        at: fixture.now,
+    };
+    fixture.table.merge_limit(hash, limit, Source::Zone);
+    let prompt = prompt(1, 2_000, 100);
+    assert!(matches!(
+        fixture.choose(&prompt),
+        Err(SelectError::Shares(_))
+    ));
+    let found = sharers(&fixture.table, &fixture.criteria(&prompt)).expect("some share it");
+    assert!((3..=4).contains(&found.len()), "{found:?}");
+    assert!(found.iter().all(|daemon| others.contains(daemon)));
+    let until = fixture.now + Duration::from_secs(1);
+    let row = fixture.table.get_mut(&id).expect("it is known");
+    row.full_until = Some(until);
+    assert!(matches!(fixture.choose(&prompt), Err(SelectError::Busy(_))));
+    let row = fixture.table.get_mut(&id).expect("it is known");
+    row.full_until = None;
+    row.rest_until = Some(until);
+    let criteria = fixture.criteria(&prompt);
+    assert!(matches!(
+        choose(&fixture.table, &criteria),
+        Err(SelectError::Busy(_))
+    ));
+    assert!(sharers(&fixture.table, &criteria).is_err());
+}
+
 /// An engine becomes ten times slower while its health check passes. Its first answers show
 /// that, and the next requests go to other engines.
 #[test]
--- a/lib/tests/test_relay_shared.rs
+++ b/lib/tests/test_relay_shared.rs
@@ -578,6 +578,22 @@
     assert!((100..=200).contains(&retries), "{retries}");
 }
 
+/// Guards against retries that two daemons grant for the same request, after one forwarded it to
+/// the other.
+#[test]
+fn a_request_that_another_daemon_takes_grants_no_retry() {
+    let now = Instant::now();
+    let service = "pool".into();
+    let mut budget = Budget::new(0.2, 0.0, Duration::from_secs(10));
+    for step in 0..1000 {
+        budget.record_request(&service, now + Duration::from_millis(step * 5));
+    }
+    for _ in 0..1001 {
+        budget.withdraw_request(&service);
+    }
+    assert!(!budget.try_retry(&service, 4, now + Duration::from_secs(5)));
+}
+
 /// Counts of a daemon that was killed stay as it last reported them, and an old digest that
 /// arrives late does not lower them.
 #[test]
