soak: requests that crash endpoints by a part of their prompts

Change: after the faults, a hundred requests that are no two alike crash the endpoint that begins to answer them, which starts again 0.7 s later, beside as many sound ones with the same first part. At most three may be sent later than 3 s after the fifth crash, and half of the sound ones must be served from 6 s after it on.

--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -21,6 +21,7 @@
 };
 use testutils::folder::Folder;
 use testutils::process::Process;
+use tokio::sync::Notify;
 
 use crate::relay_site::{ROUTES, is_ready, until};
 use crate::site::DAEMON;
@@ -28,6 +29,7 @@
 mod announced;
 mod cold;
 mod config;
+mod crash;
 mod silence;
 mod versions;
 
@@ -140,6 +142,10 @@
     full: Rc<RefCell<Vec<usize>>>,
     /// Whether the newer version fails most requests.
     bad_version: Rc<Cell<bool>>,
+    /// When which of them got a request that crashes it.
+    crashes: Rc<RefCell<Vec<(Instant, usize)>>>,
+    /// Notified when one got such a request.
+    crashed: Rc<Notify>,
 }
 
 /// An endpoint that fails on some requests, chosen by their ids.
@@ -158,6 +164,9 @@
             let rest = if roll < 2 { REST_FIELD } else { "" };
             return vec![rejection_with(seen, rest)];
         }
+        if let Some(crashed) = crash::fail(&work, number, seen) {
+            return crashed;
+        }
         if let Some(rejected) = silence::reject(&work, number, seen) {
             return rejected;
         }
@@ -383,6 +392,7 @@
     config::check_large(&soak).await;
     cold::check_evacuation(&soak).await;
     versions::check_roll_back(&soak).await;
+    crash::check_part(&soak).await;
     stop_in_turn(&soak).await;
     stop_overlapping(&soak).await;
     soak.stopped.set(true);
