crash: keep the crashes of suspects comparable

Cause, from their traces: the part that all of them share had four crashes at a daemon, by the reports of others, while the fatal part had three there. From four on a suspect keeps further crashes from those beside it, so the fatal part lacked one, no longer explained the crashes of the shared part, and no sound request was tried. The same comparison breaks where more than six crashes come at once, as only six were kept, in the order in which they were reported. Class: what is compared was cut at a moment that depends on the order of messages. Ruled out: that the whole requests are alike (their targets differ), that no endpoint ran.

Change: a suspect with two crashes or more still counts further ones beside a settled one; twelve crashes of a suspect are told apart.

Before: both new tests of test_relay_crash fail. After: all 15 pass, and those with real daemons, a_prompt_part_that_crashes_endpoints_stops_reaching_them among them.

--- a/lib/src/relay/crash.rs
+++ b/lib/src/relay/crash.rs
@@ -54,18 +54,21 @@
 const SERVED_TTL: Duration = Duration::from_secs(3);
 /// Most parts whose last answer is remembered.
 const MAX_SERVED: usize = 4096;
-/// Crashes under a suspect from which on a further one does not count against those beside it. With
-/// fewer, the one that is quarantined first may be the wrong one.
+/// Crashes under a suspect from which on a further one does not count against those beside it that
+/// have fewer than [`RIVAL_CRASHES`]. With fewer, the one that is quarantined first may be the wrong
+/// one.
 const SETTLED_CRASHES: usize = QUARANTINE_CRASHES + 1;
+/// Crashes from which on a suspect may explain those of one that other daemons reported sooner.
+const RIVAL_CRASHES: usize = QUARANTINE_CRASHES - 1;
 /// Most crashes of a suspect that are told apart.
-const MAX_CRASHES: usize = 6;
+const MAX_CRASHES: usize = 12;
 /// Time between two trials of a request with a quarantined part at one daemon.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(3);
 /// How long digests contain a change; short network partitions end sooner.
 const REPORT_TIME: Duration = Duration::from_secs(5);
 /// Most requests that are tracked, so that a wave of crashes uses little memory.
 const MAX_TRACKED: usize = 1024;
-/// Most requests in one digest, at twenty bytes each.
+/// Most requests in one digest, at twenty bytes each for a few crashes.
 const MAX_REPORTED: usize = 48;
 
 /// Fingerprint of a request: the hash of its team, host, method, target and body.
@@ -256,14 +259,14 @@
         incarnation: IncarnationHash,
         now: Instant,
     ) -> Vec<(Fingerprint, CrashUpdate)> {
-        let is_settled = |row: &Fingerprint| {
+        let crashes = |row: &Fingerprint| {
             let found = self.find(*row);
-            let crashes = found.map_or(0, |at| self.rows[at].incarnations.len());
-            crashes >= SETTLED_CRASHES
+            found.map_or(0, |at| self.rows[at].incarnations.len())
         };
-        let known: Vec<Fingerprint> = suspects.iter().copied().filter(is_settled).collect();
-        let suspects = if known.is_empty() { suspects } else { &known };
-        let suspects = suspects.iter().copied();
+        let is_settled = suspects.iter().any(|row| crashes(row) >= SETTLED_CRASHES);
+        let least = if is_settled { RIVAL_CRASHES } else { 0 };
+        let suspects = suspects.iter().filter(|row| crashes(row) >= least);
+        let suspects = suspects.copied();
         let suspects: Vec<Fingerprint> = suspects
             .filter(|row| !self.was_served_lately(*row, now))
             .collect();
--- a/lib/tests/test_relay_crash.rs
+++ b/lib/tests/test_relay_crash.rs
@@ -173,6 +173,51 @@
     assert!(crashes.may_try(&[OTHER], now));
 }
 
+/// A daemon learns from the others that a part which sound requests share was in one crash more than
+/// it has seen itself. Guards against sound requests that are never tried, as nothing else seems to
+/// explain the crashes.
+#[test]
+fn a_shared_part_that_is_reported_first_hides_no_other_explanation() {
+    const SHARED: u64 = 9;
+    for seen in QUARANTINE_CRASHES as u32 - 1..=QUARANTINE_CRASHES as u32 {
+        let now = Instant::now();
+        let (mut one, mut other) = (Crashes::default(), Crashes::default());
+        for incarnation in 0..seen {
+            one.record_crash(&[SHARED, FATAL], incarnation, now);
+        }
+        for incarnation in 0..=QUARANTINE_CRASHES as u32 {
+            other.record_crash(&[SHARED], incarnation, now);
+        }
+        digest(&other, &mut one, false, now);
+        for incarnation in seen..=QUARANTINE_CRASHES as u32 {
+            one.record_crash(&[SHARED, FATAL], incarnation, now);
+        }
+        assert!(one.quarantine_left(SHARED, now).is_some());
+        assert!(one.quarantine_left(FATAL, now).is_some());
+        assert!(one.may_try(&[SHARED, OTHER], now), "{seen} crashes seen");
+    }
+}
+
+/// Many requests crash endpoints at the same moment, and daemons learn of the crashes in different
+/// orders. Guards against sound requests that are never tried, as two parts seem to have been in
+/// different crashes.
+#[test]
+fn many_crashes_at_once_leave_the_same_explanation_to_all_daemons() {
+    const SHARED: u64 = 9;
+    const CRASHED: u32 = 9;
+    let now = Instant::now();
+    let (mut one, mut other) = (Crashes::default(), Crashes::default());
+    for incarnation in 0..CRASHED {
+        other.record_crash(&[SHARED], incarnation, now);
+    }
+    digest(&other, &mut one, false, now);
+    for incarnation in (0..CRASHED).rev() {
+        one.record(SHARED, incarnation, now);
+        one.record(FATAL, incarnation, now);
+    }
+    assert!(one.may_try(&[SHARED, OTHER], now));
+}
+
 /// A wave of crashes makes many requests suspected at once. They must not displace the record
 /// of the quarantined one, nor fill the digests.
 #[test]
