tests: a host whose links to endpoints swallow data

What callers would see: a host is separated from all endpoints by something that accepts connections and forwards nothing; its daemon keeps their requests until they are overdue, while other daemons would serve them (RECOVER).

Cause, as the test shows: after a failure the daemon checks whether endpoints accept connections, and takes that for proof that it reaches them. Ruled out: endpoints (the other daemon is served).

--- a/daemon/tests/test_relay_cut_off.rs
+++ b/daemon/tests/test_relay_cut_off.rs
@@ -198,6 +198,27 @@
     }
 }
 
+/// What separates a host from all endpoints accepts connections and swallows all data. Guards against
+/// a daemon that takes connections that are accepted for proof that it reaches endpoints.
+#[actix_web::test]
+async fn callers_of_a_host_whose_links_swallow_data_are_served() {
+    let pair = Pair::start(97).await;
+    send_all(&pair.cut_off, "before", Duration::from_secs(1)).await;
+    for proxy in &pair.proxies {
+        proxy.set(Fault::Blocked);
+    }
+    send_all(&pair.cut_off, "early", CONTACT_TIME).await;
+    let (cut_off, others) = tokio::join!(
+        send_all(&pair.cut_off, "cut", WINDOW),
+        send_all(&pair.other, "other", WINDOW),
+    );
+    let (cut_off, others) = (served_share(&cut_off), served_share(&others));
+    assert!(
+        cut_off >= others * MIN_SHARE,
+        "{cut_off} of the attempts are served, {others} at the other daemon"
+    );
+}
+
 /// A host is partitioned from all endpoints while it has requests in progress. New connections are
 /// refused as by crashed endpoints, and the requests were suspected of having crashed them:
 /// requests with the same content were then quarantined by all daemons.
