reach: accepted connections show nothing while all attempts are silent

Cause: the check of a service takes an accepted connection for proof that the service is reached. Class: a check that needs less than what it stands for. Ruled out: a request as a check (endpoints get none that no caller sent), and silence alone as proof (one answer of any endpoint of the service ends it).

Once a second a request that may be repeated is sent to an endpoint first; an answer shows that the service is reached again.

Before: callers_of_a_host_whose_links_swallow_data_are_served fails with 0.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -68,6 +68,9 @@
     pub(crate) origin: Origin,
     /// Whether it may be forwarded to another daemon.
     pub(crate) may_forward: bool,
+    /// Whether it is sent to an endpoint first though its service is not reached, to see whether it is
+    /// again.
+    pub(crate) tries_reach: bool,
 }
 
 /// An answer that has begun; `S` is its stream and what is recorded of that.
@@ -122,6 +125,7 @@
         Err(ExchangeError::NotSent) => return Err(AttemptEnd::NotConnected),
         Err(error) => return sent.fail(state, job, error),
     };
+    reach::record_answer(state, &job.service.name);
     record_limit(state, &endpoint, &response, sent.at);
     record_brittle(state, &endpoint, &response, sent.at);
     record_leaving(state, &endpoint, &response);
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -254,8 +254,10 @@
         let mut pending: FuturesUnordered<Pending<'_>> = FuturesUnordered::new();
         let mut rows = Vec::new();
         loop {
+            let mut asked = None;
             let patience = match self.next(at) {
                 Ok((row, patience, attempt)) => {
+                    asked = Some(self.progress().attempts().via(row));
                     rows.push(row);
                     pending.push(attempt);
                     patience
@@ -290,6 +292,9 @@
                     self.progress().record_stop(Stop::Deadline);
                     return Err(Stop::Deadline);
                 }
+                Err(_) if asked == Some(Via::Endpoint) => {
+                    reach::record_silence(self.state, &self.job.service.name);
+                }
                 Err(_) => reach::record_failure(self.state, &self.job.service.name),
             }
         }
@@ -302,7 +307,11 @@
         }
         let may_forward = self.job.may_forward && self.failure.borrow().is_none();
         let is_cut_off = self.state.reach.borrow().is_cut_off(&self.job.service.name);
-        if self.scope == Scope::Daemons || (may_forward && is_cut_off) {
+        let tries_reach = self.job.tries_reach && {
+            let attempts = self.progress().attempts();
+            attempts.count(Via::Endpoint) == 0 && attempts.count(Via::Daemon) == 0
+        };
+        if self.scope == Scope::Daemons || (may_forward && is_cut_off && !tries_reach) {
             return self.next_daemon(at, |_| true);
         }
         match self.next_endpoint(at) {
@@ -314,6 +323,7 @@
                     stop => stop,
                 })
             }
+            Err(_) if tries_reach => self.next_daemon(at, |_| true),
             next => next,
         }
     }
@@ -457,13 +467,19 @@
     /// Receives more of a stream. If it is silent for a while, other attempts are made, and it goes
     /// on unless one of them has an answer first.
     async fn receive(&self, row: AttemptIndex, source: &mut Source, at: Forwarded) -> More {
-        let pause = self.pause(source.via());
+        let source_via = source.via();
+        let pause = self.pause(source_via);
         let deadline = self.job.deadline;
         let mut read = Box::pin(source.stream().read());
         let failure = loop {
             let until = deadline.min(Instant::now() + pause);
             match timeout_at(until, &mut read).await {
-                Ok(Ok(())) => return More::Received,
+                Ok(Ok(())) => {
+                    if source_via == Via::Endpoint {
+                        reach::record_answer(self.state, &self.job.service.name);
+                    }
+                    return More::Received;
+                }
                 Ok(Err(error)) => break error,
                 Err(_) if Instant::now() >= deadline => break ExchangeError::TimedOut,
                 Err(_) => reach::record_failure(self.state, &self.job.service.name),
--- a/daemon/src/relay/reach.rs
+++ b/daemon/src/relay/reach.rs
@@ -33,6 +33,22 @@
     }
 }
 
+/// Records that an endpoint of a service was silent for longer than expected.
+pub(crate) fn record_silence(state: &State, service: &ServiceId) {
+    let mut reach = state.reach.borrow_mut();
+    reach.record_silence(service, Instant::now());
+    state.check_due.notify_one();
+}
+
+/// Records that an endpoint of a service sent something.
+pub(crate) fn record_answer(state: &State, service: &ServiceId) {
+    let mut reach = state.reach.borrow_mut();
+    reach.record_answer(service, Instant::now());
+    if reach.is_cut_off(service) {
+        state.check_due.notify_one();
+    }
+}
+
 /// Records that an attempt at an endpoint of a service failed or stalled.
 pub(crate) fn record_failure(state: &State, service: &ServiceId) {
     let mut reach = state.reach.borrow_mut();
@@ -54,7 +70,7 @@
         ReachChange::Lost => {
             log::warn!(
                 checked = targets.len();
-                "reach: no endpoint of {service} accepts a connection; other daemons get its requests."
+                "reach: no endpoint of {service} accepts a connection or answers; other daemons get its requests."
             );
             state.measure(|metrics| metrics.record_cut_off(service));
             // Connections from before hang if the host is partitioned.
@@ -64,7 +80,7 @@
             state.digest_due.notify_one();
         }
         ReachChange::Regained(outage) => {
-            log::info!("reach: endpoints of {service} accept connections again after {outage:?}.");
+            log::info!("reach: endpoints of {service} are reached again after {outage:?}.");
             state.endpoints.borrow_mut().reset_breakers(service);
             state.digest_due.notify_one();
         }
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -163,6 +163,8 @@
         let rejection = Rejection::permanent(Code::NotTaken);
         return reject(state, write, head, rejection, keep).await;
     }
+    let tries_reach = tries_reach(state, route, &service.name);
+    let is_cut_off = is_cut_off && !tries_reach;
     let name = team.map_or("", |team| team.name.as_str());
     let mut job = Job {
         request,
@@ -182,6 +184,7 @@
         origin,
         // Otherwise no other daemon has taken it.
         may_forward: origin == Origin::Caller && !is_cut_off,
+        tries_reach,
     };
     if is_cut_off && let Some(done) = dispatch_to_daemons(state, &job, write, keep).await {
         return done;
@@ -221,6 +224,14 @@
     dispatch(state, &job, write, keep).await
 }
 
+/// Whether a request is sent to an endpoint first though its service is not reached.
+fn tries_reach(state: &State, route: &Route, service: &str) -> bool {
+    let policy = route.retry_policy;
+    let is_repeatable = policy.allows_retry() || policy.is_stream();
+    let mut reach = state.reach.borrow_mut();
+    is_repeatable && reach.take_trial(service, Std::now())
+}
+
 /// Logs what a rejection by a team's allowance is based on; a few times a second, as a flood is
 /// rejected request by request.
 fn log_standing(state: &State, head: &RequestHead, team: &Team, units: f64) {
--- a/daemon/tests/test_relay_cut_off.rs
+++ b/daemon/tests/test_relay_cut_off.rs
@@ -212,11 +212,16 @@
         send_all(&pair.cut_off, "cut", WINDOW),
         send_all(&pair.other, "other", WINDOW),
     );
+    pair.heal();
+    tokio::time::sleep(CONTACT_TIME).await;
+    let after = send_all(&pair.cut_off, "after", Duration::from_secs(1)).await;
     let (cut_off, others) = (served_share(&cut_off), served_share(&others));
     assert!(
         cut_off >= others * MIN_SHARE,
         "{cut_off} of the attempts are served, {others} at the other daemon"
     );
+    let after = served_share(&after);
+    assert!(after >= MIN_SHARE, "{after} are served afterwards");
 }
 
 /// A host is partitioned from all endpoints while it has requests in progress. New connections are
--- a/lib/tests/test_relay_reachability.rs
+++ b/lib/tests/test_relay_reachability.rs
@@ -71,3 +71,34 @@
     let (_, due) = reach.next_check().expect("a check is due");
     assert!(due >= now + Duration::from_millis(300));
 }
+
+/// Something accepts connections in place of the endpoints and swallows all data. Guards against a
+/// daemon that takes that for endpoints that it reaches, and against one that never tries again.
+#[test]
+fn accepted_connections_show_nothing_while_all_attempts_are_silent() {
+    let mut now = Instant::now();
+    let mut reach = Reachability::default();
+    let app = service("app");
+    for _ in 0..10 {
+        reach.record_silence(&app, now);
+        reach.record_answer("app", now);
+    }
+    reach.record_check(&app, Some(true), now);
+    assert!(!reach.is_cut_off("app"), "endpoints answer in between");
+    for _ in 0..10 {
+        reach.record_silence(&app, now);
+    }
+    assert!(!reach.take_trial("app", now), "it counts as reached");
+    let change = reach.record_check(&app, Some(true), now);
+    assert_eq!(change, ReachChange::Lost);
+    assert!(!reach.take_trial("app", now));
+    now += Duration::from_secs(1);
+    assert!(reach.take_trial("app", now));
+    assert!(!reach.take_trial("app", now), "one trial at a time");
+    assert!(reach.is_cut_off("app"));
+    reach.record_answer("app", now);
+    assert_eq!(reach.next_check(), Some((&app, now)));
+    let change = reach.record_check(&app, Some(true), now);
+    assert!(matches!(change, ReachChange::Regained(_)));
+    assert!(!reach.take_trial("app", now + Duration::from_secs(9)));
+}
