--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -139,7 +139,7 @@
         self.quarantined.add(1, &[]);
     }
 
-    /// Records that no endpoint of a service accepts a connection any more.
+    /// Records that a service is not reached any more.
     pub(crate) fn record_cut_off(&self, service: &ServiceId) {
         self.cut_off
             .add(1, &[KeyValue::new("service", service.to_string())]);
