--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -235,13 +235,16 @@
     silence::events(work, seen, first, end)
 }
 
-/// A port that is free now at all loopback addresses; daemons of other runs listen at several.
-pub(crate) fn free_port() -> u16 {
-    let listener = TcpListener::bind("0.0.0.0:0").expect("a free port");
-    listener
-        .local_addr()
-        .expect("the listener has an address")
-        .port()
+/// Different ports that are free now at all loopback addresses; daemons of other runs listen at
+/// several.
+pub(crate) fn free_ports<const COUNT: usize>() -> [u16; COUNT] {
+    let listen = |_| TcpListener::bind("0.0.0.0:0").expect("a free port");
+    // A port that is given up may be chosen again, so all are held until the last is chosen.
+    let listeners: [TcpListener; COUNT] = std::array::from_fn(listen);
+    listeners.each_ref().map(|listener| {
+        let address = listener.local_addr();
+        address.expect("the listener has an address").port()
+    })
 }
 
 impl Soak {
@@ -263,7 +266,7 @@
             endpoints.push(endpoint);
             proxies.push(proxy);
         }
-        let ports = [free_port(), free_port(), free_port(), free_port()];
+        let ports = free_ports();
         let daemons = (0..DAEMONS).map(|number| {
             let text = settings(store_proxy.address, cloud.address);
             RefCell::new(daemon(folder, number, &text, ports))
--- a/daemon/tests/test_relay_closing.rs
+++ b/daemon/tests/test_relay_closing.rs
@@ -23,7 +23,7 @@
 
 use crate::relay_site::{is_ready, store_with, until};
 use crate::site::DAEMON;
-use crate::soak::{free_port, seeds};
+use crate::soak::{free_ports, seeds};
 
 /// Number of daemons in one run; each is shut down at a random time of its own.
 const SHUTDOWNS: usize = 8;
@@ -161,7 +161,7 @@
 async fn daemon(folder: &Folder, number: usize, store: &Store) -> (Process, SocketAddr) {
     let cloud = Cloud::start().await;
     let at = |port: u16| SocketAddr::from(([127, 0, 2, number as u8], port));
-    let (callers, ready) = (at(free_port()), at(free_port()));
+    let [callers, ready] = free_ports().map(at);
     let text = settings(store.address, cloud.address)
         .replace(
             "\"front\":\"127.0.0.1:0\"",
