reach: a stream that goes on beside other attempts is an answer, too

Cause, found in review, shown by no test: what a stream sends counted as an answer of its service, but not if it went on while other attempts were under way. Four silent attempts beside it could then count as a mute path though an endpoint answers. And a request that is tried to see whether a service is reached was forwarded for any reason, also when it is quarantined.

Change: one function for both ways a stream goes on; such a request is forwarded only if no endpoint can take it.

--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -323,7 +323,7 @@
                     stop => stop,
                 })
             }
-            Err(_) if tries_reach => self.next_daemon(at, |_| true),
+            Err(Stop::Select(_)) if tries_reach => self.next_daemon(at, |_| true),
             next => next,
         }
     }
@@ -474,12 +474,7 @@
         let failure = loop {
             let until = deadline.min(Instant::now() + pause);
             match timeout_at(until, &mut read).await {
-                Ok(Ok(())) => {
-                    if source_via == Via::Endpoint {
-                        reach::record_answer(self.state, &self.job.service.name);
-                    }
-                    return More::Received;
-                }
+                Ok(Ok(())) => return self.received(source_via),
                 Ok(Err(error)) => break error,
                 Err(_) if Instant::now() >= deadline => break ExchangeError::TimedOut,
                 Err(_) => reach::record_failure(self.state, &self.job.service.name),
@@ -501,7 +496,7 @@
             match received {
                 Ok(()) => {
                     self.withdraw(row);
-                    return More::Received;
+                    return self.received(source_via);
                 }
                 Err(error) => {
                     drop(read);
@@ -515,6 +510,14 @@
         More::Next(self.begin(at).await)
     }
 
+    /// Records that more of a stream was received.
+    fn received(&self, from: Via) -> More {
+        if from == Via::Endpoint {
+            reach::record_answer(self.state, &self.job.service.name);
+        }
+        More::Received
+    }
+
     /// Ends all attempts but this one, which goes on after a silence.
     fn withdraw(&self, row: AttemptIndex) {
         let now = Std::now();
