forward: say why a daemon did not take a request

Cause: the line said that the other daemon cannot serve the request either, for want of room and for want of reach alike. Change: the line names which; nothing else.

--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -110,14 +110,14 @@
         Err(error) => return failed(state, job, daemon, error),
     };
     if response.meta.not_run {
-        record_not_taken(state, job, daemon, &response);
+        let why = record_not_taken(state, job, daemon, &response);
         if read_body(&mut conn, &response.head, MAX_RESPONSE_BYTES)
             .await
             .is_ok()
         {
             keep_connection(state, daemon, conn, &response);
         }
-        return not_taken(AttemptEnd::NotRun, &"it cannot serve it either");
+        return not_taken(AttemptEnd::NotRun, &why);
     }
     if job.route.retry_policy.is_stream() && response.head.status == OK && response.meta.sealed {
         return match OpenStream::open(conn, response, at.last).await {
@@ -135,15 +135,26 @@
     }
 }
 
-/// Records that a daemon did not take a request: for as long as it says, or because it does not
-/// reach the service.
-fn record_not_taken(state: &State, job: &Job<'_>, daemon: Ipv4Addr, response: &EndpointResponse) {
+/// Records that a daemon did not take a request, and returns why: it has no room for as long as it
+/// says, or does not reach the service.
+fn record_not_taken(
+    state: &State,
+    job: &Job<'_>,
+    daemon: Ipv4Addr,
+    response: &EndpointResponse,
+) -> &'static str {
     let service = name_hash(&job.service.name);
     let now = Std::now();
     let mut peers = state.peers.borrow_mut();
     match response.meta.rest {
-        Announced::Value(rest) => peers.record_full(daemon, service, now + rest, now),
-        Announced::Absent | Announced::Invalid => peers.record_cut_off(daemon, service, now),
+        Announced::Value(rest) => {
+            peers.record_full(daemon, service, now + rest, now);
+            "it has no room"
+        }
+        Announced::Absent | Announced::Invalid => {
+            peers.record_cut_off(daemon, service, now);
+            "it ends or does not reach the service"
+        }
     }
 }
 
