--- a/daemon/tests/relay_site.rs
+++ b/daemon/tests/relay_site.rs
@@ -220,3 +220,13 @@
     let served: usize = join_all(callers).await.into_iter().sum();
     served as f64 / count as f64
 }
+
+/// Shares of the requests that are served at the first attempt: sent to all daemons of a zone in turn,
+/// and from a second later on all to one of them.
+pub(crate) async fn shares_evenly_and_at_one(zone: &Zone, rate: f64, span: Duration) -> (f64, f64) {
+    let all: Vec<&Relay> = zone.daemons.iter().map(|(_, relay)| relay).collect();
+    let evenly = share_served(&all, rate, span).await;
+    share_served(&all[..1], rate, Duration::from_secs(1)).await;
+    let at_one = share_served(&all[..1], rate, span).await;
+    (evenly, at_one)
+}
--- a/daemon/tests/test_relay_cold.rs
+++ b/daemon/tests/test_relay_cold.rs
@@ -5,7 +5,7 @@
 use futures::future::join_all;
 use poplarvale_standin::{Endpoint, Fault, Step, ask, cold_config, plain, request};
 
-use crate::relay_site::{ROUTES, Zone, share_served, store_with};
+use crate::relay_site::{ROUTES, Zone, share_served, shares_evenly_and_at_one, store_with};
 
 /// Requests a second that a cold endpoint takes.
 const RATE: f64 = 4.0;
@@ -154,9 +154,7 @@
     let zone = zone(38, &endpoints).await;
     let all: Vec<_> = zone.daemons.iter().map(|(_, relay)| relay).collect();
     share_served(&all, DEMAND, PROPAGATION_TIME).await;
-    let evenly = share_served(&all, DEMAND, SPAN).await;
-    share_served(&all[..1], DEMAND, Duration::from_secs(1)).await;
-    let at_one = share_served(&all[..1], DEMAND, SPAN).await;
+    let (evenly, at_one) = shares_evenly_and_at_one(&zone, DEMAND, SPAN).await;
     assert!(
         at_one >= evenly * 0.75,
         "{at_one} served at one daemon, {evenly} evenly"
--- a/daemon/tests/test_relay_limit.rs
+++ b/daemon/tests/test_relay_limit.rs
@@ -7,7 +7,7 @@
 use futures::future::join_all;
 use poplarvale_standin::{Endpoint, SeenRequest, Step, ask, limited, plain, request};
 
-use crate::relay_site::{Site, Zone, share_served, store_with};
+use crate::relay_site::{Site, Zone, share_served, shares_evenly_and_at_one, store_with};
 
 /// Time span in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -175,9 +175,7 @@
     let all: Vec<_> = zone.daemons.iter().map(|(_, relay)| relay).collect();
     share_served(&all, DEMAND, SPREAD_TIME).await;
     let since = Instant::now();
-    let evenly = share_served(&all, DEMAND, WINDOW).await;
-    share_served(&all[..1], DEMAND, Duration::from_secs(1)).await;
-    let at_one = share_served(&all[..1], DEMAND, WINDOW).await;
+    let (evenly, at_one) = shares_evenly_and_at_one(&zone, DEMAND, WINDOW).await;
     assert!(
         at_one >= evenly * 0.75,
         "{at_one} served at one daemon, {evenly} evenly"
