--- a/lib/tests/test_relay_membership.rs
+++ b/lib/tests/test_relay_membership.rs
@@ -390,3 +390,57 @@
     peers.record_full(address(ZONES), SERVICE, now, now);
     assert_eq!(chosen(&peers, &zones, &[]), [ZONES]);
 }
+
+/// Guards against a number of tries that is enough in a small fleet only: two fifths of the daemons
+/// are cut off, and no digest tells which.
+#[test]
+fn three_tries_find_a_daemon_in_a_fleet_of_any_size() {
+    const SERVICE: u32 = 7;
+    const TRIES: usize = 3;
+    const REQUESTS: usize = 2_000;
+    /// Part of the requests for which all tries may meet daemons that are cut off.
+    const MOST_FAILED: f64 = 0.1;
+    for daemons in [30, 500, 1_000, 2_000] {
+        let fleet = Fleet::new(daemons, 1);
+        let now = fleet.now;
+        let mut peers = fleet.peers[0].clone();
+        for at in 1..daemons {
+            peers.record_digest(address(at), &format_compact!("d{at}"), 1, 1, now);
+            let statement = Statement {
+                location: location(at),
+                store: None,
+                period: PERIOD,
+                is_watcher: false,
+                is_closing: false,
+                is_blind: false,
+                follows: None,
+                config_read: 0,
+            };
+            peers.update(address(at), statement, now);
+        }
+        let mut random = fastrand::Rng::with_seed(daemons as u64);
+        let mut others: Vec<usize> = (1..daemons).collect();
+        random.shuffle(&mut others);
+        let cut_off = &others[..daemons * 2 / 5];
+        let zones: Vec<u32> = (0..ZONES as u32).collect();
+        let is_failed = |random: &mut fastrand::Rng| {
+            let mut tried: Vec<Ipv4Addr> = Vec::new();
+            while tried.len() < TRIES {
+                let may = |daemon| !tried.contains(&daemon);
+                let choose = |count| random.usize(..count);
+                let Some(daemon) = peers.forwarder(SERVICE, &zones, may, now, choose) else {
+                    break;
+                };
+                if !cut_off.contains(&index(daemon)) {
+                    return false;
+                }
+                tried.push(daemon);
+            }
+            true
+        };
+        let failed = (0..REQUESTS).filter(|_| is_failed(&mut random)).count();
+        let failed = failed as f64 / REQUESTS as f64;
+        println!("{daemons} daemons: {failed} of the requests");
+        assert!(failed <= MOST_FAILED, "{failed} at {daemons} daemons");
+    }
+}
