budget: log and count each retry that is asked of the budget

Whether a restart, a wrong number of daemons or a second count grants retries beyond the budget could not be told from any log: no line named a granted retry. The line `retry:` now tells the request, the service, how many retries the daemon had left, among how many daemons it divides the fixed number and for how long it has run; the metric poplarvale_relay_retries counts by service and outcome. The decision on a retry is the same as before.

--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -18,17 +18,18 @@
 use std::time::{Duration, Instant as Std};
 
 use bytes::Bytes;
-use compact_str::ToCompactString as _;
+use compact_str::{ToCompactString as _, format_compact};
 use futures::StreamExt as _;
 use futures::future::LocalBoxFuture;
 use futures::stream::FuturesUnordered;
 use poplarvale_lib::http1::Response;
 use poplarvale_lib::relay::admit::Limits;
 use poplarvale_lib::relay::attempts::{AttemptEnd, AttemptIndex, Stop, Via};
+use poplarvale_lib::relay::budget::Decision;
 use poplarvale_lib::relay::endpoint_table::{EndpointState, EndpointTable};
 use poplarvale_lib::relay::quota;
 use poplarvale_lib::relay::selection::{Choice, Criteria, SelectError, choose, sharers};
-use poplarvale_lib::{Code, EndpointId, ServiceId};
+use poplarvale_lib::{Code, EndpointId};
 use tokio::net::tcp::WriteHalf;
 use tokio::time::{Instant, timeout_at};
 
@@ -340,7 +341,7 @@
             return Err(Stop::Quarantined);
         }
         let choice = pick(state, job, &tried).map_err(Stop::Select)?;
-        if sent > 0 && !try_retry(state, &job.service.name) {
+        if sent > 0 && !try_retry(state, job) {
             return Err(Stop::Budget);
         }
         let row = self.progress().begin(&choice.id, Via::Endpoint);
@@ -369,7 +370,7 @@
         };
         let may = |daemon| !self.daemons.borrow().contains(&daemon) && may(daemon);
         let daemon = forward::choose(state, job, may).ok_or(Stop::NoDaemon)?;
-        if sent > 0 && !try_retry(state, &job.service.name) {
+        if sent > 0 && !try_retry(state, job) {
             return Err(Stop::Budget);
         }
         self.daemons.borrow_mut().push(daemon);
@@ -680,13 +681,36 @@
 }
 
 /// Takes a retry of a request from the budget of its service; `false` if none is left.
-pub(crate) fn try_retry(state: &State, service: &ServiceId) -> bool {
+fn try_retry(state: &State, job: &Job<'_>) -> bool {
+    let service = &job.service.name;
     let now = Std::now();
     // Peers that are known only through other daemons count too. Otherwise, after a start of all
     // daemons, each would take most of the shared budget for itself.
     let daemons = state.peers.borrow().rows().len() + 1;
     let mut budget = state.budget.borrow_mut();
-    budget.try_retry(service, daemons, now)
+    let decision = budget.try_retry(service, daemons, now);
+    drop(budget);
+    log_retry(state, job, &decision);
+    decision.granted
+}
+
+/// Logs a retry: always if it was granted, a few a second otherwise.
+fn log_retry(state: &State, job: &Job<'_>, decision: &Decision) {
+    let outcome = if decision.granted {
+        "granted"
+    } else {
+        "refused"
+    };
+    let service = &job.service.name;
+    state.measure(|metrics| metrics.record_retry(service, outcome));
+    if !decision.granted && !state.sampler.allows(Std::now()) {
+        return;
+    }
+    log::info!(
+        request = job.head.id.as_str(), left = format_compact!("{:.1}", decision.left).as_str(),
+        daemons = decision.daemons, up_ms = state.started.elapsed().as_millis() as u64;
+        "retry: {outcome} by the budget of {service}."
+    );
 }
 
 /// How long a request may wait at an engine; `None` if its service has no target, or if an endpoint
--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -30,6 +30,7 @@
     cut_off: Counter<u64>,
     forwarded: Counter<u64>,
     incomplete: Counter<u64>,
+    retries: Counter<u64>,
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
     /// Kept until the instruments are dropped.
@@ -99,6 +100,10 @@
                 "poplarvale_relay_incomplete",
                 "Answers that remained incomplete, by reason",
             ),
+            retries: counter(
+                "poplarvale_relay_retries",
+                "Retries that were asked of the budget, by service and outcome",
+            ),
             first_event: histogram(
                 "poplarvale_relay_first",
                 "Time from a request's head to its first event or answer",
@@ -145,6 +150,15 @@
             .add(1, &[KeyValue::new("service", service.to_string())]);
     }
 
+    /// Records whether the budget of a service granted a retry.
+    pub(crate) fn record_retry(&self, service: &ServiceId, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("service", service.to_string()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.retries.add(1, &labels);
+    }
+
     /// Records how forwarding a request to another daemon ended.
     pub(crate) fn record_forwarded(&self, outcome: &'static str) {
         self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/lib/src/relay/budget.rs
+++ b/lib/src/relay/budget.rs
@@ -24,6 +24,17 @@
     steps: Vec<(Instant, u32, u32)>,
 }
 
+/// Whether a retry may be made, and what the daemon bases that on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Decision {
+    /// Whether it may be made.
+    pub granted: bool,
+    /// Retries that this daemon may still make now.
+    pub left: f64,
+    /// Daemons that share the fixed number.
+    pub daemons: usize,
+}
+
 /// Retry budgets of all services.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -60,20 +71,24 @@
         }
     }
 
-    /// Counts a retry and returns `true` if the budget allows one; `daemons` share the fixed
-    /// number.
-    pub fn try_retry(&mut self, service: &ServiceId, daemons: usize, now: Instant) -> bool {
+    /// Counts a retry if the budget allows one; `daemons` share the fixed number.
+    pub fn try_retry(&mut self, service: &ServiceId, daemons: usize, now: Instant) -> Decision {
         let (ratio, slack, window) = (self.ratio, self.slack, self.window);
         let at = self.row(service);
         let within = |row: &&(Instant, u32, u32)| now.duration_since(row.0) <= window;
         let steps = self.rows[at].steps.iter().filter(within);
         let (requests, retries) = steps.fold((0, 0), |sum, row| (sum.0 + row.1, sum.1 + row.2));
         let allowed = ratio * f64::from(requests) + slack / daemons.max(1) as f64;
-        if f64::from(retries) + 1.0 > allowed * USABLE_SHARE {
-            return false;
+        let left = allowed * USABLE_SHARE - f64::from(retries);
+        let granted = left >= 1.0;
+        if granted {
+            self.step(service, now).2 += 1;
+        }
+        Decision {
+            granted,
+            left: if granted { left - 1.0 } else { left },
+            daemons,
         }
-        self.step(service, now).2 += 1;
-        true
     }
 
     /// The current step, which is added when the last one is over.
--- a/lib/tests/test_relay_shared.rs
+++ b/lib/tests/test_relay_shared.rs
@@ -571,7 +571,7 @@
     for step in 0..1000 {
         let now = now + Duration::from_millis(step * 5);
         budget.record_request(&service, now);
-        while budget.try_retry(&service, 4, now) {
+        while budget.try_retry(&service, 4, now).granted {
             retries += 1;
         }
     }
@@ -591,7 +591,8 @@
     for _ in 0..1001 {
         budget.withdraw_request(&service);
     }
-    assert!(!budget.try_retry(&service, 4, now + Duration::from_secs(5)));
+    let decision = budget.try_retry(&service, 4, now + Duration::from_secs(5));
+    assert!(!decision.granted);
 }
 
 /// Counts of a daemon that was killed stay as it last reported them, and an old digest that
