tests: retry budgets of all daemons together, across restarts

Plays seven daemons on virtual time against the bound as it is stated: a window, the one before it or the one half a window before, whichever has most requests.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -27,6 +27,7 @@
 mod test_relay_admit;
 mod test_relay_attempts;
 mod test_relay_brittle;
+mod test_relay_budget;
 mod test_relay_catalog_update;
 mod test_relay_change_feed;
 mod test_relay_connectivity;
