budget: credits that are spent once in place of windows in each daemon's memory

Cause: a bound over windows was kept in the memory of processes and by windows of each daemon's own. A restart forgot the retries of the window; callers that went over to another daemon were granted the share of two windows in one. Both are shown by test_relay_budget, which failed before. The fixed number was divided by the daemons known by address: nobody else behind a cut, and in a large fleet those of the own zone.

Ruled out by reading: a forwarded request that endpoints rejected does not count as sent nowhere, as a daemon answers 421 only if no endpoint got it. A request that had been sent here before another daemon took it was counted twice; forwarded requests bring no credit now.

Each request of a caller brings a credit, worth a retry for every ten requests, which expires with the window and is spent once. The fixed number accrues with time at each daemon, divided by the largest number of daemons known in the last minute; none accrues where nobody was heard from. What a restart forgets is lost, so no schedule of restarts grants it twice. At the start of a whole deployment, as the missing checkpoint tells, it counts as accrued.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -18,7 +18,7 @@
 use poplarvale_lib::relay::endpoint_table::EndpointState;
 use poplarvale_lib::relay::limit::AnnouncedLimit;
 use poplarvale_lib::relay::listing::Listing;
-use poplarvale_lib::relay::request::{Prompt, RequestHead};
+use poplarvale_lib::relay::request::{Origin, Prompt, RequestHead};
 use poplarvale_lib::relay::rollout::evidence::Sample;
 use poplarvale_lib::relay::rollout::{MoveChange, Versions};
 use poplarvale_lib::relay::selection::{self, Choice, Criteria};
@@ -30,7 +30,6 @@
 use super::crash::{LazyFingerprint, check_crash, clear, record_served};
 use super::exchange::{EndpointResponse, ExchangeError, OK, SERVER_ERROR, exchange, read_body};
 use super::reach;
-use super::serve::Origin;
 use super::state::State;
 use super::stream::{Forwarded, OpenStream};
 
--- a/daemon/src/relay/caller.rs
+++ b/daemon/src/relay/caller.rs
@@ -7,6 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use poplarvale_lib::http1::{Body, Framing, HeadError, Request};
 use poplarvale_lib::relay::catalog::CallerLimits;
+use poplarvale_lib::relay::request::Origin;
 use poplarvale_lib::{Code, Ran};
 use poplarvale_platform::{read_request_head, rejection_response};
 use tokio::io::AsyncWriteExt as _;
@@ -16,7 +17,7 @@
 
 use super::buffered_stream::fill;
 use super::catalog::source::{TARGET as CONFIG_TARGET, serve_config};
-use super::serve::{Connection, Origin, RETRY_SOON, Received, serve};
+use super::serve::{Connection, RETRY_SOON, Received, serve};
 use super::state::{ActiveRequest, State};
 
 /// Limit for bytes that are read ahead from a connection while a request is served.
--- a/daemon/src/relay/checkpoint.rs
+++ b/daemon/src/relay/checkpoint.rs
@@ -106,6 +106,18 @@
     quota.restore(spent.collect(), saved.daemons, now);
 }
 
+/// Lets retries of the fixed number be made from the start if no daemon can have made any within the
+/// last windows: there is no checkpoint, or an old one.
+pub(crate) fn restore_retries(state: &State, saved: Option<&Checkpoint>) {
+    let window = state.settings.bounds.retry_window;
+    let age = saved.map(|saved| State::wall_ms().abs_diff(saved.wall_ms));
+    // Twice the window, as the clock of this host may have jumped.
+    if age.is_none_or(|age| u128::from(age) > 2 * window.as_millis()) {
+        log::info!("checkpoint: none of the last seconds; retries are made from the start.");
+        state.budget.borrow_mut().record_idle(Instant::now());
+    }
+}
+
 /// Restores runs counted by daemons that may no longer exist.
 pub(crate) fn restore_usage(state: &State, saved: &Checkpoint) {
     let mut usage = state.usage.borrow_mut();
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -28,6 +28,7 @@
 use poplarvale_lib::relay::budget::Decision;
 use poplarvale_lib::relay::endpoint_table::{EndpointState, EndpointTable};
 use poplarvale_lib::relay::quota;
+use poplarvale_lib::relay::request::Origin;
 use poplarvale_lib::relay::selection::{Choice, Criteria, SelectError, choose, sharers};
 use poplarvale_lib::{Code, EndpointId};
 use tokio::net::tcp::WriteHalf;
@@ -39,9 +40,7 @@
 use super::forward::{self, DaemonStream, MAX_DAEMONS};
 use super::progress::{Loss, Progress, Tracker};
 use super::reach;
-use super::serve::{
-    Connection, Origin, RETRY_SOON, Rejection, connection, forward_response, reject,
-};
+use super::serve::{Connection, RETRY_SOON, Rejection, connection, forward_response, reject};
 use super::state::State;
 use super::stream::{Forwarded, OpenStream};
 
@@ -138,11 +137,6 @@
     write: &mut WriteHalf<'_>,
     keep: bool,
 ) -> Connection {
-    let now = Std::now();
-    state
-        .budget
-        .borrow_mut()
-        .record_request(&job.service.name, now);
     let dispatch = Dispatch::new(state, job, Scope::Any);
     match dispatch.run(write, keep).await {
         Ok(connection) => connection,
@@ -181,8 +175,6 @@
     daemons: RefCell<Vec<Ipv4Addr>>,
     /// Whether its units were returned to its team.
     refunded: Cell<bool>,
-    /// Whether another daemon counts it.
-    handed_over: Cell<bool>,
     /// Error response of an endpoint; it is forwarded if no later attempt answers.
     failure: RefCell<Option<(Response, Bytes)>>,
 }
@@ -197,7 +189,6 @@
             tracker: Tracker::new(state, job.head, job.route, times),
             daemons: RefCell::default(),
             refunded: Cell::new(false),
-            handed_over: Cell::new(false),
             failure: RefCell::default(),
         }
     }
@@ -380,8 +371,9 @@
         let attempt = async move {
             let started = forward::begin(state, job, daemon, at).await;
             let is_taken = !matches!(started, Err(AttemptEnd::NotConnected | AttemptEnd::NotRun));
-            if is_taken && !may_have_run {
-                self.hand_over();
+            if is_taken && !may_have_run && self.scope == Scope::Any {
+                // The daemon that took it counts it against the allowance of its team, too.
+                self.refund();
             }
             (row, started.map(|begun| begun.answer(Source::Daemon)))
         };
@@ -580,17 +572,6 @@
         }
     }
 
-    /// Takes back what was counted here of a request that another daemon has taken, which counts it
-    /// too.
-    fn hand_over(&self) {
-        if self.scope == Scope::Any && !self.handed_over.replace(true) {
-            let mut budget = self.state.budget.borrow_mut();
-            budget.withdraw_request(&self.job.service.name);
-            drop(budget);
-            self.refund();
-        }
-    }
-
     /// Returns the units of a request that did not run to its team.
     fn refund(&self) {
         if let Some(team) = self.job.team
@@ -682,13 +663,8 @@
 
 /// Takes a retry of a request from the budget of its service; `false` if none is left.
 fn try_retry(state: &State, job: &Job<'_>) -> bool {
-    let service = &job.service.name;
-    let now = Std::now();
-    // Peers that are known only through other daemons count too. Otherwise, after a start of all
-    // daemons, each would take most of the shared budget for itself.
-    let daemons = state.peers.borrow().rows().len() + 1;
     let mut budget = state.budget.borrow_mut();
-    let decision = budget.try_retry(service, daemons, now);
+    let decision = budget.try_retry(&job.service.name, Std::now());
     drop(budget);
     log_retry(state, job, &decision);
     decision.granted
@@ -707,8 +683,10 @@
         return;
     }
     log::info!(
-        request = job.head.id.as_str(), left = format_compact!("{:.1}", decision.left).as_str(),
-        daemons = decision.daemons, up_ms = state.started.elapsed().as_millis() as u64;
+        request = job.head.id.as_str(),
+        credits = format_compact!("{:.1}", decision.credits).as_str(),
+        fixed = format_compact!("{:.1}", decision.fixed).as_str(),
+        daemons = decision.daemons.unwrap_or_default(), up_ms = state.started.elapsed().as_millis() as u64;
         "retry: {outcome} by the budget of {service}."
     );
 }
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -19,7 +19,7 @@
 use poplarvale_lib::protos::relay::{Digest, digest};
 use poplarvale_lib::relay::change_feed::ChangeFeed;
 use poplarvale_lib::relay::limit::Source;
-use poplarvale_lib::relay::membership::{PERIOD, sums_period};
+use poplarvale_lib::relay::membership::{PERIOD, Peers, sums_period};
 use poplarvale_lib::relay::sharers::Sharers;
 use prost::Message as _;
 use tokio::net::UdpSocket;
@@ -167,6 +167,7 @@
         .quota
         .borrow_mut()
         .set_watcher(peers.is_watcher(), now);
+    record_fleet(state, &peers, now);
     let me = peers.own_address();
     let recent = Sharers {
         me,
@@ -183,6 +184,14 @@
     table.set_daemons(known);
 }
 
+/// Records among how many daemons the fixed numbers of the retry budgets are divided. A daemon of a
+/// large fleet knows few others by address; the sums tell of the others.
+fn record_fleet(state: &State, peers: &Peers, now: Instant) {
+    let known = (!peers.is_isolated()).then_some(peers.rows().len() + 1);
+    let daemons = known.max(state.quota.borrow().fleet_size());
+    state.budget.borrow_mut().record_fleet(daemons, now);
+}
+
 /// Sends this daemon's own state to the watchers of its zone.
 fn send_own(state: &State, socket: &UdpSocket, left: &[u32], now: Instant) {
     let parents = state.peers.borrow().parents(now);
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -13,7 +13,7 @@
 use poplarvale_lib::relay::demand;
 use poplarvale_lib::relay::homes::home_zones;
 use poplarvale_lib::relay::quota;
-use poplarvale_lib::relay::request::RequestHead;
+use poplarvale_lib::relay::request::{Origin, RequestHead};
 use poplarvale_lib::relay::rollout::Versions;
 use poplarvale_lib::{Code, Ran};
 use poplarvale_platform::{rejection_response, response_head};
@@ -87,23 +87,12 @@
     }
 }
 
-/// Who sent a request to this daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Origin {
-    /// A caller.
-    Caller,
-    /// Another daemon, which cannot send it to an endpoint itself. It is not forwarded again.
-    Daemon,
-}
-
-impl Origin {
-    /// Rejection of a request that this daemon does not serve now. Another daemon can still try a
-    /// further one; a caller comes back.
-    fn rejection(self, code: Code) -> Rejection {
-        match self {
-            Self::Caller => Rejection::retry_later(code, RETRY_SOON),
-            Self::Daemon => Rejection::permanent(Code::NotTaken),
-        }
+/// Rejection of a request that this daemon does not serve now. Another daemon can still try a
+/// further one; a caller comes back.
+fn not_served(origin: Origin, code: Code) -> Rejection {
+    match origin {
+        Origin::Caller => Rejection::retry_later(code, RETRY_SOON),
+        Origin::Daemon => Rejection::permanent(Code::NotTaken),
     }
 }
 
@@ -134,7 +123,7 @@
     let keep = request.keep_alive && state.phase().is_serving();
     let catalog = state.catalog.borrow().clone();
     let Some(catalog) = catalog else {
-        let rejection = origin.rejection(Code::NoLists);
+        let rejection = not_served(origin, Code::NoLists);
         return reject(state, write, head, rejection, keep).await;
     };
     let (route, team) = match route_and_team(&catalog, head) {
@@ -145,7 +134,7 @@
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = (arrived + timeout).into_std();
     if !state.phase().serves(deadline, Std::now()) {
-        let rejection = origin.rejection(Code::Draining);
+        let rejection = not_served(origin, Code::Draining);
         return reject(state, write, head, rejection, keep).await;
     }
     let homes = home_zones(
@@ -186,8 +175,11 @@
         may_forward: origin == Origin::Caller && !is_cut_off,
         tries_reach,
     };
-    if is_cut_off && let Some(done) = dispatch_to_daemons(state, &job, write, keep).await {
-        return done;
+    if is_cut_off {
+        record_request(state, &job);
+        if let Some(done) = dispatch_to_daemons(state, &job, write, keep).await {
+            return done;
+        }
     }
     match clearance(state, &job.fingerprint) {
         Clearance::Clear => {}
@@ -203,13 +195,7 @@
             return reject(state, write, head, rejection, keep).await;
         }
     }
-    let units = team.map_or(0.0, |team| quota::units(team, head));
-    let admission = team.map(|team| state.quota.borrow_mut().admit(team, units, Std::now()));
-    if let Some(Err(retry_after)) = admission {
-        if let Some(team) = team {
-            log_standing(state, head, team, units);
-        }
-        let rejection = Rejection::retry_later(Code::TokenRate, retry_after);
+    if let Some(Err(rejection)) = team.map(|team| admit(state, head, team)) {
         return reject(state, write, head, rejection, keep).await;
     }
     // The daemon that forwards a request has counted it.
@@ -221,9 +207,28 @@
         demand.record(&service.name, work, Std::now());
     }
     job.versions = versions(state, &service.name);
+    if !is_cut_off {
+        record_request(state, &job);
+    }
     dispatch(state, &job, write, keep).await
 }
 
+/// Counts a request against the allowance of its team.
+fn admit(state: &State, head: &RequestHead, team: &Team) -> Result<(), Rejection> {
+    let units = quota::units(team, head);
+    let admission = state.quota.borrow_mut().admit(team, units, Std::now());
+    admission.map_err(|retry_after| {
+        log_standing(state, head, team, units);
+        Rejection::retry_later(Code::TokenRate, retry_after)
+    })
+}
+
+/// Counts a request for the retry budget of its service.
+fn record_request(state: &State, job: &Job<'_>) {
+    let mut budget = state.budget.borrow_mut();
+    budget.record_request(&job.service.name, job.origin, Std::now());
+}
+
 /// Whether a request is sent to an endpoint first though its service is not reached.
 fn tries_reach(state: &State, route: &Route, service: &str) -> bool {
     let policy = route.retry_policy;
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -256,6 +256,7 @@
     if !state.listed.get() {
         let saved = items.iter().find(|item| item.key == CHECKPOINT_KEY);
         let saved = saved.and_then(|item| checkpoint::decode(&item.value));
+        checkpoint::restore_retries(state, saved.as_ref());
         if let Some(saved) = saved {
             checkpoint::restore_quota(state, &saved);
         }
--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -403,6 +403,14 @@
         counts.sum()
     }
 
+    /// Number of all daemons, as the others report it, or a checkpoint until then; `None` before
+    /// either.
+    pub fn fleet_size(&self) -> Option<usize> {
+        let heard = self.daemons();
+        let restored = self.restored.as_ref().map(|row| row.daemons as usize);
+        (heard > 0).then_some(heard + 1).or(restored)
+    }
+
     /// Number of those that are unresponsive.
     fn unresponsive(&self, now: Instant) -> usize {
         let counts = self.groups().map(|group| group.unresponsive(now) as usize);
--- a/lib/src/relay/request.rs
+++ b/lib/src/relay/request.rs
@@ -7,6 +7,15 @@
 /// Part of a prompt: its id and its number of tokens.
 pub type Part = (u64, u32);
 
+/// Who sent a request to this daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another daemon, which cannot send it to an endpoint itself. It is not forwarded again.
+    Daemon,
+}
+
 /// What the head of a request says.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RequestHead {
--- a/lib/src/relay/token_bucket.rs
+++ b/lib/src/relay/token_bucket.rs
@@ -49,7 +49,8 @@
         self.filled_at = now;
     }
 
-    fn tokens(&self, now: Instant) -> f64 {
+    /// Tokens that have accumulated.
+    pub(crate) fn tokens(&self, now: Instant) -> f64 {
         let since = now.saturating_duration_since(self.filled_at).as_secs_f64();
         (self.tokens + since * self.rate).min(self.burst)
     }
--- a/lib/tests/test_relay_budget.rs
+++ b/lib/tests/test_relay_budget.rs
@@ -4,6 +4,7 @@
 
 use poplarvale_lib::ServiceId;
 use poplarvale_lib::relay::budget::Budget;
+use poplarvale_lib::relay::request::Origin;
 use proptest::prelude::*;
 
 const DAEMONS: usize = 7;
@@ -79,10 +80,11 @@
                 let turn = self.now / STEP_MS * REQUESTS as u64 + number as u64;
                 let daemon = self.used[turn as usize % self.used.len()];
                 let budget = &mut self.budgets[daemon];
-                budget.record_request(&self.service, now);
+                budget.record_fleet(Some(DAEMONS), now);
+                budget.record_request(&self.service, Origin::Caller, now);
                 self.requests.push(self.now);
                 for _ in 0..if self.fails { RETRIES } else { 0 } {
-                    if budget.try_retry(&self.service, DAEMONS, now).granted {
+                    if budget.try_retry(&self.service, now).granted {
                         self.retries.push(self.now);
                     }
                 }
@@ -147,6 +149,72 @@
     Fleet::new().run(&events, 40_000);
 }
 
+/// Guards against a fixed number that each daemon takes for itself, as it started behind a cut and
+/// knows no other one.
+#[test]
+fn daemons_that_hear_nobody_use_none_of_the_fixed_number() {
+    let service = "pool".into();
+    let start = Instant::now();
+    let mut budget = budget();
+    budget.record_fleet(None, start);
+    budget.record_request(&service, Origin::Caller, start);
+    let later = start + 2 * WINDOW;
+    budget.record_fleet(None, later);
+    assert!(!budget.try_retry(&service, later).granted);
+}
+
+/// Guards against first requests after the start of a whole deployment that are not retried.
+#[test]
+fn retries_are_granted_from_the_start_if_no_daemon_ran_before() {
+    let service = "pool".into();
+    let start = Instant::now() + WINDOW;
+    for (is_idle, granted) in [(true, true), (false, false)] {
+        let mut budget = budget();
+        budget.record_fleet(Some(DAEMONS), start);
+        if is_idle {
+            budget.record_idle(start);
+        }
+        budget.record_request(&service, Origin::Caller, start);
+        assert_eq!(budget.try_retry(&service, start).granted, granted);
+    }
+}
+
+/// Guards against a fixed number that is divided by the few daemons on one side of a cut.
+#[test]
+fn daemons_that_are_cut_off_keep_their_part_of_the_fixed_number() {
+    let service = "pool".into();
+    let start = Instant::now();
+    let mut budget = budget();
+    budget.record_fleet(Some(DAEMONS), start);
+    budget.record_request(&service, Origin::Caller, start);
+    let mut retries = 0;
+    for second in 0..40 {
+        let now = start + Duration::from_secs(second);
+        budget.record_fleet(Some(if second < 5 { DAEMONS } else { 1 }), now);
+        retries += usize::from(budget.try_retry(&service, now).granted);
+    }
+    let windows = 4.0 + 1.0;
+    assert!(
+        retries > 0 && retries as f64 <= SLACK / DAEMONS as f64 * windows,
+        "{retries}"
+    );
+}
+
+/// Guards against retries that two daemons grant for the same request, after one forwarded it to
+/// the other.
+#[test]
+fn a_forwarded_request_grants_no_retry_at_the_daemon_that_takes_it() {
+    let service = "pool".into();
+    let start = Instant::now();
+    let mut budget = Budget::new(RATIO, 0.0, WINDOW);
+    for step in 0..1000 {
+        let now = start + Duration::from_millis(step * 5);
+        budget.record_request(&service, Origin::Daemon, now);
+    }
+    let decision = budget.try_retry(&service, start + Duration::from_secs(5));
+    assert!(!decision.granted);
+}
+
 fn event() -> impl Strategy<Value = Event> {
     let some = || prop::sample::subsequence(all(), 1..=DAEMONS);
     prop_oneof![
--- a/lib/tests/test_relay_shared.rs
+++ b/lib/tests/test_relay_shared.rs
@@ -8,6 +8,7 @@
 use poplarvale_lib::relay::clock::Clock;
 use poplarvale_lib::relay::duty::DutyLease;
 use poplarvale_lib::relay::quota::{Coverage, PeerReport, Quota, TeamUse, Tolerance, name_hash};
+use poplarvale_lib::relay::request::Origin;
 use poplarvale_lib::relay::usage::Usage;
 use proptest::prelude::*;
 
@@ -570,31 +571,14 @@
     let mut retries = 0;
     for step in 0..1000 {
         let now = now + Duration::from_millis(step * 5);
-        budget.record_request(&service, now);
-        while budget.try_retry(&service, 4, now).granted {
+        budget.record_request(&service, Origin::Caller, now);
+        while budget.try_retry(&service, now).granted {
             retries += 1;
         }
     }
     assert!((100..=200).contains(&retries), "{retries}");
 }
 
-/// Guards against retries that two daemons grant for the same request, after one forwarded it to
-/// the other.
-#[test]
-fn a_request_that_another_daemon_takes_grants_no_retry() {
-    let now = Instant::now();
-    let service = "pool".into();
-    let mut budget = Budget::new(0.2, 0.0, Duration::from_secs(10));
-    for step in 0..1000 {
-        budget.record_request(&service, now + Duration::from_millis(step * 5));
-    }
-    for _ in 0..1001 {
-        budget.withdraw_request(&service);
-    }
-    let decision = budget.try_retry(&service, 4, now + Duration::from_secs(5));
-    assert!(!decision.granted);
-}
-
 /// Counts of a daemon that was killed stay as it last reported them, and an old digest that
 /// arrives late does not lower them.
 #[test]
