duty, board, rollout: log versions, kinds and what orders are based on

The logs of a version move could not tell which endpoints joined or left and why: lines of joins named no version, lines of orders no number in use, and the line of a completed move no observations. Joins and leaves now tell version, zone and kind, orders the service and the number in use, and a written status the counts of both versions.

--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -375,8 +375,14 @@
         let (service, outcome) = (&status.service, status.outcome);
         match write_status(store, holder, &status).await {
             Ok(Some(revision)) => {
-                log::info!("rollout: status of {service} written as {outcome:?}.");
                 let mut rollouts = state.rollouts.borrow_mut();
+                let totals = rollouts.totals(service);
+                log::info!(
+                    old = totals.old.requests, old_failed = totals.old.failures,
+                    old_slow = totals.old.slow, new = totals.new.requests,
+                    new_failed = totals.new.failures, new_slow = totals.new.slow;
+                    "rollout: status of {service} written as {outcome:?}."
+                );
                 rollouts.apply_status(service, &status.target, outcome, revision);
             }
             Ok(None) => log::info!(
--- a/daemon/src/relay/duties/orders.rs
+++ b/daemon/src/relay/duties/orders.rs
@@ -64,13 +64,14 @@
     match response {
         Ok(reply) => {
             log::info!(
-                "duty: {count} {kind} endpoints in {zone} ordered (status {}).",
-                reply.status
+                service = desired.service.as_str(), held = desired.held;
+                "duty: {count} {kind} endpoints in {zone} ordered (status {}).", reply.status
             );
             reply.status == 200
         }
         Err(error) => {
             log::info!(
+                service = desired.service.as_str(), held = desired.held;
                 "duty: {count} {kind} endpoints in {zone} not ordered, {error}; trying again."
             );
             false
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -573,8 +573,21 @@
 
 fn log_change(state: &State, id: &str, change: Changed) {
     match change {
-        Changed::Joined => log::info!("board: endpoint {id} joined."),
-        Changed::Left => log::info!("board: endpoint {id} leaves."),
+        Changed::Joined | Changed::Left => {
+            let table = state.endpoints.borrow();
+            let listing = table.get(id).map(|row| &row.listing);
+            let did = if change == Changed::Joined {
+                "joined"
+            } else {
+                "leaves"
+            };
+            log::info!(
+                version = listing.map_or("", |row| row.version.as_str()),
+                zone = listing.map_or("", |row| row.zone.as_str()),
+                spot = listing.is_some_and(|row| row.spot);
+                "board: endpoint {id} {did}."
+            );
+        }
         Changed::Doubted(until) => {
             let left = until.saturating_duration_since(Instant::now());
             log::info!(
--- a/lib/src/relay/fleet.rs
+++ b/lib/src/relay/fleet.rs
@@ -65,6 +65,8 @@
     pub spot: bool,
     /// Number of endpoints.
     pub count: u32,
+    /// Number of those in use.
+    pub held: u32,
 }
 
 /// Last order for a service, zone and kind.
@@ -473,6 +475,7 @@
                         zone: zone.clone(),
                         spot,
                         count: wanted,
+                        held,
                     });
                 }
             }
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -215,6 +215,7 @@
         zone: "hanko".into(),
         spot: true,
         count: 2,
+        held: 0,
     };
     let boot = Duration::from_secs(4);
     let mut calls = 0;
