fleet: orders that know of a version move under way

Callers had no endpoint for four seconds after a move to a good version was completed, and a slow version was completed and kept: the orders of endpoints and the move control one quantity.

--- a/lib/src/relay/fleet.rs
+++ b/lib/src/relay/fleet.rs
@@ -8,6 +8,12 @@
 //! a reclaim is announced ahead. They are ordered at the reclaim notice and given up when
 //! reclaimable ones are back; few of them run before.
 //!
+//! Version moves start endpoints beside those in use and stop some at their end, whatever is ordered.
+//! An order names the number of all endpoints of its kind in a zone, so it must count those of both
+//! versions, and a lower one may end either. While a move is under way no number is lowered, and the
+//! need is covered by the endpoints that serve: those of the old version until the move is completed,
+//! those of the new one from then on.
+//!
 //! The need is computed from the work that callers request and the engines' learned speed.
 //! Fewer endpoints are ordered only after the need was lower for a while: an
 //! endpoint that is given up too early takes seconds to come back.
@@ -18,6 +24,7 @@
 use super::demand::Work;
 use super::endpoint_table::{EndpointState, EndpointTable};
 use super::engine::ServiceSpeed;
+use super::rollout::{Outcome, Progress};
 use crate::{ServiceId, ZoneId};
 
 /// Share of an engine's slots that is assumed to be in use when the need is computed.
@@ -163,14 +170,20 @@
     work.read * speed.prefill_s() + work.write * speed.step_s() / running
 }
 
-/// Number of endpoints in use in each zone: on-demand and reclaimable ones.
+/// Number of endpoints in each zone: on-demand and reclaimable ones.
 struct Serving(Vec<(ZoneId, u32, u32)>);
 
 impl Serving {
-    fn of(table: &EndpointTable, service: &str, zones: &[ZoneId]) -> Self {
+    /// Counts the endpoints of a service in use whose version is one of those that `may` names.
+    fn of(
+        table: &EndpointTable,
+        service: &str,
+        zones: &[ZoneId],
+        may: impl Fn(&str) -> bool,
+    ) -> Self {
         let row = |zone: &ZoneId| {
-            let on_demand = count(table, service, zone, false);
-            (zone.clone(), on_demand, count(table, service, zone, true))
+            let count = |spot| count(table, (service, zone), spot, &may);
+            (zone.clone(), count(false), count(true))
         };
         Self(zones.iter().map(row).collect())
     }
@@ -230,17 +243,31 @@
     }
 }
 
-/// Number of endpoints of one kind in use in a zone.
-fn count(table: &EndpointTable, service: &str, zone: &str, spot: bool) -> u32 {
+/// Number of endpoints of one kind in use in a zone whose version is one of those that `may` names.
+fn count(
+    table: &EndpointTable,
+    (service, zone): (&str, &str),
+    spot: bool,
+    may: impl Fn(&str) -> bool,
+) -> u32 {
     let rows = table.rows().iter().filter(|row| {
         row.listing.service == service
             && row.listing.zone == zone
             && row.listing.spot == spot
             && row.state != EndpointState::Leaving
+            && may(&row.listing.version)
     });
     rows.count() as u32
 }
 
+/// Whether endpoints of a version serve, or are to serve, by the state of the service's move.
+fn serves(moving: Option<&Progress>, version: &str) -> bool {
+    moving.is_none_or(|moving| {
+        let is_target = version == moving.target;
+        is_target == (moving.outcome == Outcome::Completed)
+    })
+}
+
 /// Whether an endpoint of the service is cold that may get requests.
 fn any_cold(table: &EndpointTable, service: &str, now: Instant) -> bool {
     table.rows().iter().any(|row| {
@@ -402,12 +429,15 @@
     /// Evacuated zones count as if they had no endpoints, so that others are ordered in the other
     /// zones at once, and nothing is ordered or given up there: what runs there serves again as
     /// soon as the zone is restored.
+    ///
+    /// `moving` is the service's version move that is under way, or has just ended.
     pub fn desired_counts(
         &mut self,
         table: &EndpointTable,
         service: &Service,
         zones: &[ZoneId],
         work: Work,
+        moving: Option<&Progress>,
         now: Instant,
     ) -> Vec<DesiredCount> {
         let (Some(scaling), Some(engine)) = (&service.scaling, &service.engine) else {
@@ -420,7 +450,9 @@
             .cloned()
             .collect();
         let zones = zones.as_slice();
-        let serving = Serving::of(table, &service.name, zones);
+        let of = |may: &dyn Fn(&str) -> bool| Serving::of(table, &service.name, zones, may);
+        let serving = of(&|version| serves(moving, version));
+        let others = of(&|version| !serves(moving, version));
         let level = if work == Work::default() {
             self.levels
                 .iter()
@@ -459,23 +491,33 @@
             };
             let reclaimable =
                 reclaimable.min(scaling.max.saturating_sub(on_demand.max(held_on_demand)));
-            for (spot, wanted, held) in [
-                (true, reclaimable, held_reclaimable),
-                (false, on_demand, held_on_demand),
+            let (other_on_demand, other_reclaimable) = others.in_zone(&zone);
+            let room = scaling.max.saturating_sub(
+                held_on_demand + held_reclaimable + other_on_demand + other_reclaimable,
+            );
+            for (spot, wanted, held, other) in [
+                (true, reclaimable, held_reclaimable, other_reclaimable),
+                (false, on_demand, held_on_demand, other_on_demand),
             ] {
                 // Cold endpoints do not replace the others yet.
                 let is_due = if wanted < held {
-                    !is_cold
+                    !is_cold && moving.is_none()
+                } else {
+                    wanted > held && (moving.is_none() || room > 0)
+                };
+                // Those of the other version count in what is ordered.
+                let count = if moving.is_some() {
+                    wanted.min(held + room) + other
                 } else {
-                    wanted > held
+                    wanted
                 };
                 if is_due {
                     counts.push(DesiredCount {
                         service: service.name.clone(),
                         zone: zone.clone(),
                         spot,
-                        count: wanted,
-                        held,
+                        count,
+                        held: held + other,
                     });
                 }
             }
--- a/lib/src/relay/rollout.rs
+++ b/lib/src/relay/rollout.rs
@@ -133,6 +133,17 @@
     pub first: u32,
 }
 
+/// State of a service's move.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// Version that the service's requests are to go to.
+    pub target: VersionId,
+    /// State of the move.
+    pub outcome: Outcome,
+    /// When this daemon learned that it has ended.
+    pub ended: Option<UnixMs>,
+}
+
 /// Which versions a request may go to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum Versions {
@@ -190,6 +201,8 @@
     begin: UnixMs,
     finish: UnixMs,
     outcome: Outcome,
+    /// When this daemon learned that it has ended.
+    ended: Option<UnixMs>,
     /// State that the store holds for this order; `None` if it holds none.
     stored: Option<Outcome>,
     /// Share of requests for the new version that applies now, the requests since it applies,
@@ -425,6 +438,21 @@
         due
     }
 
+    /// State of the last move of a service; `None` if none was ordered. A move that has ended is
+    /// noticed here.
+    pub fn progress(&mut self, service: &str, now: UnixMs) -> Option<Progress> {
+        let at = self.find(service).ok()?;
+        let row = &mut self.moves[at];
+        if row.outcome != Outcome::Running {
+            row.ended.get_or_insert(now);
+        }
+        Some(Progress {
+            target: row.order.target.clone(),
+            outcome: row.outcome,
+            ended: row.ended,
+        })
+    }
+
     /// Counts of all daemons for the move of a service, over the whole move and all routes.
     pub fn totals(&self, service: &str) -> Comparison {
         let found = self.find(service).ok();
@@ -451,6 +479,7 @@
             begin,
             finish,
             outcome: Outcome::Running,
+            ended: None,
             stored: None,
             share: 0.0,
             requests: 0,
--- a/lib/tests/test_relay_evacuation.rs
+++ b/lib/tests/test_relay_evacuation.rs
@@ -183,7 +183,7 @@
     let now = start + Duration::from_secs(10);
     orders.restore(service.name.clone(), 4.0, start);
     table.set_evacuated(zones(&["hanko"]), now);
-    let counts = orders.desired_counts(&table, &service, &all, work, now);
+    let counts = orders.desired_counts(&table, &service, &all, work, None, now);
     let raised = ordered_zones(&counts, |_| HELD);
     assert!(raised.contains(&"espoo".into()), "{counts:?}");
     assert!(counts.iter().all(|row| row.zone != "hanko"), "{counts:?}");
@@ -215,7 +215,8 @@
         read: 10_000.0,
         write: 100.0,
     };
-    let counts = |orders: &mut Orders, at| orders.desired_counts(&table, &service, &all, work, at);
+    let counts =
+        |orders: &mut Orders, at| orders.desired_counts(&table, &service, &all, work, None, at);
     let fewer = |rows: &[DesiredCount]| rows.iter().any(|row| row.spot && row.count < 12);
     assert!(!fewer(&counts(&mut orders, start)));
     assert!(fewer(&counts(&mut orders, start + COLD_TIME)));
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -8,6 +8,7 @@
 use poplarvale_lib::relay::engine::ServiceSpeed;
 use poplarvale_lib::relay::fleet::{DesiredCount, Orders, endpoints_needed};
 use poplarvale_lib::relay::listing::Listing;
+use poplarvale_lib::relay::rollout::{Outcome, Progress};
 
 const ZONES: [&str; 4] = ["espoo", "hanko", "kotka", "porkkala"];
 
@@ -138,7 +139,7 @@
     let mut counts = Vec::new();
     for step in 0..seconds * 4 {
         let now = from + Duration::from_millis(step * 250);
-        counts = orders.desired_counts(table, &service(), &zones, work, now);
+        counts = orders.desired_counts(table, &service(), &zones, work, None, now);
     }
     counts
 }
@@ -204,6 +205,75 @@
     assert_eq!(before, after);
 }
 
+/// Endpoints in each zone during a version move: on-demand ones of the new version, which the
+/// platform starts, beside reclaimable ones of the old version.
+fn moving_table(new: u32, old: u32) -> EndpointTable {
+    let sample = table(1, 0).rows()[0].listing.clone();
+    let mut table = table(0, old);
+    for (zone, at) in ZONES.iter().zip(0_u32..) {
+        for number in 0..new {
+            let mut listing = sample.clone();
+            listing.id = format!("new-{zone}-{number}").into();
+            listing.address = format!("10.1.{at}.{number}:1").parse().expect("an address");
+            (listing.zone, listing.version) = ((*zone).into(), "v2".into());
+            listing.spot = false;
+            table.put(listing);
+        }
+    }
+    table
+}
+
+fn progress(outcome: Outcome) -> Progress {
+    Progress {
+        target: "v2".into(),
+        outcome,
+        ended: None,
+    }
+}
+
+/// Orders of a service with a version move, after the need has been known for a while.
+fn moving_counts(table: &EndpointTable, moving: Option<&Progress>) -> Vec<DesiredCount> {
+    let mut orders = Orders::default();
+    let now = Instant::now();
+    run(&mut orders, table, work(), now, 20);
+    let zones = ZONES.map(Into::into);
+    let now = now + Duration::from_secs(20);
+    orders.desired_counts(table, &service(), &zones, work(), moving, now)
+}
+
+/// Guards against orders that take the endpoints of a new version for a surplus and end them.
+#[test]
+fn a_move_under_way_lowers_no_order() {
+    let table = moving_table(3, 3);
+    let is_lower = |row: &DesiredCount| row.count < row.held;
+    assert!(moving_counts(&table, None).iter().any(is_lower));
+    for outcome in [Outcome::Running, Outcome::RolledBack, Outcome::Completed] {
+        let counts = moving_counts(&table, Some(&progress(outcome)));
+        assert!(!counts.iter().any(is_lower), "{outcome:?} {counts:?}");
+    }
+}
+
+/// Guards against a wave of reclaims during a move in which nothing takes the place of the old
+/// version's endpoints, as those of the new one are counted for them.
+#[test]
+fn endpoints_of_the_old_version_are_replaced_during_a_move() {
+    let counts = moving_counts(&moving_table(3, 0), Some(&progress(Outcome::Running)));
+    let more = |spot| {
+        let rows = counts.iter().filter(|row| row.spot == spot);
+        rows.map(|row| row.count - row.held).sum::<u32>()
+    };
+    assert!(more(false) >= 4, "{counts:?}");
+}
+
+/// Guards against the gap after a completed move: the old version's endpoints are stopped at once,
+/// and the registry lists them for a while.
+#[test]
+fn endpoints_are_ordered_as_soon_as_a_move_is_completed() {
+    let counts = moving_counts(&moving_table(1, 3), Some(&progress(Outcome::Completed)));
+    let reclaimable = counts.iter().filter(|row| row.spot && row.count > row.held);
+    assert_eq!(reclaimable.count(), ZONES.len(), "{counts:?}");
+}
+
 /// A rejected order is not repeated at once: each call costs money, and the platform limits the
 /// rate of calls.
 #[test]
