rollout: no verdict without observations

A move to a slow version was completed although one answer of it had been observed: the stages followed the time alone, and a move was completed at .94 of its time whatever was known. Class: what cannot be judged is taken for good.

A version gets all requests only after 24 of its answers were observed by all daemons together, which they tell each other. A move is completed only after the version has had all requests for a tenth of the time without a suspicion, with a third as many endpoints as the old one. A move that is not judged at its deadline stays on trial and is rolled back 15 s later. So that short moves and services with few requests come to a verdict, the first requests go beyond the share, half of the slack of the bound in all; a daemon that has just started sends none of these.

test_relay_rollout: two new tests fail on the code before (a version with one answer is completed; so is one with one endpoint beside nine). The test of a daemon that starts late now records answers first, as time alone gives no version all requests any more.

--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -360,14 +360,14 @@
 
 /// Writes the states of version moves that differ from those in the store.
 async fn write_statuses(state: &State, store: &mut Client, holder: &Holder) {
-    let active = |service: &str, target: &str| {
+    let endpoints = |service: &str, target: &str| {
         let table = state.endpoints.borrow();
-        table.version_endpoints(service, target).old_requests
+        table.version_endpoints(service, target)
     };
     let due = state
         .rollouts
         .borrow_mut()
-        .due_statuses(state.unix_ms(), active);
+        .due_statuses(state.unix_ms(), endpoints);
     for status in due {
         if !holder.lease.may_act(Instant::now()) {
             return;
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -184,12 +184,14 @@
     table.set_daemons(known);
 }
 
-/// Records among how many daemons the fixed numbers of the retry budgets are divided. A daemon of a
-/// large fleet knows few others by address; the sums tell of the others.
+/// Records among how many daemons the fixed numbers of the retry budgets and the slack of version
+/// moves are divided. A daemon of a large fleet knows few others by address; the sums tell of the
+/// others.
 fn record_fleet(state: &State, peers: &Peers, now: Instant) {
     let known = (!peers.is_isolated()).then_some(peers.rows().len() + 1);
     let daemons = known.max(state.quota.borrow().fleet_size());
     state.budget.borrow_mut().record_fleet(daemons, now);
+    state.rollouts.borrow_mut().record_fleet(daemons);
 }
 
 /// Sends this daemon's own state to the watchers of its zone.
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -471,6 +471,7 @@
         (key, comparison)
     };
     MoveReport {
+        tried: message.tried_ms,
         order: Order {
             service: message.service.into(),
             target: message.target.into(),
--- a/daemon/src/relay/peers/encode.rs
+++ b/daemon/src/relay/peers/encode.rs
@@ -274,6 +274,7 @@
         outcome: outcome(report.outcome).into(),
         stored: report.stored.map(|stored| outcome(stored).into()),
         seen: report.comparisons.into_iter().map(seen).collect(),
+        tried_ms: report.tried,
     }
 }
 
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -124,6 +124,8 @@
             settings.bounds.quota_tolerance,
             started,
         );
+        let exposure = settings.bounds.exposure;
+        let rollouts = Rollouts::new(exposure.share).with_slack(exposure.units, Self::wall_ms());
         Rc::new(Self {
             catalog: RefCell::new(None),
             config: CatalogState::default(),
@@ -141,7 +143,7 @@
             crash_checks: RefCell::default(),
             quarantined: Notify::new(),
             demand: RefCell::default(),
-            rollouts: RefCell::new(Rollouts::new(settings.bounds.exposure)),
+            rollouts: RefCell::new(rollouts),
             usage: RefCell::new(Usage::new(settings.name.clone(), incarnation)),
             clock: RefCell::new(Clock::new(started)),
             peers: RefCell::new(Peers::new(own_address, location, &seeds, started)),
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -386,6 +386,10 @@
         /// State that the store holds, if the sender knows it.
         #[prost(enumeration = "Outcome", optional, tag = "8")]
         pub stored: ::core::option::Option<i32>,
+        /// Since when enough answers of the new version were observed for it to get all
+        /// requests; missing before.
+        #[prost(uint64, optional, tag = "9")]
+        pub tried_ms: ::core::option::Option<u64>,
     }
     /// Requests of one route in one period of the move, at one endpoint of the new
     /// version or all endpoints of the old one.
--- a/lib/src/relay/rollout.rs
+++ b/lib/src/relay/rollout.rs
@@ -15,6 +15,13 @@
 //! answers of the old one show what it was. On trial, a suspicion has the version tried at all its
 //! endpoints, as a single one may fail by itself.
 //!
+//! What was not observed is not taken for good. A version gets all requests only after enough answers
+//! of it on trial, and the move is completed only after it has had them for a while, at enough
+//! endpoints and without a suspicion. A service with few requests would never come so far by a share of
+//! them, so the first requests of a move go beyond it, as far as the slack of the bound allows. A move
+//! that cannot be judged by its deadline stays on trial, and is rolled back some time later: its
+//! callers have lost nothing, and operators can order it again.
+//!
 //! A good version gets all requests well before the deadline: the old endpoints are stopped
 //! without draining once the move is reported as completed, which would cut off the requests
 //! that they still work on.
@@ -63,6 +70,20 @@
 const ROUNDING: f64 = 0.5;
 /// Shortest time between two looks at the evidence, in milliseconds.
 const CHECK_MS: UnixMs = 50;
+/// Answers of the new version on trial before it gets all requests.
+const MIN_TRIAL_ANSWERS: u32 = 24;
+/// Part of the slack of the bound that the first requests of a move use.
+const SLACK_SHARE: f64 = 0.5;
+/// Time from the start of a daemon until it has found the moves that are under way, in milliseconds.
+const DISCOVERY_MS: UnixMs = 5000;
+/// Fraction of the move's time for which the version must have had all requests before the move is
+/// completed.
+const MIN_FULL_TIME: f64 = 0.1;
+/// Endpoints of the new version for each one of the old version without which a move is not completed.
+/// More than the work needs are kept for reclaims.
+const MIN_ENDPOINT_SHARE: f64 = 0.33;
+/// How long after its deadline a move that could not be judged is rolled back, in milliseconds.
+const JUDGE_MS: UnixMs = 15_000;
 /// Fraction of the move's time after which the move is reported as completed as soon as the old
 /// endpoints are empty.
 const EARLIEST_COMPLETION: f64 = 0.85;
@@ -190,6 +211,8 @@
     pub outcome: Outcome,
     /// State that the store holds, as the reporting daemon knows it.
     pub stored: Option<Outcome>,
+    /// Since when enough answers of the new version were observed for it to get all requests.
+    pub tried: Option<UnixMs>,
     /// What the reporting daemon itself observed lately.
     pub comparisons: Vec<(Key, Comparison)>,
 }
@@ -211,6 +234,13 @@
     share: f64,
     requests: u64,
     moved: u64,
+    /// When this daemon learned of the order.
+    found: UnixMs,
+    /// Requests that this daemon may still send to the new version beyond the share; `None` before the
+    /// first stage with a share.
+    extra: Option<f64>,
+    /// Since when the version may get all requests: enough of its answers were observed.
+    tried: Option<UnixMs>,
     /// Most endpoints of the new version that were seen. Those that have left since do not make the
     /// rest stand for the version.
     endpoints: u32,
@@ -226,6 +256,12 @@
 pub struct Rollouts {
     /// Share of a service's requests that a bad version may get.
     exposure: f64,
+    /// Requests that it may get in addition, over all daemons.
+    slack: f64,
+    /// Number of all daemons; `None` while it is not known.
+    daemons: Option<usize>,
+    /// When this daemon started.
+    started: UnixMs,
     moves: Vec<Move>,
 }
 
@@ -245,13 +281,37 @@
     pub fn new(exposure: f64) -> Self {
         Self {
             exposure,
+            slack: 0.0,
+            daemons: None,
+            started: 0,
             moves: Vec::new(),
         }
     }
 
+    /// Lets a bad version get some requests in addition to its share, over all daemons. This one
+    /// started at `started`: of moves that it finds then, it may have sent them before.
+    #[must_use]
+    pub fn with_slack(self, slack: f64, started: UnixMs) -> Self {
+        Self {
+            slack,
+            started,
+            ..self
+        }
+    }
+
+    /// Records how many daemons share the slack; `None` if it is not known.
+    pub fn record_fleet(&mut self, daemons: Option<usize>) {
+        self.daemons = daemons;
+    }
+
     /// Starts the move of an order that is due at `finish`, and returns whether it is new. An
     /// order that is known already, or older than the known one, changes nothing.
     pub fn add_order(&mut self, order: Order, now: UnixMs, finish: UnixMs) -> bool {
+        self.insert_order(order, now, (now, finish))
+    }
+
+    /// Inserts the move of an order that was found at `found`.
+    fn insert_order(&mut self, order: Order, found: UnixMs, span: (UnixMs, UnixMs)) -> bool {
         match self.find(&order.service) {
             Ok(at) if self.moves[at].order.revision >= order.revision => false,
             Ok(at) if self.moves[at].order.is_same_in_other_era(&order) => {
@@ -262,11 +322,11 @@
                 false
             }
             Ok(at) => {
-                self.moves[at] = Move::new(order, now, finish);
+                self.moves[at] = Move::new(order, found, span);
                 true
             }
             Err(at) => {
-                self.moves.insert(at, Move::new(order, now, finish));
+                self.moves.insert(at, Move::new(order, found, span));
                 true
             }
         }
@@ -286,7 +346,8 @@
 
     /// Merges another daemon's report.
     pub fn merge(&mut self, name: &str, report: &MoveReport, now: UnixMs) -> MoveChange {
-        self.add_order(report.order.clone(), report.begin, report.finish);
+        let span = (report.begin, report.finish);
+        self.insert_order(report.order.clone(), now, span);
         let Ok(at) = self.find(&report.order.service) else {
             return MoveChange::None;
         };
@@ -297,6 +358,10 @@
         // A daemon that started later took the order for a new one.
         row.begin = row.begin.min(report.begin);
         row.finish = row.finish.min(report.finish);
+        row.tried = match (row.tried, report.tried) {
+            (Some(own), Some(other)) => Some(own.min(other)),
+            (own, other) => own.or(other),
+        };
         row.observations.merge(name, &report.comparisons);
         let before = row.outcome;
         // The other daemon may have read an earlier state.
@@ -319,6 +384,7 @@
             finish: row.finish,
             outcome: row.outcome,
             stored: row.stored,
+            tried: row.tried,
             comparisons: row.observations.report(now),
         })
     }
@@ -334,6 +400,9 @@
         let Ok(at) = self.find(service) else {
             return Versions::Any;
         };
+        let daemons = self.daemons.map(|daemons| daemons.max(1) as f64);
+        let extra = daemons.map_or(0.0, |daemons| self.slack * SLACK_SHARE / daemons);
+        let first_new = self.started.saturating_add(DISCOVERY_MS);
         let row = &mut self.moves[at];
         let target = row.order.target.clone();
         match row.outcome {
@@ -357,11 +426,12 @@
             row.moved += 1;
             return Versions::Only(target, None);
         }
-        if (row.moved + 1) as f64 > row.requests as f64 * share + ROUNDING {
+        let is_beyond = (row.moved + 1) as f64 > row.requests as f64 * share + ROUNDING;
+        if is_beyond && !(row.found >= first_new && row.take_extra(share, extra, endpoints.new)) {
             return Versions::Not(target);
         }
-        row.moved += 1;
-        let count = if row.is_suspected(now) {
+        row.moved += u64::from(!is_beyond);
+        let count = if is_beyond || row.is_suspected(now) {
             endpoints.new.max(1)
         } else {
             let load = f64::from(endpoints.old) * share / TRIAL_LOAD;
@@ -414,18 +484,17 @@
         row.check(now)
     }
 
-    /// Returns the states that the duty holder has to write to the store now. `busy` returns
-    /// how many requests a service's endpoints of other versions than the given one work on.
-    pub fn due_statuses(&mut self, now: UnixMs, busy: impl Fn(&str, &str) -> u32) -> Vec<Status> {
+    /// Returns the states that the duty holder has to write to the store now. `endpoints` returns
+    /// how many of a service's endpoints have the given version, and others.
+    pub fn due_statuses(
+        &mut self,
+        now: UnixMs,
+        endpoints: impl Fn(&str, &str) -> VersionEndpoints,
+    ) -> Vec<Status> {
         let mut due = Vec::new();
         for row in &mut self.moves {
-            let elapsed = row.elapsed(now);
-            let is_open = row.outcome == Outcome::Running && row.is_settled(now);
-            if is_open && elapsed >= EARLIEST_COMPLETION {
-                let empty = busy(&row.order.service, &row.order.target) == 0;
-                if empty || elapsed >= LATEST_COMPLETION {
-                    row.outcome = Outcome::Completed;
-                }
+            if row.outcome == Outcome::Running {
+                row.decide(now, endpoints(&row.order.service, &row.order.target));
             }
             if row.stored != Some(row.outcome) {
                 due.push(Status {
@@ -473,7 +542,7 @@
 }
 
 impl Move {
-    fn new(order: Order, begin: UnixMs, finish: UnixMs) -> Self {
+    fn new(order: Order, found: UnixMs, (begin, finish): (UnixMs, UnixMs)) -> Self {
         Self {
             order,
             begin,
@@ -484,6 +553,9 @@
             share: 0.0,
             requests: 0,
             moved: 0,
+            found,
+            extra: None,
+            tried: None,
             endpoints: 0,
             suspicions: Vec::new(),
             observations: Observations::default(),
@@ -500,13 +572,55 @@
     /// Number of the stage whose share applies at a time.
     fn level(&self, at: UnixMs) -> usize {
         let stage = self.stage(at);
-        if self.is_suspected(at) {
+        let is_tried = self.tried.is_some_and(|from| from <= at);
+        if self.is_suspected(at) || !is_tried {
             stage.min(SUSPECTED_STAGE)
         } else {
             stage
         }
     }
 
+    /// Takes one of the `extra` requests that may go to the new version beyond its share.
+    fn take_extra(&mut self, share: f64, extra: f64, endpoints: u32) -> bool {
+        if share <= 0.0 || endpoints == 0 {
+            return false;
+        }
+        let left = self.extra.get_or_insert(extra);
+        let taken = *left >= 1.0;
+        if taken {
+            *left -= 1.0;
+        }
+        taken
+    }
+
+    /// Since when the version has had all requests without a suspicion; `None` if it has not.
+    fn full_since(&self) -> Option<UnixMs> {
+        let whole = self.finish.saturating_sub(self.begin) as f64;
+        let from = STAGES.last().map_or(0.0, |stage| stage.0) * whole;
+        let since = self.tried?.max(self.begin + from as UnixMs);
+        let suspected = self.suspicions.last().map(|last| last.until);
+        Some(suspected.map_or(since, |until| since.max(until)))
+    }
+
+    /// Ends the move if it is completed, or cannot be judged in time.
+    fn decide(&mut self, now: UnixMs, endpoints: VersionEndpoints) {
+        let elapsed = self.elapsed(now);
+        let whole = self.finish.saturating_sub(self.begin) as f64;
+        let needed = ((MIN_FULL_TIME * whole) as UnixMs).max(SETTLE_MS);
+        let is_proven = self
+            .full_since()
+            .is_some_and(|since| now >= since.saturating_add(needed));
+        let least = (f64::from(endpoints.old) * MIN_ENDPOINT_SHARE).max(1.0);
+        if is_proven && f64::from(endpoints.new) >= least {
+            let is_empty = endpoints.old_requests == 0;
+            if elapsed >= LATEST_COMPLETION || (is_empty && elapsed >= EARLIEST_COMPLETION) {
+                self.outcome = Outcome::Completed;
+            }
+        } else if now >= self.finish.saturating_add(JUDGE_MS) {
+            self.outcome = Outcome::RolledBack;
+        }
+    }
+
     /// Number of the stage that a time is in.
     fn stage(&self, at: UnixMs) -> usize {
         let elapsed = self.elapsed(at);
@@ -520,12 +634,6 @@
         suspicions.any(|row| row.from <= at && at < row.until)
     }
 
-    /// Whether the last suspicion ended long enough ago for another one to show.
-    fn is_settled(&self, now: UnixMs) -> bool {
-        let last = self.suspicions.last();
-        last.is_none_or(|last| now >= last.until.saturating_add(SETTLE_MS))
-    }
-
     /// Number of the time slot that a time is in.
     fn slot(&self, at: UnixMs) -> u32 {
         let whole = self.finish.saturating_sub(self.begin);
@@ -568,6 +676,9 @@
             return MoveChange::None;
         }
         self.next_check = now + CHECK_MS;
+        if self.tried.is_none() && self.observations.totals().new.requests >= MIN_TRIAL_ANSWERS {
+            self.tried = Some(now);
+        }
         match self.observations.finding(self.endpoints) {
             Finding::None => MoveChange::None,
             Finding::Bad => {
--- a/lib/src/relay/settings.rs
+++ b/lib/src/relay/settings.rs
@@ -66,6 +66,7 @@
     pub report_deadline: Duration,
     /// How far the rate of a cold endpoint may be exceeded within a second.
     pub cold_tolerance: Tolerance,
-    /// Share of a service's requests that may go to a version that is still under test.
-    pub exposure: f64,
+    /// Share of a service's requests, and requests in addition, that a bad version may get during a
+    /// version move.
+    pub exposure: Tolerance,
 }
--- a/lib/tests/rollout_fleet.rs
+++ b/lib/tests/rollout_fleet.rs
@@ -205,7 +205,11 @@
         }
         let busy = self.running.iter().filter(|row| row.endpoint < ENDPOINTS);
         let busy = busy.count() as u32;
-        self.daemons[0].due_statuses(BEGIN_MS + at, |_, _| busy);
+        let both = VersionEndpoints {
+            old_requests: busy,
+            ..endpoints()
+        };
+        self.daemons[0].due_statuses(BEGIN_MS + at, |_, _| both);
         if self.result.found.is_none() && self.daemons.iter().any(is_rolled_back) {
             self.result.found = Some(at);
         }
--- a/lib/tests/test_relay_rollout.rs
+++ b/lib/tests/test_relay_rollout.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use poplarvale_lib::relay::endpoint_table::VersionEndpoints;
 use poplarvale_lib::relay::rollout::evidence::Sample;
 use poplarvale_lib::relay::rollout::{MoveChange, MoveReport, Order, Outcome, Rollouts, Versions};
 use poplarvale_lib::{EndpointId, revision_in};
@@ -95,7 +96,7 @@
         if at.is_multiple_of(250) && !is_partitioned {
             exchange_digests(&mut daemons, now);
         }
-        daemons[0].due_statuses(now, |_, _| 0);
+        daemons[0].due_statuses(now, |_, _| endpoints());
     }
     exchange_digests(&mut daemons, BEGIN_MS + DURATION_MS);
     for daemon in &mut daemons {
@@ -111,11 +112,11 @@
     format!("i-{version}-{number}").into()
 }
 
-/// Records answers at several endpoints of both versions: good ones of the old version, failures of
-/// the new one.
-fn record_failures(rollouts: &mut Rollouts, now: u64) {
+/// Records good answers at several endpoints of the old version, and good ones or failures of the new
+/// one.
+fn record_answers(rollouts: &mut Rollouts, now: u64, new_good: bool) {
     for number in 0..40 {
-        for (version, good) in [("v2", false), ("v1", true)] {
+        for (version, good) in [("v2", new_good), ("v1", true)] {
             let sample = Sample {
                 good,
                 took: Duration::ZERO,
@@ -233,6 +234,7 @@
     let mut old = Rollouts::new(0.1);
     old.add_order(order(), BEGIN_MS, BEGIN_MS + DURATION_MS);
     let now = BEGIN_MS + DURATION_MS * 7 / 10;
+    record_answers(&mut old, BEGIN_MS + DURATION_MS / 2, true);
     let mut fresh = Rollouts::new(0.1);
     fresh.add_order(order(), now, now + DURATION_MS);
     let report = old.reports(BEGIN_MS).next().expect("a move was ordered");
@@ -241,7 +243,7 @@
         fresh.choose_versions("pool", |_| endpoints(), now),
         Versions::Only("v2".into(), None)
     );
-    record_failures(&mut old, now);
+    record_answers(&mut old, now, false);
     let report = old.reports(now).next().expect("a move was ordered");
     assert_eq!(fresh.merge("d0", &report, now), MoveChange::Ended);
     assert_eq!(
@@ -277,7 +279,7 @@
 fn a_completed_move_is_not_rolled_back() {
     let mut late = Rollouts::new(0.1);
     late.add_order(order(), BEGIN_MS, BEGIN_MS + DURATION_MS);
-    record_failures(&mut late, BEGIN_MS + DURATION_MS / 2);
+    record_answers(&mut late, BEGIN_MS + DURATION_MS / 2, false);
     let report = late.reports(BEGIN_MS).next().expect("a move was ordered");
     assert_eq!(report.outcome, Outcome::RolledBack);
     let mut other = Rollouts::new(0.1);
@@ -291,12 +293,78 @@
         assert_eq!(versions, Versions::Only("v2".into(), None));
         assert!(
             daemon
-                .due_statuses(BEGIN_MS + DURATION_MS, |_, _| 0)
+                .due_statuses(BEGIN_MS + DURATION_MS, |_, _| endpoints())
                 .is_empty()
         );
     }
 }
 
+/// Guards against a version of which next to nothing was seen that gets all requests and is completed
+/// as its time is up.
+#[test]
+fn a_version_that_was_hardly_observed_is_neither_used_for_all_requests_nor_completed() {
+    let mut rollouts = Rollouts::new(0.1);
+    rollouts.add_order(order(), BEGIN_MS, BEGIN_MS + DURATION_MS);
+    let sample = Sample {
+        good: true,
+        took: Duration::ZERO,
+        sent: BEGIN_MS + DURATION_MS / 4,
+    };
+    let place = (&endpoint_id("v2", 0), &"v2".into());
+    rollouts.record("pool", "booking", place, sample, sample.sent);
+    let mut moved = 0;
+    for at in (0..=DURATION_MS + 20_000).step_by(10) {
+        let now = BEGIN_MS + at;
+        let versions = rollouts.choose_versions("pool", |_| endpoints(), now);
+        let is_moved = matches!(versions, Versions::Only(..));
+        moved += u64::from(is_moved && at <= DURATION_MS);
+        let due = rollouts.due_statuses(now, |_, _| endpoints());
+        assert!(due.iter().all(|due| due.outcome != Outcome::Completed));
+    }
+    assert!(moved <= DURATION_MS / 100 + 50, "{moved}");
+    let report = rollouts
+        .reports(BEGIN_MS)
+        .next()
+        .expect("a move was ordered");
+    assert_eq!(report.outcome, Outcome::RolledBack);
+}
+
+/// Guards against a version that is completed with too few endpoints for all requests, when the old
+/// ones are about to be stopped.
+#[test]
+fn a_version_without_enough_endpoints_is_not_completed() {
+    let few = VersionEndpoints {
+        new: 1,
+        old: 9,
+        old_requests: 0,
+    };
+    for (both, completed) in [(few, false), (endpoints(), true)] {
+        let mut rollouts = Rollouts::new(0.1);
+        rollouts.add_order(order(), BEGIN_MS, BEGIN_MS + DURATION_MS);
+        record_answers(&mut rollouts, BEGIN_MS + DURATION_MS / 2, true);
+        let due = rollouts.due_statuses(BEGIN_MS + DURATION_MS, |_, _| both);
+        let is_completed = due.iter().any(|due| due.outcome == Outcome::Completed);
+        assert_eq!(is_completed, completed);
+    }
+}
+
+/// Guards against moves of services with few requests that no share of them can judge, and against
+/// a restart that grants the requests beyond the share again.
+#[test]
+fn the_first_requests_of_a_move_go_beyond_its_share_once() {
+    for (started, most) in [(0, 25), (BEGIN_MS - 1000, 0)] {
+        let mut rollouts = Rollouts::new(0.001).with_slack(50.0, started);
+        rollouts.record_fleet(Some(1));
+        rollouts.add_order(order(), BEGIN_MS, BEGIN_MS + DURATION_MS);
+        let chosen = (0..400).filter(|step| {
+            let now = BEGIN_MS + DURATION_MS / 10 + step * 10;
+            let versions = rollouts.choose_versions("pool", |_| endpoints(), now);
+            matches!(versions, Versions::Only(..))
+        });
+        assert_eq!(chosen.count(), most);
+    }
+}
+
 /// The store comes back from an older copy and assigns revisions anew. An order that is read
 /// again is not a new move, and its state is written again.
 #[test]
@@ -318,7 +386,7 @@
         rollouts.choose_versions("pool", |_| endpoints(), now),
         Versions::Not("v2".into())
     );
-    let due = rollouts.due_statuses(now, |_, _| 0);
+    let due = rollouts.due_statuses(now, |_, _| endpoints());
     assert_eq!(due.len(), 1);
     assert_eq!(due[0].outcome, Outcome::RolledBack);
     let other = Order {
