rollout: doubts about a version keep it on trial

An answer counts as slow from two and a half times the old version's mean on, as the mean of a version that is slow in half of its answers is no further off. A version that did worse on a route or over all, with a third of the evidence of a verdict and whatever endpoint that came from, does not get all requests until a second after the last sign.

--- a/lib/src/relay/rollout.rs
+++ b/lib/src/relay/rollout.rs
@@ -50,6 +50,8 @@
 /// How long a suspicion lasts after the last sign, in milliseconds; longer by as much for each one
 /// that was raised before while the version had all requests.
 const SUSPICION_MS: UnixMs = 3000;
+/// How long doubts about a version last after the last sign, in milliseconds.
+const DOUBT_MS: UnixMs = 1000;
 /// How long a version must have had all requests without a suspicion before the move is completed,
 /// in milliseconds.
 const SETTLE_MS: UnixMs = 1000;
@@ -241,6 +243,8 @@
     extra: Option<f64>,
     /// Since when the version may get all requests: enough of its answers were observed.
     tried: Option<UnixMs>,
+    /// Until when the version does not get all requests, as it did worse than the old one.
+    doubted: UnixMs,
     /// Most endpoints of the new version that were seen. Those that have left since do not make the
     /// rest stand for the version.
     endpoints: u32,
@@ -556,6 +560,7 @@
             found,
             extra: None,
             tried: None,
+            doubted: 0,
             endpoints: 0,
             suspicions: Vec::new(),
             observations: Observations::default(),
@@ -572,7 +577,7 @@
     /// Number of the stage whose share applies at a time.
     fn level(&self, at: UnixMs) -> usize {
         let stage = self.stage(at);
-        let is_tried = self.tried.is_some_and(|from| from <= at);
+        let is_tried = self.tried.is_some_and(|from| from <= at) && self.doubted <= at;
         if self.is_suspected(at) || !is_tried {
             stage.min(SUSPECTED_STAGE)
         } else {
@@ -598,8 +603,8 @@
         let whole = self.finish.saturating_sub(self.begin) as f64;
         let from = STAGES.last().map_or(0.0, |stage| stage.0) * whole;
         let since = self.tried?.max(self.begin + from as UnixMs);
-        let suspected = self.suspicions.last().map(|last| last.until);
-        Some(suspected.map_or(since, |until| since.max(until)))
+        let suspected = self.suspicions.last().map_or(0, |last| last.until);
+        Some(since.max(suspected).max(self.doubted))
     }
 
     /// Ends the move if it is completed, or cannot be judged in time.
@@ -679,6 +684,9 @@
         if self.tried.is_none() && self.observations.totals().new.requests >= MIN_TRIAL_ANSWERS {
             self.tried = Some(now);
         }
+        if self.observations.is_doubtful() {
+            self.doubted = now + DOUBT_MS;
+        }
         match self.observations.finding(self.endpoints) {
             Finding::None => MoveChange::None,
             Finding::Bad => {
--- a/lib/src/relay/rollout/evidence.rs
+++ b/lib/src/relay/rollout/evidence.rs
@@ -27,6 +27,8 @@
 const BAD_RATIO: f64 = 9.0;
 /// The same without the endpoints at which the version did worst.
 const OTHERS_RATIO: f64 = 4.5;
+/// The same above which the version does not get all requests.
+const DOUBT_RATIO: f64 = 3.0;
 /// The same for a suspicion, which costs little if it is wrong.
 const SUSPICION_RATIO: f64 = 8.0;
 /// Least share of its requests that a bad version fails beyond its part of all failures.
@@ -61,7 +63,7 @@
 /// versions are several times slower; cold caches make a good one up to twice as slow at first.
 const SLOW_FACTOR: f64 = 2.5;
 /// Factor by which a single answer exceeds the old version's mean time to be slow.
-const SLOW_ANSWER_FACTOR: f64 = 4.0;
+const SLOW_ANSWER_FACTOR: f64 = 2.5;
 /// Successful requests that each version needs before their mean times are compared.
 const MIN_TIMED: u32 = 10;
 /// The same for a suspicion.
@@ -267,6 +269,22 @@
         finding
     }
 
+    /// Whether the new version did worse than the old one, though too little for a verdict: there is
+    /// not enough evidence, or most of it is of few endpoints.
+    pub fn is_doubtful(&self) -> bool {
+        let strata = self.strata();
+        let routes = strata.chunk_by(|one, next| one.route == next.route);
+        routes.chain([strata.as_slice()]).any(|scope| {
+            let mut tally = Tally::default();
+            for row in scope {
+                tally.add(&row.old, &row.new);
+            }
+            Measure::ALL
+                .iter()
+                .any(|measure| tally.is_worse(*measure, DOUBT_RATIO))
+        })
+    }
+
     /// The sums by route and period, in this order.
     fn strata(&self) -> Vec<Stratum<'_>> {
         let groups = self
