rollout: forty answers before a version gets all requests

Forty answers are needed now, and the first requests of a move use seven tenths of the slack in place of half, so that they come in the same time.

--- a/lib/src/relay/rollout.rs
+++ b/lib/src/relay/rollout.rs
@@ -73,9 +73,9 @@
 /// Shortest time between two looks at the evidence, in milliseconds.
 const CHECK_MS: UnixMs = 50;
 /// Answers of the new version on trial before it gets all requests.
-const MIN_TRIAL_ANSWERS: u32 = 24;
+const MIN_TRIAL_ANSWERS: u32 = 40;
 /// Part of the slack of the bound that the first requests of a move use.
-const SLACK_SHARE: f64 = 0.5;
+const SLACK_SHARE: f64 = 0.7;
 /// Time from the start of a daemon until it has found the moves that are under way, in milliseconds.
 const DISCOVERY_MS: UnixMs = 5000;
 /// Fraction of the move's time for which the version must have had all requests before the move is
