rollout: daemons tell each other of doubts about a version

Cause: daemons do not hear the same evidence. The one that heard all told the others that the version was tried enough, while its suspicion stayed its own: at the verdict it knew 97 answers, the others 19 to 31. What speaks for a version was shared, and what speaks against it was not.

Reports now tell until when the version is suspected or doubted, and the latest time of all daemons holds. test_relay_rollout::doubts_of_one_daemon_keep_the_version_on_trial_at_all does not compile on the code before, which had no such field.

--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -472,6 +472,7 @@
     };
     MoveReport {
         tried: message.tried_ms,
+        doubted: message.doubted_ms,
         order: Order {
             service: message.service.into(),
             target: message.target.into(),
--- a/daemon/src/relay/peers/encode.rs
+++ b/daemon/src/relay/peers/encode.rs
@@ -275,6 +275,7 @@
         stored: report.stored.map(|stored| outcome(stored).into()),
         seen: report.comparisons.into_iter().map(seen).collect(),
         tried_ms: report.tried,
+        doubted_ms: report.doubted,
     }
 }
 
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -390,6 +390,10 @@
         /// requests; missing before.
         #[prost(uint64, optional, tag = "9")]
         pub tried_ms: ::core::option::Option<u64>,
+        /// Until when the new version is suspected or did worse than the old one; 0 if it
+        /// did not.
+        #[prost(uint64, tag = "10")]
+        pub doubted_ms: u64,
     }
     /// Requests of one route in one period of the move, at one endpoint of the new
     /// version or all endpoints of the old one.
--- a/lib/src/relay/rollout.rs
+++ b/lib/src/relay/rollout.rs
@@ -215,6 +215,8 @@
     pub stored: Option<Outcome>,
     /// Since when enough answers of the new version were observed for it to get all requests.
     pub tried: Option<UnixMs>,
+    /// Until when the new version is suspected or did worse than the old one; 0 if it did not.
+    pub doubted: UnixMs,
     /// What the reporting daemon itself observed lately.
     pub comparisons: Vec<(Key, Comparison)>,
 }
@@ -366,6 +368,8 @@
             (Some(own), Some(other)) => Some(own.min(other)),
             (own, other) => own.or(other),
         };
+        // A daemon that hears fewer others has seen less against the version.
+        row.doubted = row.doubted.max(report.doubted);
         row.observations.merge(name, &report.comparisons);
         let before = row.outcome;
         // The other daemon may have read an earlier state.
@@ -389,6 +393,7 @@
             outcome: row.outcome,
             stored: row.stored,
             tried: row.tried,
+            doubted: row.doubted_until(),
             comparisons: row.observations.report(now),
         })
     }
@@ -603,8 +608,13 @@
         let whole = self.finish.saturating_sub(self.begin) as f64;
         let from = STAGES.last().map_or(0.0, |stage| stage.0) * whole;
         let since = self.tried?.max(self.begin + from as UnixMs);
+        Some(since.max(self.doubted_until()))
+    }
+
+    /// Until when the version is suspected or doubted.
+    fn doubted_until(&self) -> UnixMs {
         let suspected = self.suspicions.last().map_or(0, |last| last.until);
-        Some(since.max(suspected).max(self.doubted))
+        self.doubted.max(suspected)
     }
 
     /// Ends the move if it is completed, or cannot be judged in time.
@@ -685,7 +695,7 @@
             self.tried = Some(now);
         }
         if self.observations.is_doubtful() {
-            self.doubted = now + DOUBT_MS;
+            self.doubted = self.doubted.max(now + DOUBT_MS);
         }
         match self.observations.finding(self.endpoints) {
             Finding::None => MoveChange::None,
--- a/lib/tests/test_relay_rollout.rs
+++ b/lib/tests/test_relay_rollout.rs
@@ -115,7 +115,7 @@
 /// Records good answers at several endpoints of the old version, and good ones or failures of the new
 /// one.
 fn record_answers(rollouts: &mut Rollouts, now: u64, new_good: bool) {
-    for number in 0..40 {
+    for number in 0..80 {
         for (version, good) in [("v2", new_good), ("v1", true)] {
             let sample = Sample {
                 good,
@@ -329,6 +329,26 @@
     assert_eq!(report.outcome, Outcome::RolledBack);
 }
 
+/// Guards against daemons that learn from another one that a version was tried enough, but not that
+/// it did badly, and send it all requests.
+#[test]
+fn doubts_of_one_daemon_keep_the_version_on_trial_at_all() {
+    let now = BEGIN_MS + DURATION_MS * 7 / 10;
+    let mut one = Rollouts::new(0.1);
+    one.add_order(order(), BEGIN_MS, BEGIN_MS + DURATION_MS);
+    record_answers(&mut one, now - 1000, true);
+    let mut report = one.reports(now).next().expect("a move was ordered");
+    report.comparisons.clear();
+    for (doubted, is_full) in [(0, true), (now + 500, false)] {
+        report.doubted = doubted;
+        let mut other = Rollouts::new(0.1);
+        other.add_order(order(), BEGIN_MS, BEGIN_MS + DURATION_MS);
+        other.merge("one", &report, now);
+        let versions = other.choose_versions("pool", |_| endpoints(), now);
+        assert_eq!(versions == Versions::Only("v2".into(), None), is_full);
+    }
+}
+
 /// Guards against a version that is completed with too few endpoints for all requests, when the old
 /// ones are about to be stopped.
 #[test]
