rollout: no roll-back of an unjudged move without old endpoints

A move that could not be judged was rolled back 15 s after its deadline even if all old endpoints were gone, which would leave callers without any. It stays on trial now, where requests may go to any version. The test fails on the code before.

--- a/lib/src/relay/rollout.rs
+++ b/lib/src/relay/rollout.rs
@@ -631,7 +631,8 @@
             if elapsed >= LATEST_COMPLETION || (is_empty && elapsed >= EARLIEST_COMPLETION) {
                 self.outcome = Outcome::Completed;
             }
-        } else if now >= self.finish.saturating_add(JUDGE_MS) {
+        } else if endpoints.old > 0 && now >= self.finish.saturating_add(JUDGE_MS) {
+            // Without an old endpoint, a roll-back would leave callers with none.
             self.outcome = Outcome::RolledBack;
         }
     }
--- a/lib/tests/test_relay_rollout.rs
+++ b/lib/tests/test_relay_rollout.rs
@@ -368,6 +368,19 @@
     }
 }
 
+/// Guards against a roll-back that leaves callers without an endpoint, as the old version's are gone.
+#[test]
+fn a_move_that_cannot_be_judged_is_not_rolled_back_without_old_endpoints() {
+    for old in [0, 1] {
+        let mut rollouts = Rollouts::new(0.1);
+        rollouts.add_order(order(), BEGIN_MS, BEGIN_MS + DURATION_MS);
+        let both = VersionEndpoints { old, ..endpoints() };
+        let due = rollouts.due_statuses(BEGIN_MS + DURATION_MS + 20_000, |_, _| both);
+        let is_rolled_back = due.iter().any(|due| due.outcome == Outcome::RolledBack);
+        assert_eq!(is_rolled_back, old > 0);
+    }
+}
+
 /// Guards against moves of services with few requests that no share of them can judge, and against
 /// a restart that grants the requests beyond the share again.
 #[test]
