serve: rejections name route and service

The line of a rejection named only the path, which is assigned anew by each configuration, so nobody could tell which service's callers were rejected at a daemon. The metric of requests has the route of rejections, too.

The check in the_log_leads_from_a_failed_request_to_its_cause failed before.

--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -621,7 +621,8 @@
             // A request that did not run does not count against the rate of its team.
             self.refund();
         }
-        reject(state, write, job.head, rejection, keep).await
+        let known = (job.head, Some(job.route), Some(job.service));
+        reject(state, write, known, rejection, keep).await
     }
 
     /// Rejection of a request that did not run, for want of room until after `wait`. If no endpoint
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use poplarvale_lib::http1::{Framing, Request, Response};
-use poplarvale_lib::relay::catalog::{Backend, Catalog, Route, Team};
+use poplarvale_lib::relay::catalog::{Backend, Catalog, Route, Service, Team};
 use poplarvale_lib::relay::demand;
 use poplarvale_lib::relay::homes::home_zones;
 use poplarvale_lib::relay::quota;
@@ -124,18 +124,18 @@
     let catalog = state.catalog.borrow().clone();
     let Some(catalog) = catalog else {
         let rejection = not_served(origin, Code::NoLists);
-        return reject(state, write, head, rejection, keep).await;
+        return reject(state, write, (head, None, None), rejection, keep).await;
     };
     let (route, team) = match route_and_team(&catalog, head) {
         Ok(found) => found,
-        Err(rejection) => return reject(state, write, head, rejection, keep).await,
+        Err(rejection) => return reject(state, write, (head, None, None), rejection, keep).await,
     };
     let team = team.map(|at| &catalog.teams[at]);
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = (arrived + timeout).into_std();
     if !state.phase().serves(deadline, Std::now()) {
         let rejection = not_served(origin, Code::Draining);
-        return reject(state, write, head, rejection, keep).await;
+        return reject(state, write, (head, Some(route), None), rejection, keep).await;
     }
     let homes = home_zones(
         &state.settings.regions,
@@ -145,12 +145,13 @@
     let Some(service) = pick_backend(route).and_then(|backend| catalog.service(&backend.service))
     else {
         let rejection = Rejection::retry_later(Code::NoEndpoint, RETRY_SOON);
-        return reject(state, write, head, rejection, keep).await;
+        return reject(state, write, (head, Some(route), None), rejection, keep).await;
     };
+    let known = (head, Some(route), Some(service));
     let is_cut_off = state.reach.borrow().is_cut_off(&service.name);
     if is_cut_off && origin == Origin::Daemon {
         let rejection = Rejection::permanent(Code::NotTaken);
-        return reject(state, write, head, rejection, keep).await;
+        return reject(state, write, known, rejection, keep).await;
     }
     let tries_reach = tries_reach(state, route, &service.name);
     let is_cut_off = is_cut_off && !tries_reach;
@@ -192,11 +193,11 @@
         }
         Clearance::Quarantined(left) => {
             let rejection = Rejection::retry_later(Code::Quarantined, left);
-            return reject(state, write, head, rejection, keep).await;
+            return reject(state, write, known, rejection, keep).await;
         }
     }
     if let Some(Err(rejection)) = team.map(|team| admit(state, head, team)) {
-        return reject(state, write, head, rejection, keep).await;
+        return reject(state, write, known, rejection, keep).await;
     }
     // The daemon that forwards a request has counted it.
     if let Some(prompt) = &head.prompt
@@ -325,18 +326,22 @@
     }
 }
 
-/// Sends an error response of the daemon itself.
+/// Sends an error response of the daemon itself to a request of this route and service, as far as they
+/// are known.
 pub(crate) async fn reject(
     state: &State,
     write: &mut WriteHalf<'_>,
-    head: &RequestHead,
+    (head, route, service): (&RequestHead, Option<&Route>, Option<&Service>),
     rejection: Rejection,
     keep: bool,
 ) -> Connection {
     let code = rejection.code.number();
-    state.measure(|metrics| metrics.record_request("", code, Duration::ZERO));
+    let route = route.map_or("", |route| route.name.as_str());
+    state.measure(|metrics| metrics.record_request(route, code, Duration::ZERO));
     log::info!(
-        request = head.id.as_str(), path = head.path.as_str(), code, ran = rejection.ran.word(),
+        request = head.id.as_str(), path = head.path.as_str(), route,
+        service = service.map_or("", |service| service.name.as_str()), code,
+        ran = rejection.ran.word(),
         again_ms = rejection.retry_after.map_or(0, |time| time.as_millis() as u64),
         catalog = state.catalog.borrow().as_ref().map_or(0, |catalog| catalog.version),
         store_heard_ms = state.connectivity.get().since_answer(Std::now()).as_millis() as u64;
--- a/daemon/tests/test_relay_log.rs
+++ b/daemon/tests/test_relay_log.rs
@@ -121,6 +121,8 @@
     let refused = find(&log, "r-77", "refuse: The endpoint failed");
     assert_eq!(refused["kvs"]["ran"], "unknown");
     assert_eq!(refused["kvs"]["code"], 3002);
+    assert_eq!(refused["kvs"]["service"], "app");
+    assert_ne!(refused["kvs"]["route"], "");
     assert!(refused["kvs"]["store_heard_ms"].is_u64());
     assert!(!log.concat().contains("k1"));
 }
