tests: links that fail in five ways beside those of another daemon

Each symptom (refused, reset after sending, silent, errors, bytes that are no answer) at all links of one daemon and at most, without retries, beside crashes, joins and limits. The shares of first attempts that are answered are compared with the other daemon's.

--- a/daemon/tests/relay_site.rs
+++ b/daemon/tests/relay_site.rs
@@ -161,16 +161,31 @@
     port: u16,
     store: SocketAddr,
     duties: &[&str],
+) -> Relay {
+    start_daemon_with(number, host, port, store, |file| {
+        file["cloud"]["duties"] = json!(duties);
+    })
+    .await
+}
+
+/// Like [`start_daemon`], without duties but for what `change` makes of the settings.
+pub(crate) async fn start_daemon_with(
+    number: usize,
+    host: u8,
+    port: u16,
+    store: SocketAddr,
+    change: impl Fn(&mut Value),
 ) -> Relay {
     let ip = |host: u8| format!("127.0.{number}.{host}");
     let seeds: Vec<String> = (1..=3).map(|host| format!("{}:1", ip(host))).collect();
     let text = settings(store, Cloud::start().await.address);
     let mut file: Value = serde_json::from_str(&text).expect("the settings are JSON");
-    file["cloud"]["duties"] = json!(duties);
+    file["cloud"]["duties"] = json!([]);
     file["node"] = json!(format!("front-{}", ip(host)));
     file["ip"] = json!(ip(host));
     file["internalPorts"] = json!([port, port]);
     file["seeds"] = json!(seeds);
+    change(&mut file);
     let settings = read_settings(&file.to_string()).expect("the settings are valid");
     let relay = Relay::start(settings).await.expect("the daemon starts");
     until(READY_TIMEOUT, async || is_ready(relay.ready()).await).await;
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -28,6 +28,7 @@
 mod test_relay_era;
 mod test_relay_evacuation;
 mod test_relay_limit;
+mod test_relay_links;
 mod test_relay_log;
 mod test_relay_partition;
 mod test_relay_rollout;
--- a/daemon/tests/test_relay_cut_off.rs
+++ b/daemon/tests/test_relay_cut_off.rs
@@ -13,13 +13,13 @@
 
 const ENDPOINTS: usize = 4;
 /// Time after the begin of a partition from which on callers must be served again.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
+pub(crate) const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Time during which requests are counted.
-const WINDOW: Duration = Duration::from_secs(3);
+pub(crate) const WINDOW: Duration = Duration::from_secs(3);
 /// Time between two requests at one daemon.
 const PAUSE: Duration = Duration::from_millis(60);
 /// Smallest share of first attempts at partitioned hosts that are served, of the share at others.
-const MIN_SHARE: f64 = 2.0 / 3.0;
+pub(crate) const MIN_SHARE: f64 = 2.0 / 3.0;
 
 /// Path of a stream that pauses in the middle, and that only the endpoint which began it goes on
 /// with.
@@ -37,7 +37,7 @@
     other: Relay,
 }
 
-fn respond(seen: &SeenRequest) -> Vec<Step> {
+pub(crate) fn respond(seen: &SeenRequest) -> Vec<Step> {
     let is_stream = ["/resume/", "/stream/"]
         .iter()
         .any(|prefix| seen.target().starts_with(prefix));
@@ -132,7 +132,7 @@
 
 /// Sends requests of all kinds to a daemon for a time. Returns which of them were answered in full,
 /// by id.
-async fn send_all(relay: &Relay, name: &str, time: Duration) -> Vec<(String, bool)> {
+pub(crate) async fn send_all(relay: &Relay, name: &str, time: Duration) -> Vec<(String, bool)> {
     let end = Instant::now() + time;
     let prefixes = ["/safe/", "/once/", "/resume/", "/stream/"];
     let mut sent = Vec::new();
@@ -158,7 +158,7 @@
     results.map(|result| result.expect("no panic")).collect()
 }
 
-fn served_share(sent: &[(String, bool)]) -> f64 {
+pub(crate) fn served_share(sent: &[(String, bool)]) -> f64 {
     sent.iter().filter(|row| row.1).count() as f64 / sent.len() as f64
 }
 
