reach: compare answers with those of the other daemons

Cause: whether a service is reached was judged by one symptom, connections that are refused or attempts that are all silent. A link that resets connections after a request, answers with errors or garbles was taken for endpoints that fail. And one accepted connection out of three random ones closed the breakers of all endpoints, also of those that were still cut off. Ruled out: breakers that stay open too long; the refusals end with the fault.

Now each daemon reports how many of its latest attempts at a service were answered, and compares its share with that of all others. If it is far smaller, whatever the symptom, it sends requests only to endpoints that have answered it since the fault began, and forwards the rest. Trials find out when others answer again. Where all fare alike nobody forwards. A check no longer closes breakers: open ones are tried once. A daemon of another zone is asked when one of the own zone has not taken the request, and the more often the fewer of the own zone reach the service. The work of forwarded requests counts as demand again.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -130,7 +130,7 @@
     record_leaving(state, &endpoint, &response);
     record_rest(state, &endpoint, &response);
     if response.meta.not_run {
-        record_not_run(state, job, choice, &response);
+        record_not_run(state, job, choice, sent.at, &response);
         drain_rejection(state, sent.address, conn, &response).await;
         return Err(AttemptEnd::NotRun);
     }
@@ -149,7 +149,7 @@
         Ok(body) => {
             let is_good = response.head.status < SERVER_ERROR;
             record_sample(state, job, &choice.id, is_good, Timing::whole(sent.at));
-            record_answered(state, job, &choice.id, is_good);
+            record_answered(state, job, &choice.id, sent.at, is_good);
             keep_connection(state, sent.address, conn, &response);
             Ok(Begun::Complete(response.head, body))
         }
@@ -176,7 +176,8 @@
         error: ExchangeError,
     ) -> Result<T, AttemptEnd> {
         let endpoint = &self.guard.endpoint;
-        record_failed(state, job, endpoint, error, Some(self.reused), None);
+        let target = (endpoint, self.at);
+        record_failed(state, job, target, error, Some(self.reused), None);
         record_sample(state, job, endpoint, false, Timing::whole(self.at));
         Err(error.end())
     }
@@ -217,7 +218,7 @@
         table.record_stream(endpoint, *number, tokens, Std::now());
         drop(table);
         record_sample(state, job, endpoint, true, self.timing());
-        record_answered(state, job, endpoint, true);
+        record_answered(state, job, endpoint, self.sent.at, true);
         let OpenStream { conn, response, .. } = self.stream;
         keep_connection(state, self.sent.address, conn, &response);
     }
@@ -230,7 +231,8 @@
             record_served(state, &job.fingerprint);
         }
         record_sample(state, job, endpoint, false, self.timing());
-        record_failed(state, job, endpoint, error, reused, first_event);
+        let target = (endpoint, self.sent.at);
+        record_failed(state, job, target, error, reused, first_event);
     }
 
     /// When it was sent, and the time per event.
@@ -245,7 +247,8 @@
 
 /// Records that an endpoint was silent until its request was given up.
 pub(crate) fn record_silent(state: &Rc<State>, job: &Job<'_>, endpoint: &EndpointId) {
-    record_failed(state, job, endpoint, ExchangeError::TimedOut, None, None);
+    let target = (endpoint, job.arrived.into_std());
+    record_failed(state, job, target, ExchangeError::TimedOut, None, None);
     record_sample(
         state,
         job,
@@ -256,7 +259,8 @@
 }
 
 /// Records that an endpoint answered; `is_good` if that was no error.
-fn record_answered(state: &State, job: &Job<'_>, endpoint: &EndpointId, is_good: bool) {
+fn record_answered(state: &State, job: &Job<'_>, endpoint: &EndpointId, sent: Std, is_good: bool) {
+    reach::record_result(state, &job.service.name, endpoint, sent, is_good);
     clear(state, &job.fingerprint);
     if is_good {
         record_served(state, &job.fingerprint);
@@ -341,7 +345,13 @@
 }
 
 /// Records that an endpoint did not run a request.
-fn record_not_run(state: &State, job: &Job<'_>, choice: &Choice, response: &EndpointResponse) {
+fn record_not_run(
+    state: &State,
+    job: &Job<'_>,
+    choice: &Choice,
+    sent: Std,
+    response: &EndpointResponse,
+) {
     let now = Std::now();
     let status = response.head.status;
     let mut table = state.endpoints.borrow_mut();
@@ -353,6 +363,7 @@
     }
     drop(table);
     state.measure(|metrics| metrics.record_attempt("not run"));
+    reach::record_result(state, &job.service.name, &choice.id, sent, false);
     let rest = response.meta.rest.value();
     log::info!(
         request = job.head.id.as_str(), endpoint = choice.id.as_str(), status,
@@ -413,8 +424,10 @@
             let mut table = state.endpoints.borrow_mut();
             let row = table.get_mut(&choice.id);
             let opened = row.is_some_and(|row| row.breaker.record_connect_failure(Std::now()));
+            drop(table);
             state.measure(|metrics| metrics.record_attempt("not connected"));
             reach::record_failure(state, &job.service.name);
+            reach::record_result(state, &job.service.name, &choice.id, Std::now(), false);
             log::info!(
                 request = job.head.id.as_str(), endpoint = choice.id.as_str(), left_out = opened;
                 "send: could not connect to the endpoint, {error}; another one may be tried."
@@ -480,6 +493,7 @@
         versions: &Versions::Any,
         homes: None,
         limits: None,
+        sound_since: None,
         seed: 0,
         now: Std::now(),
     };
@@ -587,12 +601,12 @@
     }
 }
 
-/// Records a failed attempt. `reused` is whether its connection was used before, if that is known,
+/// Records a failed attempt at an endpoint, and when it was sent. `reused` is whether its connection was used before, if that is known,
 /// `first_event` when the first event of its stream was received.
 fn record_failed(
     state: &Rc<State>,
     job: &Job<'_>,
-    endpoint: &EndpointId,
+    (endpoint, sent): (&EndpointId, Std),
     error: ExchangeError,
     reused: Option<bool>,
     first_event: Option<Std>,
@@ -603,6 +617,7 @@
     drop(table);
     state.measure(|metrics| metrics.record_attempt("failed"));
     reach::record_failure(state, &job.service.name);
+    reach::record_result(state, &job.service.name, endpoint, sent, false);
     log::info!(
         request = job.head.id.as_str(), endpoint = endpoint.as_str(), kept = reused,
         left_out = opened, after_ms = job.arrived.elapsed().as_millis() as u64,
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -29,18 +29,22 @@
 use poplarvale_lib::relay::endpoint_table::{EndpointState, EndpointTable};
 use poplarvale_lib::relay::quota;
 use poplarvale_lib::relay::request::Origin;
-use poplarvale_lib::relay::selection::{Choice, Criteria, SelectError, choose, sharers};
+use poplarvale_lib::relay::selection::{
+    Choice, Criteria, SelectError, choose, choose_trial, sharers,
+};
 use poplarvale_lib::{Code, EndpointId};
 use tokio::net::tcp::WriteHalf;
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{self, Begun, EndpointStream, Job};
 use super::crash::is_quarantined;
-use super::exchange::{ExchangeError, OK, SERVER_ERROR};
+use super::exchange::{ExchangeError, OK, SERVER_ERROR, TOO_MANY_REQUESTS};
 use super::forward::{self, DaemonStream, MAX_DAEMONS};
 use super::progress::{Loss, Progress, Tracker};
-use super::reach;
-use super::serve::{Connection, RETRY_SOON, Rejection, connection, forward_response, reject};
+use super::reach::{self, ServiceReach, service_reach};
+use super::serve::{
+    Connection, RETRY_SOON, Rejection, connection, forward_response, record_demand, reject,
+};
 use super::state::State;
 use super::stream::{Forwarded, OpenStream};
 
@@ -69,6 +73,17 @@
     Daemons,
 }
 
+/// Which endpoints a request may be sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pick {
+    /// All that work.
+    Any,
+    /// Those that have answered this daemon since its links to the service are impaired.
+    Sound(Std),
+    /// One of which it is not known whether this daemon reaches it.
+    Trial,
+}
+
 /// A stream that has begun, and who sends it.
 #[derive(Debug)]
 enum Source {
@@ -286,6 +301,9 @@
                 }
                 Err(_) if asked == Some(Via::Endpoint) => {
                     reach::record_silence(self.state, &self.job.service.name);
+                    if let Some(row) = rows.last() {
+                        self.record_silent(*row);
+                    }
                 }
                 Err(_) => reach::record_failure(self.state, &self.job.service.name),
             }
@@ -297,16 +315,40 @@
         if Instant::now() + MIN_TIME_LEFT >= self.job.deadline {
             return Err(Stop::Deadline);
         }
-        let may_forward = self.job.may_forward && self.failure.borrow().is_none();
-        let is_cut_off = self.state.reach.borrow().is_cut_off(&self.job.service.name);
+        let reach = service_reach(self.state, &self.job.service.name);
+        let has_failed = self.failure.borrow().is_some();
+        let may_forward = self.job.may_forward && (!has_failed || reach != ServiceReach::All);
         let tries_reach = self.job.tries_reach && {
             let attempts = self.progress().attempts();
             attempts.count(Via::Endpoint) == 0 && attempts.count(Via::Daemon) == 0
         };
-        if self.scope == Scope::Daemons || (may_forward && is_cut_off && !tries_reach) {
+        if self.scope == Scope::Daemons {
             return self.next_daemon(at, |_| true);
         }
-        match self.next_endpoint(at) {
+        match reach {
+            _ if tries_reach => {
+                let next = self.next_endpoint(at, Pick::Trial);
+                let is_none = matches!(next, Err(Stop::Select(_))) && may_forward;
+                return if is_none {
+                    self.next_daemon(at, |_| true)
+                } else {
+                    next
+                };
+            }
+            ServiceReach::None if may_forward => return self.next_daemon(at, |_| true),
+            ServiceReach::Sound(since) if may_forward => {
+                let next = self.next_endpoint(at, Pick::Sound(since));
+                if !matches!(next, Err(Stop::Select(_))) {
+                    return next;
+                }
+                let next = self.next_daemon(at, |_| true);
+                if !matches!(next, Err(Stop::NoDaemon)) {
+                    return next;
+                }
+            }
+            ServiceReach::All | ServiceReach::Sound(_) | ServiceReach::None => {}
+        }
+        match self.next_endpoint(at, Pick::Any) {
             Err(Stop::Select(SelectError::Shares(wait))) if may_forward => {
                 let sharers = pick_sharers(self.state, self.job);
                 let next = self.next_daemon(at, |daemon| sharers.contains(&daemon));
@@ -315,12 +357,15 @@
                     stop => stop,
                 })
             }
-            Err(Stop::Select(_)) if tries_reach => self.next_daemon(at, |_| true),
             next => next,
         }
     }
 
-    fn next_endpoint(&self, at: Forwarded) -> Result<(AttemptIndex, Duration, Pending<'_>), Stop> {
+    fn next_endpoint(
+        &self,
+        at: Forwarded,
+        how: Pick,
+    ) -> Result<(AttemptIndex, Duration, Pending<'_>), Stop> {
         let (state, job) = (self.state, self.job);
         let (sent, tried) = {
             let attempts = self.progress().attempts();
@@ -331,7 +376,7 @@
         if !is_tried && is_quarantined(state, &job.fingerprint) {
             return Err(Stop::Quarantined);
         }
-        let choice = pick(state, job, &tried).map_err(Stop::Select)?;
+        let choice = pick(state, job, &tried, how).map_err(Stop::Select)?;
         if sent > 0 && !try_retry(state, job) {
             return Err(Stop::Budget);
         }
@@ -360,7 +405,8 @@
             (attempts.sent(), attempts.may_have_run())
         };
         let may = |daemon| !self.daemons.borrow().contains(&daemon) && may(daemon);
-        let daemon = forward::choose(state, job, may).ok_or(Stop::NoDaemon)?;
+        let is_first = self.daemons.borrow().is_empty();
+        let daemon = forward::choose(state, job, is_first, may).ok_or(Stop::NoDaemon)?;
         if sent > 0 && !try_retry(state, job) {
             return Err(Stop::Budget);
         }
@@ -375,6 +421,9 @@
                 // The daemon that took it counts it against the allowance of its team, too.
                 self.refund();
             }
+            if is_taken && self.scope == Scope::Daemons && !is_over_allowance(&started) {
+                record_demand(state, job);
+            }
             (row, started.map(|begun| begun.answer(Source::Daemon)))
         };
         Ok((row, forward::patience(job), Box::pin(attempt)))
@@ -409,6 +458,15 @@
         answer
     }
 
+    /// Records that an endpoint is silent for longer than expected.
+    fn record_silent(&self, row: AttemptIndex) {
+        let attempts = self.progress().attempts();
+        let (endpoint, sent) = (EndpointId::from(attempts.target(row)), attempts.began(row));
+        drop(attempts);
+        let service = &self.job.service.name;
+        reach::record_result(self.state, service, &endpoint, sent, false);
+    }
+
     /// Ends those of these attempts that are in progress and have no answer, because another one
     /// has begun to answer, or the deadline has passed.
     fn give_up(&self, rows: &[AttemptIndex], end: AttemptEnd) {
@@ -470,7 +528,12 @@
                 Ok(Ok(())) => return self.received(source_via),
                 Ok(Err(error)) => break error,
                 Err(_) if Instant::now() >= deadline => break ExchangeError::TimedOut,
-                Err(_) => reach::record_failure(self.state, &self.job.service.name),
+                Err(_) => {
+                    reach::record_failure(self.state, &self.job.service.name);
+                    if source_via == Via::Endpoint {
+                        self.record_silent(row);
+                    }
+                }
             }
             let others = self.begin(at);
             tokio::pin!(others);
@@ -704,8 +767,37 @@
 }
 
 /// Chooses an endpoint for the request, other than those of its earlier attempts.
-fn pick(state: &State, job: &Job<'_>, avoid: &[EndpointId]) -> Result<Choice, SelectError> {
-    select(state, job, avoid, choose)
+fn pick(
+    state: &State,
+    job: &Job<'_>,
+    avoid: &[EndpointId],
+    how: Pick,
+) -> Result<Choice, SelectError> {
+    match how {
+        Pick::Any => select(state, job, avoid, choose),
+        Pick::Sound(since) => select(state, job, avoid, |table, criteria| {
+            let sound_since = Some(since);
+            choose(
+                table,
+                &Criteria {
+                    sound_since,
+                    ..*criteria
+                },
+            )
+        }),
+        Pick::Trial => {
+            let since = state.links.borrow().impaired_since(&job.service.name);
+            let since = since.unwrap_or_else(Std::now);
+            select(state, job, avoid, |table, criteria| {
+                choose_trial(table, criteria, since)
+            })
+        }
+    }
+}
+
+/// Whether the answer of another daemon rejects a request by the allowance of its team.
+fn is_over_allowance<S>(started: &Result<Begun<S>, AttemptEnd>) -> bool {
+    matches!(started, Ok(Begun::Complete(head, _)) if head.status == TOO_MANY_REQUESTS)
 }
 
 /// Other daemons that may have a share of the rate of an endpoint left for the request.
@@ -734,6 +826,7 @@
         versions: &versions,
         homes: job.homes.as_deref(),
         limits: limits(job, avoid),
+        sound_since: None,
         seed: fastrand::u64(..),
         now: Std::now(),
     };
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -15,6 +15,8 @@
 
 /// Status of a response whose body is a stream.
 pub(crate) const OK: u16 = 200;
+/// Status with which a daemon rejects a request by the allowance of its team.
+pub(crate) const TOO_MANY_REQUESTS: u16 = 429;
 /// Lowest status of a response that counts as a failure of the endpoint.
 pub(crate) const SERVER_ERROR: u16 = 500;
 
--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -52,11 +52,13 @@
     }
 }
 
-/// Chooses a daemon at random, of those for which `may` holds: of this zone, or else of the others
-/// that the request may be sent to.
+/// Chooses a daemon at random, of those for which `may` holds and that the request may be sent to.
+/// If one has not taken it before, the whole zone may not reach the service, so those of other zones go
+/// first.
 pub(crate) fn choose(
     state: &State,
     job: &Job<'_>,
+    is_first: bool,
     may: impl Fn(Ipv4Addr) -> bool,
 ) -> Option<Ipv4Addr> {
     let regions = &state.settings.regions;
@@ -70,11 +72,18 @@
         .iter()
         .filter(|(zone, region)| is_allowed(zone, region));
     let zones: Vec<ZoneHash> = zones.map(|(zone, _)| name_hash(zone)).collect();
+    let own = name_hash(&state.settings.zone);
+    let others: Vec<ZoneHash> = zones.iter().copied().filter(|zone| *zone != own).collect();
     let peers = state.peers.borrow();
     let service = name_hash(&job.service.name);
-    peers.forwarder(service, &zones, may, Std::now(), |count| {
-        fastrand::usize(..count)
-    })
+    let choose = |zones: &[ZoneHash]| {
+        let random = |count| fastrand::usize(..count);
+        peers.forwarder(service, zones, &may, Std::now(), random)
+    };
+    if is_first {
+        return choose(&zones);
+    }
+    choose(&others).or_else(|| choose(&zones))
 }
 
 /// Sends a request to a daemon and waits until that has begun to answer.
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -11,6 +11,7 @@
 use poplarvale_lib::relay::demand::Work;
 use poplarvale_lib::relay::endpoint_table::Changed;
 use poplarvale_lib::relay::limit::{AnnouncedLimit, Source};
+use poplarvale_lib::relay::links::{self, Results, ServiceResults};
 use poplarvale_lib::relay::load_reports::{self, Load, Reporter};
 use poplarvale_lib::relay::membership::{Candidate, Location, MISSED_PERIODS, PERIOD, Statement};
 use poplarvale_lib::relay::quota::{Coverage, PeerReport, Quota, TeamUse};
@@ -266,6 +267,7 @@
     state.quota.borrow_mut().merge_report(&report, timeout);
     let reporter = Reporter::Daemon(sender.zone, sender.name.clone());
     merge_demand(state, reporter.clone(), &own.services, now);
+    merge_results(state, reporter.clone(), decode_results(&own.results), now);
     let mut table = state.endpoints.borrow_mut();
     table.apply_report(reporter, decode_loads(&own.endpoints), now);
 }
@@ -292,6 +294,12 @@
     state.quota.borrow_mut().merge_zone(&report, timeout);
     let reporter = Reporter::Zone(sender.zone);
     merge_demand(state, reporter.clone(), &zone_use.services, now);
+    merge_results(
+        state,
+        reporter.clone(),
+        decode_results(&zone_use.results),
+        now,
+    );
     let mut table = state.endpoints.borrow_mut();
     table.apply_report(reporter, decode_loads(&zone_use.endpoints), now);
 }
@@ -319,10 +327,12 @@
         decode_teams(&fleet_use.teams),
         decode_loads(&fleet_use.endpoints),
     );
+    let mut results = decode_results(&fleet_use.results);
     if let Some(own) = own {
         coverage.daemons = coverage.daemons.saturating_sub(1);
         uses = Quota::without_own(uses, &own.teams);
         loads = load_reports::without_own(loads, &own.loads);
+        results = links::without_own(results, &own.results);
     }
     let mut report = sender.report(uses, coverage, now);
     // Totals with and without this daemon's part count from different values.
@@ -334,6 +344,8 @@
     state.quota.borrow_mut().merge_fleet(&report, timeout);
     let mut table = state.endpoints.borrow_mut();
     table.apply_report(Reporter::Fleet, loads, now);
+    drop(table);
+    merge_results(state, Reporter::Fleet, results, now);
 }
 
 fn decode_teams(rows: &[digest::TeamUse]) -> Vec<TeamUse> {
@@ -377,6 +389,23 @@
     demand.merge(reporter, work.collect(), now);
 }
 
+fn merge_results(state: &State, reporter: Reporter, results: ServiceResults, now: Instant) {
+    state.links.borrow_mut().merge(reporter, results, now);
+}
+
+fn decode_results(rows: &[digest::ServiceResults]) -> ServiceResults {
+    let row = |row: &digest::ServiceResults| {
+        let results = Results {
+            attempts: row.attempts,
+            answered: row.answered.min(row.attempts),
+        };
+        (row.service, results)
+    };
+    let mut results: ServiceResults = rows.iter().map(row).collect();
+    results.sort_by_key(|row| row.0);
+    results
+}
+
 fn decode_load(row: &digest::EndpointUse) -> (u32, Load) {
     let load = Load {
         requests: row.requests,
--- a/daemon/src/relay/peers/encode.rs
+++ b/daemon/src/relay/peers/encode.rs
@@ -7,6 +7,7 @@
 use poplarvale_lib::relay::connectivity::ReachableSpan;
 use poplarvale_lib::relay::demand::Work;
 use poplarvale_lib::relay::limit::{AnnouncedLimit, Source};
+use poplarvale_lib::relay::links::Results;
 use poplarvale_lib::relay::load_reports::Load;
 use poplarvale_lib::relay::membership::{Candidate, PERIOD, ZoneRoster};
 use poplarvale_lib::relay::quota::{Sum, TeamUse, name_hash};
@@ -60,9 +61,14 @@
     }
 }
 
+/// Hashes of the services whose requests this daemon has others serve.
 fn cut_off(state: &State) -> Vec<u32> {
-    let reach = state.reach.borrow();
-    reach.cut_off().map(|service| name_hash(service)).collect()
+    let (reach, links) = (state.reach.borrow(), state.links.borrow());
+    let services = reach.cut_off().chain(links.impaired());
+    let mut hashes: Vec<u32> = services.map(|service| name_hash(service)).collect();
+    hashes.sort_unstable();
+    hashes.dedup();
+    hashes
 }
 
 /// Adds what concerns all daemons: crashes, limits, departures, states of version moves and the last
@@ -134,18 +140,21 @@
 pub(super) fn own_use(state: &State, sequence: u64, now: Instant) -> digest::Use {
     let quota = state.quota.borrow();
     let loads = state.endpoints.borrow().local_load();
+    let results = state.links.borrow().own_results(now);
     let message = digest::Use {
         daemons: 1,
         teams: encode_teams(quota.team_uses(now)),
         endpoints: loads.iter().copied().map(encode_load).collect(),
         period_ms: PERIOD.as_millis() as u32,
         services: encode_work(state.demand.borrow().local_rates(now)),
+        results: encode_results(&results),
         ..digest::Use::default()
     };
     state.sent_uses.borrow_mut().push(SentUse {
         sequence,
         teams: quota.all_uses(now),
         loads,
+        results,
     });
     message
 }
@@ -155,8 +164,10 @@
     let zone = state.peers.borrow().own_location().zone;
     let sum = state.quota.borrow().zone_sum(zone, now);
     let services = encode_work(state.demand.borrow().zone_rates(zone, now));
+    let results = state.links.borrow().zone_results(zone, now);
     digest::Use {
         services,
+        results: encode_results(&results),
         ..encode_sum(sum, state.endpoints.borrow().zone_load(zone))
     }
 }
@@ -164,7 +175,11 @@
 /// Sums of all daemons.
 pub(super) fn fleet_use(state: &State, now: Instant) -> digest::Use {
     let sum = state.quota.borrow().fleet_sum(now);
-    encode_sum(sum, state.endpoints.borrow().fleet_load())
+    let results = state.links.borrow().fleet_results(now);
+    digest::Use {
+        results: encode_results(&results),
+        ..encode_sum(sum, state.endpoints.borrow().fleet_load())
+    }
 }
 
 fn encode_sum(sum: Sum, loads: Vec<(u32, Load)>) -> digest::Use {
@@ -177,9 +192,19 @@
         endpoints: loads.into_iter().map(encode_load).collect(),
         period_ms: PERIOD.as_millis() as u32,
         services: Vec::new(),
+        results: Vec::new(),
     }
 }
 
+fn encode_results(results: &[(u32, Results)]) -> Vec<digest::ServiceResults> {
+    let rows = results.iter().map(|(service, row)| digest::ServiceResults {
+        service: *service,
+        attempts: row.attempts,
+        answered: row.answered,
+    });
+    rows.collect()
+}
+
 fn encode_work(rates: Vec<(u32, Work)>) -> Vec<digest::ServiceWork> {
     let rows = rates
         .into_iter()
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -20,7 +20,7 @@
 use super::peers::{receive, send, send_last_digest};
 use super::probe::serve_probe;
 use super::progress::log_unfinished;
-use super::reach::check_services;
+use super::reach::{self, check_services};
 use super::state::State;
 use super::status::serve_status;
 use super::watch::watch_store;
@@ -251,6 +251,7 @@
         state.upstreams.expire(now);
         state.quota.borrow_mut().expire(now);
         state.demand.borrow_mut().expire(now);
+        reach::expire(&state, now);
         state.crashes.borrow_mut().expire(now);
         let current = state.usage_window(now);
         state.usage.borrow_mut().expire(current);
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -15,7 +15,7 @@
 use poplarvale_lib::relay::quota;
 use poplarvale_lib::relay::request::{Origin, RequestHead};
 use poplarvale_lib::relay::rollout::Versions;
-use poplarvale_lib::{Code, Ran};
+use poplarvale_lib::{Code, Ran, ServiceId};
 use poplarvale_platform::{rejection_response, response_head};
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::tcp::WriteHalf;
@@ -24,6 +24,7 @@
 use super::attempt::Job;
 use super::crash::{Clearance, LazyFingerprint, clearance};
 use super::dispatch::{dispatch, dispatch_to_daemons};
+use super::reach::{ServiceReach, service_reach, take_trial};
 use super::state::State;
 
 /// Rank of a team whose settings give none.
@@ -148,13 +149,13 @@
         return reject(state, write, (head, Some(route), None), rejection, keep).await;
     };
     let known = (head, Some(route), Some(service));
-    let is_cut_off = state.reach.borrow().is_cut_off(&service.name);
-    if is_cut_off && origin == Origin::Daemon {
+    let reach = service_reach(state, &service.name);
+    if reach != ServiceReach::All && origin == Origin::Daemon {
         let rejection = Rejection::permanent(Code::NotTaken);
         return reject(state, write, known, rejection, keep).await;
     }
-    let tries_reach = tries_reach(state, route, &service.name);
-    let is_cut_off = is_cut_off && !tries_reach;
+    let tries_reach = reach != ServiceReach::All && tries_reach(state, route, &service.name);
+    let is_cut_off = reach == ServiceReach::None && !tries_reach;
     let name = team.map_or("", |team| team.name.as_str());
     let mut job = Job {
         request,
@@ -199,14 +200,7 @@
     if let Some(Err(rejection)) = team.map(|team| admit(state, head, team)) {
         return reject(state, write, known, rejection, keep).await;
     }
-    // The daemon that forwards a request has counted it.
-    if let Some(prompt) = &head.prompt
-        && origin == Origin::Caller
-    {
-        let work = demand::work(prompt);
-        let mut demand = state.demand.borrow_mut();
-        demand.record(&service.name, work, Std::now());
-    }
+    record_demand(state, &job);
     job.versions = versions(state, &service.name);
     if !is_cut_off {
         record_request(state, &job);
@@ -224,6 +218,17 @@
     })
 }
 
+/// Counts the work of a request. The daemon that forwards one counts it.
+pub(crate) fn record_demand(state: &State, job: &Job<'_>) {
+    if let Some(prompt) = &job.head.prompt
+        && job.origin == Origin::Caller
+    {
+        let work = demand::work(prompt);
+        let mut demand = state.demand.borrow_mut();
+        demand.record(&job.service.name, work, Std::now());
+    }
+}
+
 /// Counts a request for the retry budget of its service.
 fn record_request(state: &State, job: &Job<'_>) {
     let mut budget = state.budget.borrow_mut();
@@ -231,11 +236,9 @@
 }
 
 /// Whether a request is sent to an endpoint first though its service is not reached.
-fn tries_reach(state: &State, route: &Route, service: &str) -> bool {
+fn tries_reach(state: &State, route: &Route, service: &ServiceId) -> bool {
     let policy = route.retry_policy;
-    let is_repeatable = policy.allows_retry() || policy.is_stream();
-    let mut reach = state.reach.borrow_mut();
-    is_repeatable && reach.take_trial(service, Std::now())
+    take_trial(state, service, policy.allows_retry() || policy.is_stream())
 }
 
 /// Logs what a rejection by a team's allowance is based on; a few times a second, as a flood is
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -14,6 +14,7 @@
 use poplarvale_lib::relay::crash::Crashes;
 use poplarvale_lib::relay::demand::Demand;
 use poplarvale_lib::relay::endpoint_table::EndpointTable;
+use poplarvale_lib::relay::links::Links;
 use poplarvale_lib::relay::membership::{Location, Peers};
 use poplarvale_lib::relay::quota::{Quota, name_hash};
 use poplarvale_lib::relay::reachability::Reachability;
@@ -82,6 +83,7 @@
     pub(crate) listed: Cell<bool>,
     pub(crate) upstreams: Upstreams,
     pub(crate) reach: RefCell<Reachability>,
+    pub(crate) links: RefCell<Links>,
     /// Notified when a check whether a service is reached may be due.
     pub(crate) check_due: Notify,
     pub(crate) connectivity: Cell<Connectivity>,
@@ -160,6 +162,7 @@
             listed: Cell::new(false),
             upstreams: Upstreams::default(),
             reach: RefCell::default(),
+            links: RefCell::default(),
             check_due: Notify::new(),
             connectivity: Cell::new(Connectivity::new(started)),
             receiving: Cell::new(None),
--- a/lib/benches/decisions.rs
+++ b/lib/benches/decisions.rs
@@ -70,6 +70,7 @@
             versions: &relay::rollout::Versions::Any,
             homes: None,
             limits: None,
+            sound_since: None,
             seed: 1,
             now,
         };
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -132,6 +132,8 @@
         pub period_ms: u32,
         #[prost(message, repeated, tag = "8")]
         pub services: ::prost::alloc::vec::Vec<ServiceWork>,
+        #[prost(message, repeated, tag = "9")]
+        pub results: ::prost::alloc::vec::Vec<ServiceResults>,
     }
     /// Daemons that run, as far as the sender knows.
     #[derive(serde::Serialize, serde::Deserialize)]
@@ -350,6 +352,18 @@
         #[prost(uint32, tag = "3")]
         pub tokens: u32,
     }
+    /// Latest attempts at endpoints of a service, and those of them that got a sound answer.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+    pub struct ServiceResults {
+        #[prost(fixed32, tag = "1")]
+        pub service: u32,
+        #[prost(uint32, tag = "2")]
+        pub attempts: u32,
+        #[prost(uint32, tag = "3")]
+        pub answered: u32,
+    }
     /// Work that is asked of a service, a second.
     #[derive(serde::Serialize, serde::Deserialize)]
     #[serde(default)]
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -26,6 +26,7 @@
 pub mod fleet;
 pub mod homes;
 pub mod limit;
+pub mod links;
 pub mod listing;
 pub mod load_reports;
 pub mod membership;
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -276,6 +276,11 @@
         self.rows[at].via
     }
 
+    /// When an attempt began.
+    pub fn began(&self, at: AttemptIndex) -> Instant {
+        self.rows[at].began
+    }
+
     /// Endpoint or daemon that an attempt was made at.
     pub fn target(&self, at: AttemptIndex) -> &str {
         &self.rows[at].target
--- a/lib/src/relay/breaker.rs
+++ b/lib/src/relay/breaker.rs
@@ -84,6 +84,14 @@
         self.on_trial = false;
     }
 
+    /// Has an endpoint that is out of use tried at once, and soon again if that fails.
+    pub fn retry(&mut self, now: Instant) {
+        if self.open_until.is_some() {
+            self.open_until = Some(now);
+            self.pauses = 0;
+        }
+    }
+
     fn open(&mut self, now: Instant) -> bool {
         let is_new = self.open_until.is_none_or(|open_until| now >= open_until);
         if is_new {
--- a/lib/src/relay/endpoint_table.rs
+++ b/lib/src/relay/endpoint_table.rs
@@ -112,6 +112,41 @@
     pub rest_until: Option<Instant>,
     /// Limit for this daemon's requests in progress there, while its service is brittle.
     pub concurrency: Option<ConcurrencyLimit>,
+    /// What shows whether this daemon reaches it.
+    pub link: LinkEvidence,
+}
+
+/// What shows whether this daemon reaches an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkEvidence {
+    /// When the last request was sent that it gave a sound answer to.
+    pub answered: Option<Instant>,
+    /// When an attempt at it last failed.
+    pub failed: Option<Instant>,
+    /// When it last accepted a connection in a check.
+    pub accepted: Option<Instant>,
+}
+
+impl LinkEvidence {
+    /// Whether it has answered a request sent since this moment, and no attempt has failed after that.
+    pub fn is_sound(&self, since: Instant) -> bool {
+        self.answered >= Some(since) && self.answered > self.failed
+    }
+
+    /// Whether it has accepted a connection since this moment, and no attempt has failed after that.
+    fn is_accepting(&self, since: Instant) -> bool {
+        self.accepted >= Some(since) && self.accepted > self.failed
+    }
+
+    /// Rank in which endpoints are tried while the links to a service are impaired since some moment:
+    /// those that accepted a connection, then those at which no attempt has failed.
+    pub(crate) fn trial_rank(&self, since: Instant) -> u8 {
+        if self.is_accepting(since) {
+            0
+        } else {
+            1 + u8::from(self.failed >= Some(since))
+        }
+    }
 }
 
 /// A service whose endpoints fail if they have to reject too much.
@@ -207,14 +242,11 @@
         count: usize,
         seed: u64,
         now: Instant,
-        may: impl Fn(&Listing) -> bool,
+        may: impl Fn(&Endpoint) -> bool,
     ) -> Vec<SocketAddr> {
         let rows = self.rows.iter();
-        let rows = rows.filter(|row| row.state.is_in_use(now) && !row.is_evacuated);
-        let mut rows: Vec<&Listing> = rows
-            .map(|row| &row.listing)
-            .filter(|row| may(row))
-            .collect();
+        let rows = rows.filter(|row| row.is_running(now) && may(row));
+        let mut rows: Vec<&Listing> = rows.map(|row| &row.listing).collect();
         rows.sort_by_cached_key(|row| xxh3_64_with_seed(row.id.as_bytes(), seed));
         rows.into_iter()
             .take(count)
@@ -231,12 +263,29 @@
         rows.map(|row| row.listing.address).collect()
     }
 
-    /// Closes the circuit breakers of a service's endpoints, as the failures that opened them were
-    /// not the endpoints'.
-    pub fn reset_breakers(&mut self, service: &str) {
+    /// Has endpoints of a service tried again whose circuit breakers are open, as the failures that
+    /// opened them may not have been theirs.
+    pub fn retry_breakers(&mut self, service: &str, now: Instant) {
         for row in &mut self.rows {
             if row.listing.service == service {
-                row.breaker = CircuitBreaker::default();
+                row.breaker.retry(now);
+            }
+        }
+    }
+
+    /// Whether this daemon reaches an endpoint of a service that may get requests: one that has
+    /// answered a request sent since this moment.
+    pub fn is_any_sound(&self, service: &str, since: Instant, now: Instant) -> bool {
+        let rows = self.rows.iter();
+        let mut rows = rows.filter(|row| row.listing.service == service && row.is_usable(now));
+        rows.any(|row| row.link.is_sound(since))
+    }
+
+    /// Records that endpoints at these addresses accepted a connection.
+    pub fn record_accepted(&mut self, addresses: &[SocketAddr], now: Instant) {
+        for row in &mut self.rows {
+            if addresses.contains(&row.listing.address) {
+                row.link.accepted = Some(now);
             }
         }
     }
@@ -457,6 +506,7 @@
             is_evacuated: self.evacuations.contains(&listing.zone),
             rest_until: self.rests.until(incarnation_hash(&listing)),
             concurrency: None,
+            link: LinkEvidence::default(),
             listing,
         };
         if let (Some(cold), Some(limit)) = (cold, self.slow_start(&row.listing.service)) {
@@ -932,7 +982,12 @@
 
     /// Whether it may get requests, whatever its load.
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.state.is_in_use(now) && !self.is_evacuated && self.breaker.allows_request(now)
+        self.is_running(now) && self.breaker.allows_request(now)
+    }
+
+    /// Whether it may get requests, whatever failed there and whatever its load.
+    pub fn is_running(&self, now: Instant) -> bool {
+        self.state.is_in_use(now) && !self.is_evacuated
     }
 
     /// Whether its announced limit, its slow start and the rest that it asked for let this daemon
--- a/lib/src/relay/membership.rs
+++ b/lib/src/relay/membership.rs
@@ -333,8 +333,9 @@
         }
     }
 
-    /// Random daemon to which this one forwards a request for a service: one of this zone if any
-    /// may take it, else one of the other `zones`. `None` if there is none for which `may` holds.
+    /// Random daemon to which this one forwards a request for a service: one of this zone, or one of the
+    /// other `zones`, the more likely the more daemons of this zone do not reach the service. The few that
+    /// do must not get the requests of all others. `None` if there is none for which `may` holds.
     /// `choose` returns a number below the given one.
     pub fn forwarder(
         &self,
@@ -342,8 +343,12 @@
         zones: &[ZoneHash],
         may: impl Fn(Ipv4Addr) -> bool,
         now: Instant,
-        choose: impl FnOnce(usize) -> usize,
+        mut choose: impl FnMut(usize) -> usize,
     ) -> Option<Ipv4Addr> {
+        let is_cut_off = |row: &&Peer| {
+            let mut refusals = row.cut_off.iter();
+            refusals.any(|(known, until)| *known == service && now < *until)
+        };
         let may_take = |row: &&Peer| {
             let mut refusals = row.cut_off.iter().chain(&row.full);
             let is_refused = refusals.any(|(known, until)| *known == service && now < *until);
@@ -354,8 +359,17 @@
             .recent(now)
             .filter(may_take)
             .partition(|row| self.is_local(row));
-        let rows = if local.is_empty() { remote } else { local };
-        (!rows.is_empty()).then(|| rows[choose(rows.len())].address)
+        let cut_off = self.recent(now).filter(|row| self.is_local(row));
+        let cut_off = cut_off.filter(is_cut_off).count();
+        if remote.is_empty() {
+            return (!local.is_empty()).then(|| local[choose(local.len())].address);
+        }
+        let found = match local.len() + cut_off {
+            0 => None,
+            count => local.get(choose(count)),
+        };
+        let found = found.or_else(|| remote.get(choose(remote.len())));
+        found.map(|row| row.address)
     }
 
     /// Daemons that have all changes of the operators up to a revision in force: those of this zone
--- a/lib/src/relay/selection.rs
+++ b/lib/src/relay/selection.rs
@@ -75,6 +75,9 @@
     pub homes: Option<&'r [ZoneId]>,
     /// How long it may wait at an engine; `None` if it is sent whatever waits there.
     pub limits: Option<Limits>,
+    /// Since when the links to the service are impaired: only endpoints that have answered this daemon
+    /// since then are chosen; `None` for all.
+    pub sound_since: Option<Instant>,
     /// Random for each request, so that daemons do not all sample the same endpoints.
     pub seed: u64,
     /// Now.
@@ -133,6 +136,36 @@
     best(table, criteria, Some(&sample)).or_else(|_| best(table, criteria, None))
 }
 
+/// Chooses the endpoint at which a request shows whether this daemon reaches it again, while the links to
+/// its service are impaired since some moment. Breakers that are open do not count, as the links may be
+/// what opened them.
+///
+/// # Errors
+/// If none can be tried now.
+pub fn choose_trial(
+    table: &EndpointTable,
+    criteria: &Criteria<'_>,
+    since: Instant,
+) -> Result<Choice, SelectError> {
+    let step = table.concurrency_step(&criteria.service.name);
+    let rows = table.rows().iter().filter(|row| {
+        row.listing.service == criteria.service.name
+            && row.is_running(criteria.now)
+            && !row.link.is_sound(since)
+            && criteria.versions.allow(&row.listing.version)
+            && criteria.is_home(&row.listing.zone)
+            && !is_avoided(row, criteria)
+            && row.check_rate(criteria.now).is_ok()
+            && !is_full(row, criteria, step)
+    });
+    let random = |row: &Endpoint| xxh3_64_with_seed(row.listing.id.as_bytes(), criteria.seed);
+    let row = rows.min_by_key(|row| (row.link.trial_rank(since), random(row)));
+    let row = row.ok_or(SelectError::None)?;
+    let shared = criteria.prompt.map(prefix_hashes).unwrap_or_default();
+    let service_speed = table.service_speed(&criteria.service.name);
+    Ok(evaluate(row, service_speed, criteria, &shared, None).1)
+}
+
 /// Other daemons that share the rates of a few random endpoints at which this daemon has used its
 /// share.
 ///
@@ -313,6 +346,9 @@
         && row.is_usable(criteria.now)
         && criteria.versions.allow(&row.listing.version)
         && criteria.is_home(&row.listing.zone)
+        && criteria
+            .sound_since
+            .is_none_or(|since| row.link.is_sound(since))
 }
 
 /// Whether an earlier attempt of the request was sent to an endpoint.
--- a/lib/src/relay/sent_uses.rs
+++ b/lib/src/relay/sent_uses.rs
@@ -4,6 +4,7 @@
 //! know what the others do, this daemon subtracts the report that the watcher has, not its present
 //! state: the two differ by all that happened since.
 
+use super::links::ServiceResults;
 use super::load_reports::Load;
 use super::quota::TeamUse;
 
@@ -20,6 +21,8 @@
     pub teams: Vec<TeamUse>,
     /// Requests in progress by hash of the endpoint's id, sorted.
     pub loads: Vec<(u32, Load)>,
+    /// Latest results of attempts, sorted by service.
+    pub results: ServiceResults,
 }
 
 /// Latest reports, sorted by sequence number.
--- a/lib/tests/test_relay_admit.rs
+++ b/lib/tests/test_relay_admit.rs
@@ -83,6 +83,7 @@
             versions: &Versions::Any,
             homes: None,
             limits: limited.then(|| Limits::new(TARGET, rank, DEADLINE)),
+            sound_since: None,
             seed: 0,
             now,
         };
--- a/lib/tests/test_relay_evacuation.rs
+++ b/lib/tests/test_relay_evacuation.rs
@@ -69,6 +69,7 @@
         versions: &Versions::Any,
         homes,
         limits: None,
+        sound_since: None,
         seed: 1,
         now,
     };
--- a/lib/tests/test_relay_selection.rs
+++ b/lib/tests/test_relay_selection.rs
@@ -69,6 +69,7 @@
             avoid: &[],
             homes: None,
             limits: None,
+            sound_since: None,
             seed: 0,
             now: self.now,
         }
@@ -87,6 +88,7 @@
             avoid: &[],
             homes: None,
             limits: None,
+            sound_since: None,
             seed: 0,
             now: self.now,
         };
@@ -371,6 +373,7 @@
             avoid: &[],
             homes: None,
             limits: None,
+            sound_since: None,
             seed: self.random.u64(..),
             now,
         };
