tests: when links count as impaired, and when they are used again

Decisions of relay/links without a daemon: all fare alike, far worse here, sound trials in a row, requests that may not be repeated, the end where nobody is answered, and chance: at shares of .3 to 1 the same share here impairs the links in at most 5 of 100 series of twelve attempts.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -37,6 +37,7 @@
 mod test_relay_evacuation;
 mod test_relay_fleet;
 mod test_relay_limit;
+mod test_relay_links;
 mod test_relay_membership;
 mod test_relay_quota;
 mod test_relay_reachability;
