exchange: bound what endpoints send without end

An endpoint in trouble may send bytes without end, in a head or a body. Informational heads, trailer lines and the body of a response to an earlier request were read until the deadline, an event was searched anew for its end with each part that arrived, and a body that is too long was taken for a broken connection, which has the endpoint checked for a crash.

Idle connections on which something arrives are closed. Replies of the platform are bounded, too.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -19,6 +19,7 @@
 mod evacuation;
 mod exchange;
 mod forward;
+mod held;
 mod logging;
 mod metrics;
 mod peers;
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -33,9 +33,6 @@
 use super::state::State;
 use super::stream::{Forwarded, OpenStream};
 
-/// Longest response that is not a stream. It is buffered completely, so that the request can
-/// still be retried at another endpoint if the response breaks off.
-pub(crate) const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 /// How long an endpoint that reported itself full gets no request; its queue shrinks by a request
 /// every few milliseconds.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
@@ -135,12 +132,12 @@
         return Err(AttemptEnd::NotRun);
     }
     if job.route.retry_policy.is_stream() && response.head.status == OK && response.meta.sealed {
-        return match OpenStream::open(conn, response, at.last).await {
+        return match OpenStream::open(conn, response, at.last, state.held.begin()).await {
             Ok(stream) => Ok(Begun::Stream(Box::new(sent.stream(state, job, stream)))),
             Err(error) => sent.fail(state, job, error),
         };
     }
-    let body = read_response(&mut conn, &response).await;
+    let body = read_response(state, &mut conn, &response).await;
     // A stream begins to run with its first event; an error in its place is no run.
     if !job.route.retry_policy.is_stream() {
         state.count_run(job.team.map(|team| &team.name), sent.at);
@@ -525,13 +522,15 @@
 
 /// Reads the body of a response that is not a stream.
 async fn read_response(
+    state: &State,
     conn: &mut BufferedStream,
     response: &EndpointResponse,
 ) -> Result<Bytes, ExchangeError> {
-    match read_body(conn, &response.head, MAX_RESPONSE_BYTES).await {
-        Ok(body) if response.head.status >= 300 || response.meta.sealed => Ok(body),
-        Ok(_) => Err(ExchangeError::Invalid),
-        Err(_) => Err(ExchangeError::Broken),
+    let body = read_body(conn, &response.head, state.held.begin()).await?;
+    if response.head.status >= 300 || response.meta.sealed {
+        Ok(body)
+    } else {
+        Err(ExchangeError::Invalid)
     }
 }
 
@@ -639,7 +638,7 @@
     response: &EndpointResponse,
 ) {
     let until = Instant::now() + FULL_PAUSE;
-    let body = read_body(&mut conn, &response.head, MAX_RESPONSE_BYTES);
+    let body = read_body(&mut conn, &response.head, state.held.begin());
     if let Ok(Ok(_)) = timeout_at(until, body).await {
         keep_connection(state, address, conn, response);
     }
--- a/daemon/src/relay/client.rs
+++ b/daemon/src/relay/client.rs
@@ -25,6 +25,9 @@
 /// Longest time between two parts of a response. Requests share the link of the host, so a part may
 /// wait behind them.
 const STALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest reply that is held as a whole. Pages of lists have a megabyte, and text of that length in
+/// base 64 a third more.
+const MAX_REPLY_BYTES: usize = 4 * 1024 * 1024;
 
 /// Why a call got no response. Except after [`CallError::NotSent`], the service may have executed
 /// the call or may still do so.
@@ -38,6 +41,8 @@
     TimedOut,
     #[error("the response stalled")]
     Stalled,
+    #[error("the response is longer than allowed")]
+    TooLong,
     #[error("the response is from an old era of the store")]
     OldEra,
     #[error("the head of the response is malformed: {0}")]
@@ -172,6 +177,9 @@
     let mut bytes = BytesMut::new();
     while let Some(part) = next_part(conn, &mut body).await? {
         bytes.extend_from_slice(&part);
+        if bytes.len() > MAX_REPLY_BYTES {
+            return Err(CallError::TooLong);
+        }
         progress();
     }
     Ok(bytes.freeze())
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -1,7 +1,5 @@
 //! Sends a request to an endpoint and reads the head of its response.
 
-use std::io;
-
 use bytes::{Bytes, BytesMut};
 use poplarvale_lib::http1::{Body, Response};
 use poplarvale_lib::relay::attempts::AttemptEnd;
@@ -9,9 +7,14 @@
 use tokio::io::AsyncWriteExt as _;
 
 use super::buffered_stream::{BufferedStream, fill};
+use super::held::Held;
 
 /// Responses to earlier requests that are skipped before the connection is abandoned.
 const MAX_STRAY_RESPONSES: usize = 3;
+/// Bytes of a response to an earlier request that are skipped.
+const MAX_SKIPPED_BYTES: usize = 256 * 1024;
+/// Informational responses that are skipped before the connection is abandoned.
+const MAX_INTERIM_RESPONSES: usize = 8;
 
 /// Status of a response whose body is a stream.
 pub(crate) const OK: u16 = 200;
@@ -35,6 +38,9 @@
     /// What was received is malformed or not a response to this request.
     #[error("the response is malformed or does not belong to this request")]
     Invalid,
+    /// More was received than can be held.
+    #[error("the response is longer than allowed")]
+    TooLong,
 }
 
 impl ExchangeError {
@@ -44,7 +50,7 @@
             Self::NotSent => AttemptEnd::NotConnected,
             Self::Broken => AttemptEnd::Broken,
             Self::TimedOut => AttemptEnd::TimedOut,
-            Self::Invalid => AttemptEnd::Invalid,
+            Self::Invalid | Self::TooLong => AttemptEnd::Invalid,
         }
     }
 }
@@ -80,10 +86,14 @@
     let (mut read, mut write) = conn.stream.split();
     let buffer = &mut conn.buffer;
     let mut written = 0;
-    let mut stray_responses = 0;
+    let (mut stray_responses, mut interim_responses) = (0, 0);
     loop {
         while let Some(head) = Response::take(buffer).map_err(|_error| ExchangeError::Invalid)? {
             if (100..200).contains(&head.status) {
+                interim_responses += 1;
+                if interim_responses > MAX_INTERIM_RESPONSES {
+                    return Err(ExchangeError::Invalid);
+                }
                 continue;
             }
             let meta = read_response_meta(&head, id);
@@ -123,12 +133,14 @@
     head: &Response,
 ) -> Result<(), ExchangeError> {
     let mut body = Body::new(head.framing);
+    let mut skipped = 0;
     loop {
-        while body
-            .take(buffer)
-            .map_err(|_error| ExchangeError::Invalid)?
-            .is_some()
-        {}
+        while let Some(part) = body.take(buffer).map_err(|_error| ExchangeError::Invalid)? {
+            skipped += part.len();
+        }
+        if skipped > MAX_SKIPPED_BYTES {
+            return Err(ExchangeError::Invalid);
+        }
         if body.is_done() {
             return Ok(());
         }
@@ -139,30 +151,33 @@
     }
 }
 
-/// Reads a complete body of at most `max_len` bytes.
+/// Reads a complete body; `held` bounds its length.
 ///
 /// # Errors
-/// If the connection ends before the body does, or the body is malformed or longer.
+/// If the connection ends before the body does, or the body is malformed or too long.
 pub(crate) async fn read_body(
     conn: &mut BufferedStream,
     head: &Response,
-    max_len: usize,
-) -> io::Result<Bytes> {
+    mut held: Held,
+) -> Result<Bytes, ExchangeError> {
     let (mut read, _write) = conn.stream.split();
     let mut body = Body::new(head.framing);
     let mut bytes = BytesMut::new();
     loop {
-        while let Some(part) = body.take(&mut conn.buffer).map_err(io::Error::other)? {
+        while let Some(part) = body
+            .take(&mut conn.buffer)
+            .map_err(|_error| ExchangeError::Invalid)?
+        {
+            let len = bytes.len() + part.len();
+            held.set(len).map_err(|_error| ExchangeError::TooLong)?;
             bytes.extend_from_slice(&part);
-            if bytes.len() > max_len {
-                return Err(io::ErrorKind::FileTooLarge.into());
-            }
         }
         if body.is_done() {
             return Ok(bytes.freeze());
         }
-        if fill(&mut read, &mut conn.buffer).await? == 0 {
-            body.finish().map_err(io::Error::other)?;
+        let more = fill(&mut read, &mut conn.buffer).await;
+        if more.map_err(|_error| ExchangeError::Broken)? == 0 {
+            body.finish().map_err(|_error| ExchangeError::Broken)?;
         }
     }
 }
--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -17,7 +17,7 @@
 use poplarvale_platform::{Announced, Onward, onward_head};
 use tokio::time::Instant;
 
-use super::attempt::{Begun, Job, MAX_RESPONSE_BYTES};
+use super::attempt::{Begun, Job};
 use super::buffered_stream::BufferedStream;
 use super::exchange::{EndpointResponse, ExchangeError, OK, exchange, read_body};
 use super::state::State;
@@ -120,7 +120,7 @@
     };
     if response.meta.not_run {
         let why = record_not_taken(state, job, daemon, &response);
-        if read_body(&mut conn, &response.head, MAX_RESPONSE_BYTES)
+        if read_body(&mut conn, &response.head, state.held.begin())
             .await
             .is_ok()
         {
@@ -129,18 +129,18 @@
         return not_taken(AttemptEnd::NotRun, &why);
     }
     if job.route.retry_policy.is_stream() && response.head.status == OK && response.meta.sealed {
-        return match OpenStream::open(conn, response, at.last).await {
+        return match OpenStream::open(conn, response, at.last, state.held.begin()).await {
             Ok(stream) => Ok(Begun::Stream(Box::new(DaemonStream { stream, daemon }))),
             Err(error) => failed(state, job, daemon, error),
         };
     }
-    match read_body(&mut conn, &response.head, MAX_RESPONSE_BYTES).await {
+    match read_body(&mut conn, &response.head, state.held.begin()).await {
         Ok(body) => {
             log_done(state, job, daemon);
             keep_connection(state, daemon, conn, &response);
             Ok(Begun::Complete(response.head, body))
         }
-        Err(_) => failed(state, job, daemon, ExchangeError::Broken),
+        Err(error) => failed(state, job, daemon, error),
     }
 }
 
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -29,6 +29,7 @@
 use super::catalog::CatalogState;
 use super::crash::CrashCheck;
 use super::era::Eras;
+use super::held::HeldBytes;
 use super::logging::Sampler;
 use super::metrics::Metrics;
 use super::progress::Progress;
@@ -82,6 +83,8 @@
     /// Whether the list of endpoints was read from the store at least once.
     pub(crate) listed: Cell<bool>,
     pub(crate) upstreams: Upstreams,
+    /// Bytes that are held of responses, over all attempts.
+    pub(crate) held: Rc<HeldBytes>,
     pub(crate) reach: RefCell<Reachability>,
     pub(crate) links: RefCell<Links>,
     /// Notified when a check whether a service is reached may be due.
@@ -161,6 +164,7 @@
             settings,
             listed: Cell::new(false),
             upstreams: Upstreams::default(),
+            held: Rc::default(),
             reach: RefCell::default(),
             links: RefCell::default(),
             check_due: Notify::new(),
--- a/daemon/src/relay/stream.rs
+++ b/daemon/src/relay/stream.rs
@@ -15,6 +15,7 @@
 
 use super::buffered_stream::{BufferedStream, fill};
 use super::exchange::{EndpointResponse, ExchangeError};
+use super::held::Held;
 
 /// What was sent to a caller of its answer so far.
 #[derive(Clone, Copy, Debug)]
@@ -79,6 +80,8 @@
     events: Events,
     /// Complete events that are not forwarded yet.
     ready: BytesMut,
+    /// What is held of events that are not complete.
+    held: Held,
 }
 
 impl OpenStream {
@@ -87,6 +90,7 @@
         conn: BufferedStream,
         response: EndpointResponse,
         last: Option<u64>,
+        held: Held,
     ) -> Result<Self, ExchangeError> {
         let mut stream = Self {
             body: Body::new(response.head.framing),
@@ -94,6 +98,7 @@
             response,
             events: Events::after(last),
             ready: BytesMut::new(),
+            held,
         };
         stream.parse()?;
         while stream.ready.is_empty() && !stream.is_done() {
@@ -150,6 +155,8 @@
             let taken = self.body.take(&mut self.conn.buffer);
             part = taken.map_err(|_error| ExchangeError::Invalid)?;
         }
+        let held = self.held.set(self.events.partial_len());
+        held.map_err(|_error| ExchangeError::TooLong)?;
         if self.is_done() && self.events.has_partial() {
             return Err(ExchangeError::Broken);
         }
--- a/daemon/src/relay/upstream.rs
+++ b/daemon/src/relay/upstream.rs
@@ -82,8 +82,9 @@
             .retain(|idle| !addresses.contains(&idle.address));
     }
 
-    /// Closes connections that were idle for too long.
+    /// Closes connections that were idle for too long, or on which something was received meanwhile.
     pub(crate) fn expire(&self, now: Instant) {
-        self.idle.borrow_mut().retain(|idle| now < idle.until);
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|idle| now < idle.until && idle.conn.is_clean());
     }
 }
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -25,6 +25,7 @@
 mod test_relay_crash;
 mod test_relay_cut_off;
 mod test_relay_duties;
+mod test_relay_endless;
 mod test_relay_era;
 mod test_relay_evacuation;
 mod test_relay_limit;
--- a/daemon/tests/test_relay_log.rs
+++ b/daemon/tests/test_relay_log.rs
@@ -20,7 +20,7 @@
 const WRITE_TIME: Duration = Duration::from_millis(500);
 
 /// A daemon process whose log is read.
-struct LoggedDaemon {
+pub(crate) struct LoggedDaemon {
     process: Child,
     lines: Receiver<String>,
     log: Vec<String>,
@@ -29,7 +29,7 @@
 }
 
 impl LoggedDaemon {
-    async fn start(endpoints: &[&Endpoint]) -> Self {
+    pub(crate) async fn start(endpoints: &[&Endpoint]) -> Self {
         let (store, cloud) = (Store::start().await, Cloud::start().await);
         store.put("op/config", config(1, &ROUTES, 0).as_bytes());
         for endpoint in endpoints {
@@ -72,8 +72,23 @@
         }
     }
 
+    /// Address for callers.
+    pub(crate) fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Most memory that the process has used so far, in kilobytes.
+    pub(crate) fn peak_memory_kb(&self) -> u64 {
+        let file = format!("/proc/{}/status", self.process.id());
+        let text = std::fs::read_to_string(file).expect("the process runs");
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        let number = number.and_then(|number| number.parse().ok());
+        number.expect("the status has the peak memory")
+    }
+
     /// Ends the process and returns all lines of its log.
-    async fn end(mut self) -> Vec<String> {
+    pub(crate) async fn end(mut self) -> Vec<String> {
         tokio::time::sleep(WRITE_TIME).await;
         self.process.kill().expect("the daemon was running");
         self.process.wait().expect("the daemon has ended");
--- a/lib/src/http1/body.rs
+++ b/lib/src/http1/body.rs
@@ -6,6 +6,8 @@
 
 /// Maximum length in bytes of a chunk size line and of a trailer line.
 const MAX_LINE: usize = 1024;
+/// Maximum number of trailer lines.
+const MAX_TRAILERS: u32 = 32;
 
 /// Reason for which a body cannot be read further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -32,8 +34,8 @@
     ChunkData(u64),
     /// Before the line end that follows a chunk.
     ChunkEnd,
-    /// Before a trailer line or the empty line that ends the body.
-    Trailer,
+    /// Before a trailer line or the empty line that ends the body, after so many lines.
+    Trailer(u32),
     /// The body ends with the connection.
     UntilClose,
     /// The whole body was read.
@@ -101,7 +103,7 @@
                     Ok(httparse::Status::Complete((len, size))) => {
                         buffer.advance(len);
                         self.0 = if size == 0 {
-                            State::Trailer
+                            State::Trailer(0)
                         } else {
                             State::ChunkData(size)
                         };
@@ -109,7 +111,8 @@
                     Ok(httparse::Status::Partial) if buffer.len() <= MAX_LINE => return Ok(None),
                     _ => return Err(BodyError::Chunk),
                 },
-                State::Trailer => {
+                State::Trailer(MAX_TRAILERS) => return Err(BodyError::Chunk),
+                State::Trailer(lines) => {
                     let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
                         if buffer.len() > MAX_LINE {
                             return Err(BodyError::Chunk);
@@ -117,9 +120,11 @@
                         return Ok(None);
                     };
                     buffer.advance(end + 2);
-                    if end == 0 {
-                        self.0 = State::Done;
-                    }
+                    self.0 = if end == 0 {
+                        State::Done
+                    } else {
+                        State::Trailer(lines + 1)
+                    };
                 }
             }
         }
--- a/lib/src/relay/sse.rs
+++ b/lib/src/relay/sse.rs
@@ -11,6 +11,9 @@
 /// Longest event, in bytes; events of engines have a few hundred.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Length of the longest end of an event.
+const MAX_END: usize = 4;
+
 /// Why a stream cannot be read any further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum SseError {
@@ -35,6 +38,8 @@
 pub struct Events {
     /// Bytes of an event that is not complete yet.
     partial: BytesMut,
+    /// Number of these that were searched for the end of the event.
+    searched: usize,
     last: Option<u64>,
     count: u64,
 }
@@ -45,6 +50,7 @@
     pub fn after(last: Option<u64>) -> Self {
         Self {
             partial: BytesMut::new(),
+            searched: 0,
             last,
             count: 0,
         }
@@ -60,6 +66,11 @@
         self.count
     }
 
+    /// Bytes that were received of an event that is not complete.
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Whether part of an event was received that is not complete.
     pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
@@ -73,11 +84,16 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, SseError> {
         self.partial.extend_from_slice(bytes);
         let mut complete = 0;
-        while let Some(len) = event_len(&self.partial[complete..]) {
-            self.check(complete, len)?;
-            complete += len;
+        // Bytes that were searched before may be the begin of the end of the event.
+        let mut from = self.searched.saturating_sub(MAX_END - 1);
+        while let Some(len) = event_len(&self.partial[from..]) {
+            let end = from + len;
+            self.check(complete, end - complete)?;
+            complete = end;
+            from = end;
         }
-        if self.partial.len() - complete > MAX_EVENT_BYTES {
+        self.searched = self.partial.len() - complete;
+        if self.searched > MAX_EVENT_BYTES {
             return Err(SseError::TooLarge);
         }
         Ok(self.partial.split_to(complete).freeze())
@@ -97,7 +113,7 @@
     }
 }
 
-/// Length in bytes of the first event, including the empty line that ends it.
+/// Length in bytes up to the end of the first event, including the empty line that ends it.
 fn event_len(bytes: &[u8]) -> Option<usize> {
     let lf = bytes.windows(2).position(|pair| pair == b"\n\n");
     let crlf = bytes.windows(4).position(|four| four == b"\r\n\r\n");
--- a/lib/tests/test_http1.rs
+++ b/lib/tests/test_http1.rs
@@ -121,3 +121,12 @@
         prop_assert_eq!(out, parts.concat());
     }
 }
+
+/// Guards against a chunked body whose trailer never ends.
+#[test]
+fn a_trailer_without_end_is_rejected() {
+    let mut body = Body::new(Framing::Chunked);
+    let mut buffer = BytesMut::from("0\r\n");
+    buffer.extend_from_slice("X: y\r\n".repeat(1000).as_bytes());
+    assert_eq!(body.take(&mut buffer), Err(BodyError::Chunk));
+}
