reach: trials and hand-overs do not spend the retry budget

While links are impaired, trials at endpoints that fail and requests that the first daemon did not take each took a retry; with the budget used up, the callers got a 502.

Now only a request that may be repeated and has a retry left is a trial, and a retry that no endpoint got pays for the next attempt: the bound is on what endpoints get.

--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -188,6 +188,8 @@
     tracker: Tracker,
     /// Daemons of earlier attempts.
     daemons: RefCell<Vec<Ipv4Addr>>,
+    /// Whether a retry was taken from the budget that no endpoint got.
+    has_credit: Cell<bool>,
     /// Whether its units were returned to its team.
     refunded: Cell<bool>,
     /// Error response of an endpoint; it is forwarded if no later attempt answers.
@@ -203,6 +205,7 @@
             scope,
             tracker: Tracker::new(state, job.head, job.route, times),
             daemons: RefCell::default(),
+            has_credit: Cell::new(false),
             refunded: Cell::new(false),
             failure: RefCell::default(),
         }
@@ -377,7 +380,7 @@
             return Err(Stop::Quarantined);
         }
         let choice = pick(state, job, &tried, how).map_err(Stop::Select)?;
-        if sent > 0 && !try_retry(state, job) {
+        if sent > 0 && !self.try_retry() {
             return Err(Stop::Budget);
         }
         let row = self.progress().begin(&choice.id, Via::Endpoint);
@@ -407,7 +410,7 @@
         let may = |daemon| !self.daemons.borrow().contains(&daemon) && may(daemon);
         let is_first = self.daemons.borrow().is_empty();
         let daemon = forward::choose(state, job, is_first, may).ok_or(Stop::NoDaemon)?;
-        if sent > 0 && !try_retry(state, job) {
+        if sent > 0 && !self.try_retry() {
             return Err(Stop::Budget);
         }
         self.daemons.borrow_mut().push(daemon);
@@ -417,6 +420,9 @@
         let attempt = async move {
             let started = forward::begin(state, job, daemon, at).await;
             let is_taken = !matches!(started, Err(AttemptEnd::NotConnected | AttemptEnd::NotRun));
+            if sent > 0 && !is_taken {
+                self.has_credit.set(true);
+            }
             if is_taken && !may_have_run && self.scope == Scope::Any {
                 // The daemon that took it counts it against the allowance of its team, too.
                 self.refund();
@@ -429,6 +435,12 @@
         Ok((row, forward::patience(job), Box::pin(attempt)))
     }
 
+    /// Takes a retry from the budget of the service, unless one was taken for a daemon that has not
+    /// taken the request; `false` if none is left.
+    fn try_retry(&self) -> bool {
+        self.has_credit.take() || try_retry(self.state, self.job)
+    }
+
     /// Applies the result of an attempt; `Some` if it is the answer of the request.
     fn settle(
         &self,
--- a/daemon/src/relay/reach.rs
+++ b/daemon/src/relay/reach.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use futures::future::join_all;
+use poplarvale_lib::relay::catalog::RetryPolicy;
 use poplarvale_lib::relay::crash::incarnation_hash;
 use poplarvale_lib::relay::endpoint_table::Endpoint;
 use poplarvale_lib::relay::links::LinkChange;
@@ -86,15 +87,22 @@
     }
 }
 
-/// Whether a request is sent to an endpoint that is not known to be reached.
-pub(crate) fn take_trial(state: &State, service: &ServiceId, is_repeatable: bool) -> bool {
+/// Whether a request is sent to an endpoint that is not known to be reached. `has_budget` tells whether
+/// it may be retried if that fails.
+pub(crate) fn take_trial(
+    state: &State,
+    service: &ServiceId,
+    policy: RetryPolicy,
+    has_budget: bool,
+) -> bool {
     let now = Instant::now();
     let mut reach = state.reach.borrow_mut();
     if reach.is_cut_off(service) {
-        return is_repeatable && reach.take_trial(service, now);
+        let may_try = policy.allows_retry() || policy.is_stream();
+        return may_try && reach.take_trial(service, now);
     }
     let mut links = state.links.borrow_mut();
-    links.take_trial(service, is_repeatable, now)
+    links.take_trial(service, policy.allows_retry() && has_budget, now)
 }
 
 /// Records whether an endpoint gave a sound answer to a request that was sent at some moment.
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -237,8 +237,10 @@
 
 /// Whether a request is sent to an endpoint first though its service is not reached.
 fn tries_reach(state: &State, route: &Route, service: &ServiceId) -> bool {
-    let policy = route.retry_policy;
-    take_trial(state, service, policy.allows_retry() || policy.is_stream())
+    let mut budget = state.budget.borrow_mut();
+    let has_budget = budget.allows_retry(service, Std::now());
+    drop(budget);
+    take_trial(state, service, route.retry_policy, has_budget)
 }
 
 /// Logs what a rejection by a team's allowance is based on; a few times a second, as a flood is
--- a/lib/src/relay/budget.rs
+++ b/lib/src/relay/budget.rs
@@ -140,11 +140,17 @@
         }
     }
 
+    /// Whether the budget allows a retry now.
+    pub fn allows_retry(&mut self, service: &ServiceId, now: Instant) -> bool {
+        let (lifetime, price) = (self.lifetime(), self.price());
+        let row = self.row(service, now);
+        row.expire(lifetime, now);
+        row.requests() >= price || row.fixed.wait(now).is_zero()
+    }
+
     /// Counts a retry if the budget allows one.
     pub fn try_retry(&mut self, service: &ServiceId, now: Instant) -> Decision {
-        // A retry takes a while to arrive, so the last step of a window is left out.
-        let lifetime = self.window / STEPS * (STEPS - 1);
-        let price = 1.0 / (self.ratio * CREDIT_SHARE);
+        let (lifetime, price) = (self.lifetime(), self.price());
         let daemons = self.fleet.first().map(|row| row.0);
         let row = self.row(service, now);
         row.expire(lifetime, now);
@@ -163,6 +169,16 @@
         }
     }
 
+    /// How long credits last. A retry takes a while to arrive, so the last step of a window is left out.
+    fn lifetime(&self) -> Duration {
+        self.window / STEPS * (STEPS - 1)
+    }
+
+    /// Requests whose credits a retry spends.
+    fn price(&self) -> f64 {
+        1.0 / (self.ratio * CREDIT_SHARE)
+    }
+
     /// Retries a second and most retries of this daemon's part of the fixed number.
     fn fixed_rate(&self) -> (f64, f64) {
         let Some((daemons, _)) = self.fleet.first() else {
