soak: endpoints that fail in one way, all or all but one

Resets, silence, errors, bytes that are no answer and informational heads without end, beside the other faults, drawn from a generator of their own so that the kept seeds mean what they meant.

--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -31,6 +31,7 @@
 mod config;
 mod crash;
 mod silence;
+mod trouble;
 mod versions;
 
 const DAEMONS: usize = 3;
@@ -146,6 +147,8 @@
     crashes: Rc<RefCell<Vec<(Instant, usize)>>>,
     /// Notified when one got such a request.
     crashed: Rc<Notify>,
+    /// How they fail, if they do.
+    trouble: trouble::Trouble,
 }
 
 /// An endpoint that fails on some requests, chosen by their ids.
@@ -172,6 +175,9 @@
         }
         let fields = announced::fields(&work, number);
         *work.runs.borrow_mut().entry(seen.id()).or_default() += 1;
+        if let Some(failed) = work.trouble.fail(number, seen) {
+            return failed;
+        }
         if let Some(failed) = versions::fail(&work, number, seen) {
             return failed;
         }
@@ -387,7 +393,11 @@
         let caller = call(Rc::clone(&soak), random, prefixes);
         tasks.push(actix_web::rt::spawn(caller));
     }
+    // Seeds that are kept go on to mean the same faults beside it.
+    let trouble = trouble::inject(Rc::clone(&soak), Rng::with_seed(!seed), ENDPOINTS, time);
+    let trouble = actix_web::rt::spawn(trouble);
     inject_faults(&soak, &mut random, time).await;
+    trouble.await.expect("the faults end");
     end_faults(&soak);
     until_recovered(&soak).await;
     soak.no_faults.set(true);
