forward: tell the next daemon how often a request may still run

The head of a forwarded request now has the runs that are left, and none is forwarded that has none.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -62,6 +62,8 @@
     /// Whether it is sent once although something in it is quarantined.
     pub(crate) is_trial: bool,
     pub(crate) origin: Origin,
+    /// How often it may run at endpoints.
+    pub(crate) max_runs: u32,
     /// Whether it may be forwarded to another daemon.
     pub(crate) may_forward: bool,
     /// Whether it is sent to an endpoint first though its service is not reached, to see whether it is
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -203,7 +203,7 @@
             state,
             job,
             scope,
-            tracker: Tracker::new(state, job.head, job.route, times),
+            tracker: Tracker::new(state, job.head, job.route, job.max_runs, times),
             daemons: RefCell::default(),
             has_credit: Cell::new(false),
             refunded: Cell::new(false),
@@ -414,11 +414,12 @@
             return Err(Stop::Budget);
         }
         self.daemons.borrow_mut().push(daemon);
+        let runs_left = self.progress().attempts().runs_left();
         let row = self
             .progress()
             .begin(&daemon.to_compact_string(), Via::Daemon);
         let attempt = async move {
-            let started = forward::begin(state, job, daemon, at).await;
+            let started = forward::begin(state, job, (daemon, runs_left), at).await;
             let is_taken = !matches!(started, Err(AttemptEnd::NotConnected | AttemptEnd::NotRun));
             if sent > 0 && !is_taken {
                 self.has_credit.set(true);
--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -86,11 +86,11 @@
     choose(&others).or_else(|| choose(&zones))
 }
 
-/// Sends a request to a daemon and waits until that has begun to answer.
+/// Sends a request to a daemon and waits until that has begun to answer. It may still run so often.
 pub(crate) async fn begin(
     state: &Rc<State>,
     job: &Job<'_>,
-    daemon: Ipv4Addr,
+    (daemon, runs_left): (Ipv4Addr, u32),
     at: Forwarded,
 ) -> Result<Begun<DaemonStream>, AttemptEnd> {
     let not_taken = |end, why: &dyn Display| {
@@ -107,6 +107,7 @@
         &Onward {
             time_left: job.deadline.saturating_duration_since(Instant::now()),
             resume: at.resume(),
+            runs_left,
             body_len: job.body.len(),
         },
     );
--- a/daemon/src/relay/progress.rs
+++ b/daemon/src/relay/progress.rs
@@ -127,15 +127,11 @@
         state: &Rc<State>,
         head: &RequestHead,
         route: &Route,
+        max_runs: u32,
         (arrived, deadline): (Instant, Instant),
     ) -> Self {
         let policy = route.retry_policy;
-        let attempts = Attempts::new(
-            route.attempts,
-            policy.allows_retry(),
-            policy.is_stream(),
-            arrived,
-        );
+        let attempts = Attempts::new(max_runs, policy.allows_retry(), policy.is_stream(), arrived);
         let progress = Rc::new(Progress {
             request: head.id.clone(),
             route: route.name.clone(),
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -16,7 +16,7 @@
 use poplarvale_lib::relay::request::{Origin, RequestHead};
 use poplarvale_lib::relay::rollout::Versions;
 use poplarvale_lib::{Code, Ran, ServiceId};
-use poplarvale_platform::{rejection_response, response_head};
+use poplarvale_platform::{read_runs_left, rejection_response, response_head};
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::tcp::WriteHalf;
 use tokio::time::Instant;
@@ -173,6 +173,7 @@
         fingerprint: LazyFingerprint::new(name, head, request, body),
         is_trial: false,
         origin,
+        max_runs: max_runs(request, route, origin),
         // Otherwise no other daemon has taken it.
         may_forward: origin == Origin::Caller && !is_cut_off,
         tries_reach,
@@ -208,6 +209,13 @@
     dispatch(state, &job, write, keep).await
 }
 
+/// How often a request may run. One that another daemon forwards may have run before.
+fn max_runs(request: &Request, route: &Route, origin: Origin) -> u32 {
+    let left = (origin == Origin::Daemon).then(|| read_runs_left(request));
+    left.flatten()
+        .map_or(route.attempts, |left| left.min(route.attempts))
+}
+
 /// Counts a request against the allowance of its team.
 fn admit(state: &State, head: &RequestHead, team: &Team) -> Result<(), Rejection> {
     let units = quota::units(team, head);
--- a/daemon/tests/test_relay_links.rs
+++ b/daemon/tests/test_relay_links.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use poplarvale_standin::{Endpoint, Proxy, SeenRequest, Step, Store, announcing, plain};
+use poplarvale_standin::{
+    Endpoint, Proxy, SeenRequest, Step, Store, announcing, ask, plain, request,
+};
 use poplarvaled::Relay;
 use serde_json::{Value, json};
 
@@ -279,3 +281,46 @@
     let shares = pair.shares(ENDPOINTS, Symptom::Error, async || {}).await;
     shares.check();
 }
+
+/// Guards against a request that runs at an endpoint behind a failing link, and then as often as its
+/// route allows at those of the daemon that it is forwarded to.
+#[actix_web::test]
+async fn forwarded_requests_run_no_more_often_than_their_route_allows() {
+    /// Runs that the route allows.
+    const MOST_RUNS: usize = 2;
+    let failing = |seen: &SeenRequest| match seen.target().as_str() {
+        "/safe/failing" => vec![plain(seen, 500, "failed")],
+        _ => respond(seen),
+    };
+    let pair = Pair::start_with(154, failing, |_| {}).await;
+    send_all(&pair.other, "before", Duration::from_secs(1)).await;
+    pair.fail(ENDPOINTS, Symptom::Error);
+    let send_failing = async || {
+        for number in 0..60 {
+            let text = request("GET", "/safe/failing", &format!("failing-{number}"), "");
+            let answer = ask(pair.linked.callers(), &text).await;
+            assert!(answer.is_ok());
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    let time = Duration::from_secs(6);
+    tokio::join!(
+        send_failing(),
+        send_all(&pair.linked, "linked", time),
+        send_all(&pair.other, "other", time),
+    );
+    let links = pair.links.iter().map(|link| &link.endpoint);
+    let seen = links.chain(&pair.endpoints).flat_map(Endpoint::seen);
+    let mut ids: Vec<String> = seen.map(|seen| seen.id()).collect();
+    ids.sort_unstable();
+    let most = ids
+        .chunk_by(|one, other| one == other)
+        .max_by_key(|runs| runs.len());
+    let most = most.expect("requests ran");
+    assert!(
+        most.len() <= MOST_RUNS,
+        "{} ran {} times",
+        most[0],
+        most.len()
+    );
+}
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -250,6 +250,13 @@
         ended.into_iter().map(|(_, target)| target).collect()
     }
 
+    /// How often the request may still run at endpoints, if another daemon has it served.
+    pub fn runs_left(&self) -> u32 {
+        let rows = self.rows.iter();
+        let runs = rows.filter(|row| row.may_have_run(self.is_stream));
+        self.max_runs.saturating_sub(runs.count()).max(1) as u32
+    }
+
     /// Whether the request may be sent to a further target of this kind now.
     ///
     /// # Errors
@@ -263,9 +270,12 @@
         if !self.is_repeatable && endpoint_runs + daemon_runs > 0 {
             return Err(Stop::NotRepeatable);
         }
+        let is_used_up = endpoint_runs + daemon_runs >= self.max_runs.max(1);
         match via {
             Via::Daemon if daemon_runs >= MAX_DAEMON_RUNS => Err(Stop::Runs),
-            Via::Endpoint if endpoint_runs + daemon_runs >= self.max_runs.max(1) => Err(Stop::Runs),
+            // A daemon that ended with the request counts as one run, which did not come to its end.
+            Via::Daemon if endpoint_runs > 0 && is_used_up => Err(Stop::Runs),
+            Via::Endpoint if is_used_up => Err(Stop::Runs),
             Via::Endpoint if self.sent() >= MAX_ENDPOINTS => Err(Stop::Endpoints),
             Via::Daemon | Via::Endpoint => Ok(()),
         }
