--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -151,14 +151,14 @@
     }
 }
 
-/// Reads a complete body; `held` bounds its length.
+/// Reads a complete body; `memory` bounds its length.
 ///
 /// # Errors
 /// If the connection ends before the body does, or the body is malformed or too long.
 pub(crate) async fn read_body(
     conn: &mut BufferedStream,
     head: &Response,
-    mut held: Held,
+    mut memory: Held,
 ) -> Result<Bytes, ExchangeError> {
     let (mut read, _write) = conn.stream.split();
     let mut body = Body::new(head.framing);
@@ -169,7 +169,7 @@
             .map_err(|_error| ExchangeError::Invalid)?
         {
             let len = bytes.len() + part.len();
-            held.set(len).map_err(|_error| ExchangeError::TooLong)?;
+            memory.set(len).map_err(|_error| ExchangeError::TooLong)?;
             bytes.extend_from_slice(&part);
         }
         if body.is_done() {
--- a/daemon/tests/test_relay_endless.rs
+++ b/daemon/tests/test_relay_endless.rs
@@ -22,38 +22,40 @@
 /// What is sent first, and then without end.
 #[derive(Clone, Copy, Debug)]
 struct Endless {
-    begin: fn(&SeenRequest) -> Option<Step>,
+    begin: fn(&SeenRequest) -> Step,
     text: &'static str,
     pause: Duration,
     path: &'static str,
 }
 
-fn head(fields: &str, seen: &SeenRequest) -> Option<Step> {
+fn head(fields: &str, seen: &SeenRequest) -> Step {
     let id = seen.id();
-    Some(Step::Send(format!(
+    Step::Send(format!(
         "HTTP/1.1 200 OK\r\nPoplarvale-Request-Id: {id}\r\nPoplarvale-Response-Seal: s.{id}\r\n{fields}\r\n"
-    )))
+    ))
 }
 
-fn chunked(seen: &SeenRequest) -> Option<Step> {
+fn chunked(seen: &SeenRequest) -> Step {
     head("Transfer-Encoding: chunked\r\n", seen)
 }
 
-fn unframed(seen: &SeenRequest) -> Option<Step> {
+fn unframed(seen: &SeenRequest) -> Step {
     head("", seen)
 }
 
-fn trailers(seen: &SeenRequest) -> Option<Step> {
-    head("Transfer-Encoding: chunked\r\n\r\n0\r\n", seen).map(|step| match step {
-        Step::Send(text) => Step::Send(text.trim_end().to_owned() + "\r\n"),
+fn trailers(seen: &SeenRequest) -> Step {
+    match head("Transfer-Encoding: chunked\r\n", seen) {
+        Step::Send(text) => Step::Send(text + "0\r\n"),
         step => step,
-    })
+    }
 }
 
-fn other_response(_: &SeenRequest) -> Option<Step> {
-    Some(Step::Send(
-        "HTTP/1.1 200 OK\r\nPoplarvale-Request-Id: other\r\n\r\n".into(),
-    ))
+fn other_response(_: &SeenRequest) -> Step {
+    Step::Send("HTTP/1.1 200 OK\r\nPoplarvale-Request-Id: other\r\n\r\n".into())
+}
+
+fn nothing(_: &SeenRequest) -> Step {
+    Step::Send(String::new())
 }
 
 /// Each kind, as fast as it is read and slowly.
@@ -66,28 +68,24 @@
             path,
         })
     };
-    let none = |_: &SeenRequest| None;
     let kinds = [
-        kind(none, "x", "/safe/a"),
-        kind(none, "HTTP/1.1 100 Continue\r\n\r\n", "/safe/a"),
-        kind(none, "HTTP/1.1 200 OK\r\nX: y", "/safe/a"),
+        kind(nothing, "x", "/safe/a"),
+        kind(nothing, "HTTP/1.1 100 Continue\r\n\r\n", "/safe/a"),
+        kind(nothing, "HTTP/1.1 200 OK\r\nX: y", "/safe/a"),
         kind(other_response, "x", "/safe/a"),
         kind(chunked, "1\r\nx\r\n", "/safe/a"),
         kind(unframed, "x", "/safe/a"),
         kind(trailers, "X: y\r\n", "/safe/a"),
-        kind(|seen| Some(stream(seen)), "3\r\n: c\r\n", "/resume/a"),
-        kind(|seen| Some(stream(seen)), "3\r\n:\n\n\r\n", "/resume/a"),
-        kind(none, "HTTP/1.1 100 Continue\r\n\r\n", "/resume/a"),
+        kind(stream, "3\r\n: c\r\n", "/resume/a"),
+        kind(stream, "3\r\n:\n\n\r\n", "/resume/a"),
+        kind(nothing, "HTTP/1.1 100 Continue\r\n\r\n", "/resume/a"),
     ];
     kinds.into_iter().flatten().collect()
 }
 
 impl Endless {
     fn steps(self, seen: &SeenRequest) -> Vec<Step> {
-        let begin = (self.begin)(seen).into_iter();
-        begin
-            .chain([Step::Endless(self.text, self.pause)])
-            .collect()
+        vec![(self.begin)(seen), Step::Endless(self.text, self.pause)]
     }
 }
 
@@ -124,9 +122,8 @@
     let large: &'static str = Box::leak("x".repeat(64 * 1024).into_boxed_str());
     let faulty = join_all(["i-1", "i-2"].map(|id| async move {
         Endpoint::start(id, move |seen| {
-            let mut steps = Vec::from_iter(unframed(seen));
-            steps.push(Step::Endless(large, Duration::from_millis(20)));
-            steps
+            let pause = Duration::from_millis(20);
+            vec![unframed(seen), Step::Endless(large, pause)]
         })
         .await
     }));
