forward: only requests that no endpoint got keep their retry

A daemon that rejects a forwarded request may have had it rejected by endpoints, which count as arrivals. The retry that was taken for it paid for the next attempt all the same. Such an end is told apart by the status now: 421 says that no endpoint got the request.

--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -420,10 +420,14 @@
             .begin(&daemon.to_compact_string(), Via::Daemon);
         let attempt = async move {
             let started = forward::begin(state, job, (daemon, runs_left), at).await;
-            let is_taken = !matches!(started, Err(AttemptEnd::NotConnected | AttemptEnd::NotRun));
-            if sent > 0 && !is_taken {
+            let is_offered = !matches!(
+                started,
+                Err(AttemptEnd::NotConnected | AttemptEnd::NotTaken)
+            );
+            if sent > 0 && !is_offered {
                 self.has_credit.set(true);
             }
+            let is_taken = is_offered && !matches!(started, Err(AttemptEnd::NotRun));
             if is_taken && !may_have_run && self.scope == Scope::Any {
                 // The daemon that took it counts it against the allowance of its team, too.
                 self.refund();
--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -23,6 +23,8 @@
 use super::state::State;
 use super::stream::{Forwarded, OpenStream};
 
+/// Status with which a daemon does not take a request that no endpoint got.
+const MISDIRECTED: u16 = 421;
 /// Most daemons that a request is forwarded to, one after the other.
 pub(crate) const MAX_DAEMONS: usize = 3;
 /// How many times longer a daemon may be silent than an endpoint before another one is asked: it
@@ -120,6 +122,11 @@
         Err(error) => return failed(state, job, daemon, error),
     };
     if response.meta.not_run {
+        let end = if response.head.status == MISDIRECTED {
+            AttemptEnd::NotTaken
+        } else {
+            AttemptEnd::NotRun
+        };
         let why = record_not_taken(state, job, daemon, &response);
         if read_body(&mut conn, &response.head, state.held.begin())
             .await
@@ -127,7 +134,7 @@
         {
             keep_connection(state, daemon, conn, &response);
         }
-        return not_taken(AttemptEnd::NotRun, &why);
+        return not_taken(end, &why);
     }
     if job.route.retry_policy.is_stream() && response.head.status == OK && response.meta.sealed {
         return match OpenStream::open(conn, response, at.last, state.held.begin()).await {
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -43,6 +43,8 @@
     NotConnected,
     /// The request was rejected without being run.
     NotRun,
+    /// The daemon did not take the request, and no endpoint got it.
+    NotTaken,
     /// The answer was an error of the endpoint.
     Error,
     /// The connection broke.
@@ -63,6 +65,7 @@
             Self::Answered => "answered",
             Self::NotConnected => "not connected",
             Self::NotRun => "not run",
+            Self::NotTaken => "not taken",
             Self::Error => "answered with an error",
             Self::Broken => "connection broke",
             Self::Invalid => "invalid answer",
@@ -152,7 +155,7 @@
     /// Whether its target received the request, or may have.
     fn was_sent(&self) -> bool {
         match self.end {
-            Some((_, AttemptEnd::NotConnected)) => false,
+            Some((_, AttemptEnd::NotConnected | AttemptEnd::NotTaken)) => false,
             Some((_, AttemptEnd::NotRun)) => self.via == Via::Endpoint,
             _ => true,
         }
@@ -161,7 +164,9 @@
     /// Whether the request ran there, or may have. A stream begins to run with its first event.
     fn may_have_run(&self, is_stream: bool) -> bool {
         match self.end {
-            Some((_, AttemptEnd::NotConnected | AttemptEnd::NotRun)) => false,
+            Some((_, AttemptEnd::NotConnected | AttemptEnd::NotRun | AttemptEnd::NotTaken)) => {
+                false
+            }
             Some((_, AttemptEnd::TakenOver | AttemptEnd::Withdrawn)) => {
                 !is_stream || self.events > 0
             }
