tests: the platform's names stay in its adapter

The stand-in has the heads that test_relay_endless wrote out itself. Nothing that is shipped changes.

--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -88,7 +88,8 @@
     choose(&others).or_else(|| choose(&zones))
 }
 
-/// Sends a request to a daemon and waits until that has begun to answer. It may still run so often.
+/// Sends a request to a daemon and waits until that has begun to answer. `runs_left` is how often the
+/// request may still run.
 pub(crate) async fn begin(
     state: &Rc<State>,
     job: &Job<'_>,
--- a/daemon/tests/test_relay_endless.rs
+++ b/daemon/tests/test_relay_endless.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
-use poplarvale_standin::{Endpoint, SeenRequest, Step, ask, request, stream};
+use poplarvale_standin::{Endpoint, SeenRequest, Step, ask, head, request, stream};
 
 use crate::relay_site::{Site, until};
 use crate::test_relay_cut_off::respond;
@@ -28,30 +28,23 @@
     path: &'static str,
 }
 
-fn head(fields: &str, seen: &SeenRequest) -> Step {
-    let id = seen.id();
-    Step::Send(format!(
-        "HTTP/1.1 200 OK\r\nPoplarvale-Request-Id: {id}\r\nPoplarvale-Response-Seal: s.{id}\r\n{fields}\r\n"
-    ))
-}
-
 fn chunked(seen: &SeenRequest) -> Step {
-    head("Transfer-Encoding: chunked\r\n", seen)
+    head(&seen.id(), "Transfer-Encoding: chunked\r\n")
 }
 
 fn unframed(seen: &SeenRequest) -> Step {
-    head("", seen)
+    head(&seen.id(), "")
 }
 
 fn trailers(seen: &SeenRequest) -> Step {
-    match head("Transfer-Encoding: chunked\r\n", seen) {
+    match head(&seen.id(), "Transfer-Encoding: chunked\r\n") {
         Step::Send(text) => Step::Send(text + "0\r\n"),
         step => step,
     }
 }
 
 fn other_response(_: &SeenRequest) -> Step {
-    Step::Send("HTTP/1.1 200 OK\r\nPoplarvale-Request-Id: other\r\n\r\n".into())
+    head("other", "")
 }
 
 fn nothing(_: &SeenRequest) -> Step {
