--- a/daemon/src/relay/client.rs
+++ b/daemon/src/relay/client.rs
@@ -25,9 +25,8 @@
 /// Longest time between two parts of a response. Requests share the link of the host, so a part may
 /// wait behind them.
 const STALL_TIMEOUT: Duration = Duration::from_millis(900);
-/// Longest reply that is held as a whole. Pages of lists have a megabyte, and text of that length in
-/// base 64 a third more.
-const MAX_REPLY_BYTES: usize = 4 * 1024 * 1024;
+/// Longest reply that is held as a whole: a configuration of some ten thousand routes, in base 64.
+const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
 
 /// Why a call got no response. Except after [`CallError::NotSent`], the service may have executed
 /// the call or may still do so.
