relay: short engines are divided among teams

Cause: a request is rejected by the length of the queue that its rank may join. A team that floods has more requests of each rank than the others, holds most of each queue, and teams within their allowances are rejected as often as it is.

Change: while teams request more within their allowances than is served, what is served is divided by weighted max-min fairness.

Ruled out: a limit in proportion to the part.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -69,6 +69,8 @@
     /// Whether it is sent to an endpoint first though its service is not reached, to see whether it is
     /// again.
     pub(crate) tries_reach: bool,
+    /// Share of the longest queue at an engine that it may join, from 0 to 1.
+    pub(crate) queue_share: f64,
 }
 
 /// An answer that has begun; `S` is its stream and what is recorded of that.
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -675,6 +675,9 @@
         if stop == Stop::Select(SelectError::None) {
             log_unusable(state, job);
         }
+        if matches!(stop, Stop::Select(SelectError::Busy(_))) && job.queue_share < 1.0 {
+            log_over_share(state, job);
+        }
         let is_late = Instant::now() + MIN_TIME_LEFT >= job.deadline;
         let is_unknown = self.progress().attempts().is_unknown();
         let rejection = match (is_unknown, stop) {
@@ -780,7 +783,7 @@
     }
     let left = job.deadline.saturating_duration_since(Instant::now());
     let shortest = job.service.target?;
-    Some(Limits::new(shortest, job.rank, left))
+    Some(Limits::new(shortest, job.rank, left).with_share(job.queue_share))
 }
 
 /// Chooses an endpoint for the request, other than those of its earlier attempts.
@@ -890,6 +893,29 @@
     );
 }
 
+/// Counts and logs that a request was rejected while its team may join short queues only; a few
+/// lines a second.
+fn log_over_share(state: &State, job: &Job<'_>) {
+    let service = &job.service.name;
+    state.measure(|metrics| metrics.record_over_share(service));
+    let now = Std::now();
+    let Some(team) = job.team.filter(|_| state.sampler.allows(now)) else {
+        return;
+    };
+    let loads = state
+        .quota
+        .borrow()
+        .team_loads(std::slice::from_ref(team), now);
+    for load in loads {
+        log::info!(
+            request = job.head.id.as_str(), team = team.name.as_str(),
+            share = format_compact!("{:.2}", job.queue_share).as_str(),
+            demand = load.demand as u64, served = load.rate as u64, allowance = load.allowance as u64;
+            "send: the engines of {service} are short, and the team requests more than its share."
+        );
+    }
+}
+
 /// Logs how a request ended: always if it failed or was late, a few a second otherwise.
 fn log_response(state: &State, job: &Job<'_>, endpoint: &str, status: u16, sends: usize) {
     let took = job.arrived.elapsed();
--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -31,6 +31,7 @@
     forwarded: Counter<u64>,
     incomplete: Counter<u64>,
     retries: Counter<u64>,
+    over_share: Counter<u64>,
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
     /// Kept until the instruments are dropped.
@@ -104,6 +105,10 @@
                 "poplarvale_relay_retries",
                 "Retries that were asked of the budget, by service and outcome",
             ),
+            over_share: counter(
+                "poplarvale_relay_over_share",
+                "Requests of teams over their share of short engines that were rejected, by service",
+            ),
             first_event: histogram(
                 "poplarvale_relay_first",
                 "Time from a request's head to its first event or answer",
@@ -159,6 +164,12 @@
         self.retries.add(1, &labels);
     }
 
+    /// Records that a request of a team over its share of a service's engines was rejected.
+    pub(crate) fn record_over_share(&self, service: &ServiceId) {
+        self.over_share
+            .add(1, &[KeyValue::new("service", service.to_string())]);
+    }
+
     /// Records how forwarding a request to another daemon ended.
     pub(crate) fn record_forwarded(&self, outcome: &'static str) {
         self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -177,6 +177,7 @@
         // Otherwise no other daemon has taken it.
         may_forward: origin == Origin::Caller && !is_cut_off,
         tries_reach,
+        queue_share: 1.0,
     };
     if is_cut_off {
         record_request(state, &job);
@@ -202,6 +203,7 @@
         return reject(state, write, known, rejection, keep).await;
     }
     record_demand(state, &job);
+    job.queue_share = team.map_or(1.0, |team| fair_share(state, &catalog, team));
     job.versions = versions(state, &service.name);
     if !is_cut_off {
         record_request(state, &job);
@@ -226,6 +228,17 @@
     })
 }
 
+/// Share of the longest queue at an engine that requests of a team may join now.
+fn fair_share(state: &State, catalog: &Catalog, team: &Team) -> f64 {
+    let now = Std::now();
+    let mut shares = state.fair_shares.borrow_mut();
+    if shares.is_due(now) {
+        let loads = state.quota.borrow().team_loads(&catalog.teams, now);
+        shares.update(&loads, now);
+    }
+    shares.share(quota::name_hash(&team.name), now)
+}
+
 /// Counts the work of a request. The daemon that forwards one counts it.
 pub(crate) fn record_demand(state: &State, job: &Job<'_>) {
     if let Some(prompt) = &job.head.prompt
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -14,6 +14,7 @@
 use poplarvale_lib::relay::crash::Crashes;
 use poplarvale_lib::relay::demand::Demand;
 use poplarvale_lib::relay::endpoint_table::EndpointTable;
+use poplarvale_lib::relay::fair_share::FairShares;
 use poplarvale_lib::relay::links::Links;
 use poplarvale_lib::relay::membership::{Location, Peers};
 use poplarvale_lib::relay::quota::{Quota, name_hash};
@@ -53,6 +54,8 @@
     pub(crate) read_own: Cell<bool>,
     pub(crate) endpoints: RefCell<EndpointTable>,
     pub(crate) quota: RefCell<Quota>,
+    /// Shares of short engines that teams may use.
+    pub(crate) fair_shares: RefCell<FairShares>,
     pub(crate) budget: RefCell<Budget>,
     pub(crate) crashes: RefCell<Crashes>,
     /// Endpoints whose process may have ended, until a new connection shows whether it has.
@@ -139,6 +142,7 @@
             read_own: Cell::new(false),
             endpoints: RefCell::default(),
             quota: RefCell::new(quota.with_phase(fastrand::f64())),
+            fair_shares: RefCell::default(),
             budget: RefCell::new(Budget::new(
                 settings.bounds.retry_ratio,
                 settings.bounds.retry_slack,
--- a/lib/src/relay/admit.rs
+++ b/lib/src/relay/admit.rs
@@ -51,6 +51,13 @@
         }
     }
 
+    /// The same limits for a team that may only join queues of this share of the longest.
+    #[must_use]
+    pub fn with_share(self, share: f64) -> Self {
+        let queue = self.queue.mul_f64(share.clamp(0.0, 1.0));
+        Self { queue, ..self }
+    }
+
     /// Whether a request may wait `queue` for those ahead of it, and `first` in total for
     /// its first event.
     ///
--- a/lib/src/relay/quota/allotment.rs
+++ b/lib/src/relay/quota/allotment.rs
@@ -3,7 +3,8 @@
 use std::time::Instant;
 
 use super::{Quota, STEPS, name_hash};
-use crate::relay::catalog::Team;
+use crate::relay::catalog::{Team, Unit};
+use crate::relay::fair_share::TeamLoad;
 
 /// Depth of the bucket beyond the burst, in seconds of its rate: how much of what a team
 /// left unused within the window it may use at once. As the bucket starts empty after a
@@ -79,6 +80,26 @@
         })
     }
 
+    /// What teams with an allowance in tokens request and get from all daemons.
+    pub fn team_loads(&self, teams: &[Team], now: Instant) -> Vec<TeamLoad> {
+        let local = self.all_uses(now);
+        let limited = teams
+            .iter()
+            .filter(|team| matches!(team.unit, Unit::Tokens(_)));
+        let limited = limited.filter_map(|team| Some((name_hash(&team.name), team.rate?)));
+        let load = |(team, allowance)| {
+            let at = local.binary_search_by_key(&team, |row| row.team);
+            let (demand, rate) = at.map_or((0.0, 0.0), |at| (local[at].demand, local[at].rate));
+            TeamLoad {
+                team,
+                allowance,
+                demand: demand + self.sum_groups(team, |row| row.demand, now),
+                rate: rate.max(0.0) + self.sum_groups(team, |row| row.rate, now),
+            }
+        };
+        limited.map(load).collect()
+    }
+
     /// What of an allowance is left to this daemon and its responsive peers.
     pub(super) fn allotment(&self, rate: f64, burst: f64, now: Instant) -> Allotment {
         let unresponsive = self.unresponsive(now);
