links: rule chance out by its exact probability

Cause: links were taken for impaired when answers were fewer than expected by 2.6 deviations. With four attempts that is no proof: 0 of 4 against 24 of 30 elsewhere happens by chance in one of 400 comparisons, and each daemon compares after each failure.

Change: the probability that no more of the own attempts are answered, at the share elsewhere, must be at most 2 in 10,000.

Ruled out: more attempts at least, whatever the share elsewhere; where all others are answered, four failures are enough.

The daemons of a zone that is cut off still alarm: open.

--- a/lib/src/relay/links.rs
+++ b/lib/src/relay/links.rs
@@ -30,11 +30,12 @@
 const MIN_ELSEWHERE: u32 = 8;
 /// Part of the share elsewhere below which the own share is far smaller.
 const FAR_SMALLER: f64 = 0.5;
-/// Standard deviations by which answers must be fewer than expected, so that chance is ruled out.
-const DEVIATIONS: f64 = 2.6;
-/// Added to the variance of the expected answers: where hardly any attempt fails elsewhere, a single
-/// failure shows little.
-const MIN_VARIANCE: f64 = 0.25;
+/// Largest probability with which chance alone may have so few attempts answered. Results are compared
+/// after each failed attempt, at each daemon and for each service, so it is far below one in a hundred.
+const MAX_CHANCE: f64 = 2e-4;
+/// Largest share of answered attempts that is expected. Where hardly any attempt fails elsewhere, a
+/// single endpoint that has just failed would otherwise explain nothing.
+const MAX_EXPECTED_SHARE: f64 = 0.9;
 /// Pause between two trials, doubled by each that fails, up to the longest.
 const TRIAL_PAUSE: Duration = Duration::from_millis(250);
 const MAX_TRIAL_PAUSE: Duration = Duration::from_secs(2);
@@ -67,11 +68,22 @@
         if self.attempts < MIN_ATTEMPTS || elsewhere.attempts < MIN_ELSEWHERE {
             return false;
         }
-        let (attempts, share) = (f64::from(self.attempts), elsewhere.share());
-        let expected = attempts * share;
-        let deviation = (expected * (1.0 - share) + MIN_VARIANCE).sqrt();
-        let answered = f64::from(self.answered);
-        answered <= expected * FAR_SMALLER && expected - answered >= deviation * DEVIATIONS
+        let share = elsewhere.share().min(MAX_EXPECTED_SHARE);
+        let is_smaller = self.share() <= share * FAR_SMALLER;
+        is_smaller && self.chance(share) <= MAX_CHANCE
+    }
+
+    /// Probability that no more of these attempts are answered if each is with the probability `share`.
+    fn chance(self, share: f64) -> f64 {
+        let lost = 1.0 - share;
+        let mut term = lost.powi(self.attempts as i32);
+        let mut sum = term;
+        for answered in 0..self.answered {
+            let left = f64::from(self.attempts - answered);
+            term *= left / f64::from(answered + 1) * share / lost;
+            sum += term;
+        }
+        sum
     }
 }
 
--- a/lib/tests/test_relay_links.rs
+++ b/lib/tests/test_relay_links.rs
@@ -51,6 +51,20 @@
     assert_eq!(links.impaired().collect::<Vec<_>>(), [&app()]);
 }
 
+/// Guards against a daemon that gives up sound links after a few attempts at failing endpoints, while
+/// one attempt in five fails everywhere.
+#[test]
+fn a_few_failures_impair_no_links_while_attempts_fail_elsewhere_too() {
+    let now = Instant::now();
+    let mut lost_answers = links(30, 24, now);
+    assert!(!record(&mut lost_answers, [false; 4], now));
+    let mut other_zone_cut = links(40, 36, now);
+    let own = [true, false, true, false, false];
+    assert!(!record(&mut other_zone_cut, own, now));
+    let mut failing = links(30, 24, now);
+    assert!(record(&mut failing, [false; 8], now), "all fail here");
+}
+
 /// Guards against a daemon that never uses its links again, or at the first answer.
 #[test]
 fn links_are_used_again_after_sound_trials_in_a_row() {
