--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -30,6 +30,7 @@
 use super::crash::{LazyFingerprint, check_crash, clear, record_served};
 use super::exchange::{EndpointResponse, ExchangeError, OK, SERVER_ERROR, exchange, read_body};
 use super::reach;
+use super::startup;
 use super::state::State;
 use super::stream::{Forwarded, OpenStream};
 
@@ -186,6 +187,7 @@
         let now = Std::now();
         let mut table = state.endpoints.borrow_mut();
         table.record_first_event(&self.guard.endpoint, self.guard.number, now);
+        startup::record_answer(state);
         state.measure(|metrics| metrics.record_first_event(job.arrived.elapsed()));
         state.count_run(job.team.map(|team| &team.name), now);
         EndpointStream {
--- a/daemon/src/relay/catalog.rs
+++ b/daemon/src/relay/catalog.rs
@@ -25,6 +25,7 @@
 
 use self::source::Transfers;
 use self::timeline::{Source, Timeline};
+use super::startup;
 use super::state::State;
 
 /// What the tasks of this module share.
@@ -87,6 +88,7 @@
     timeline::applied(state, source, catalog.version);
     set_slow_starts(state, &catalog);
     *state.catalog.borrow_mut() = Some(Rc::new(catalog));
+    startup::record_config(state, source);
 }
 
 /// Sets the slow starts of the services whose endpoints are cold after their start.
--- a/daemon/src/relay/catalog/sync.rs
+++ b/daemon/src/relay/catalog/sync.rs
@@ -109,6 +109,9 @@
     /// The daemon to ask next.
     fn next(&mut self, state: &State) -> Option<Ipv4Addr> {
         let now = Instant::now();
+        if state.start.is_reading(now) {
+            return None;
+        }
         self.avoided.retain(|row| now < row.1);
         if let Some(daemon) = self.referred.take() {
             return Some(daemon);
--- a/daemon/src/relay/checkpoint.rs
+++ b/daemon/src/relay/checkpoint.rs
@@ -7,6 +7,7 @@
 //! checkpoint to the store under its fencing token, and a daemon reads it when it starts or
 //! acquires the duties.
 
+use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
@@ -16,6 +17,7 @@
 use poplarvale_lib::relay::usage::WindowId;
 use prost::Message as _;
 
+use super::peers::{own_link, roster};
 use super::state::State;
 
 /// Store key of the checkpoint.
@@ -37,10 +39,24 @@
         steps: row.steps,
         rate: row.rate as u32,
     });
+    let peers = state.peers.borrow();
+    let candidates = peers.candidates(peers.own_location().zone, now);
+    let mut roster = roster(Vec::new(), candidates);
+    for row in &mut roster.candidates {
+        let address = Ipv4Addr::from(row.address);
+        row.link = if address == peers.own_address() {
+            own_link(state)
+        } else {
+            peers.link(address)
+        };
+    }
     let mut written = Checkpoint {
         wall_ms: state.unix_ms(),
-        daemons: state.peers.borrow().recent_addresses(now).len() as u32 + 1,
+        daemons: peers.recent_addresses(now).len() as u32 + 1,
         spent: spent.collect(),
+        endpoints: state.endpoints.borrow().rows().len() as u32,
+        entries: entries(state),
+        roster: Some(roster),
         ..Checkpoint::default()
     };
     for ((name, incarnation), number, counts) in state.usage.borrow().since(first) {
@@ -73,6 +89,15 @@
     written
 }
 
+/// Number of routes, services, teams and keys of the configuration.
+fn entries(state: &State) -> u32 {
+    let catalog = state.catalog.borrow();
+    catalog.as_ref().map_or(0, |catalog| {
+        let teams = catalog.teams.len() + catalog.keys.len();
+        (catalog.routes.len() + catalog.services.len() + teams) as u32
+    })
+}
+
 /// Decodes a checkpoint; an invalid one is treated as missing.
 pub(crate) fn decode(value: &[u8]) -> Option<Checkpoint> {
     match Checkpoint::decode(value) {
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -45,6 +45,7 @@
 use super::serve::{
     Connection, RETRY_SOON, Rejection, connection, forward_response, record_demand, reject,
 };
+use super::startup;
 use super::state::State;
 use super::stream::{Forwarded, OpenStream};
 
@@ -893,6 +894,7 @@
 /// Logs how a request ended: always if it failed or was late, a few a second otherwise.
 fn log_response(state: &State, job: &Job<'_>, endpoint: &str, status: u16, sends: usize) {
     let took = job.arrived.elapsed();
+    startup::record_answer(state);
     state.measure(|metrics| metrics.record_request(&job.route.name, 0, took));
     let late = !job.route.retry_policy.is_stream() && took > job.route.target;
     if status < SERVER_ERROR && !late && !state.sampler.allows(Std::now()) {
--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -33,6 +33,7 @@
     retries: Counter<u64>,
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
+    start: Histogram<f64>,
     /// Kept until the instruments are dropped.
     _provider: SdkMeterProvider,
 }
@@ -112,6 +113,10 @@
                 "poplarvale_relay_whole",
                 "Time from a request's head to the end of its answer",
             ),
+            start: histogram(
+                "poplarvale_relay_start",
+                "Time from the daemon's start until it was ready and until its first answer",
+            ),
             registry,
             _provider: provider,
         })
@@ -174,6 +179,12 @@
         self.first_event.record(elapsed.as_secs_f64(), &[]);
     }
 
+    /// Records how long after its start the daemon reached a step.
+    pub(crate) fn record_start(&self, step: &'static str, elapsed: Duration) {
+        let labels = [KeyValue::new("step", step)];
+        self.start.record(elapsed.as_secs_f64(), &labels);
+    }
+
     /// Records a call to a service of the platform.
     pub(crate) fn record_call(&self, service: &'static str, outcome: &'static str) {
         let labels = [
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -24,10 +24,10 @@
 use prost::Message as _;
 use tokio::net::UdpSocket;
 
-pub(crate) use self::apply::merge_moves;
+pub(crate) use self::apply::{merge_moves, merge_roster};
 use self::apply::{Replies, apply_digest};
-pub(crate) use self::encode::moves_without_evidence;
-use self::encode::{Scope, fleet_use, header, own_use, roster, runs, shared, zone_use};
+pub(crate) use self::encode::{moves_without_evidence, own_link, roster};
+use self::encode::{Scope, fleet_use, header, own_use, runs, shared, zone_use};
 use super::state::State;
 
 mod apply;
@@ -148,7 +148,7 @@
 }
 
 /// Determines the watchers of the zone, and who shares the rates of endpoints.
-fn update_roles(state: &State, now: Instant) {
+pub(crate) fn update_roles(state: &State, now: Instant) {
     let mut peers = state.peers.borrow_mut();
     peers.expire(now);
     let was_watcher = peers.is_watcher();
@@ -286,7 +286,7 @@
 /// What this daemon misses of the registry, if it does not know what the store held a moment ago.
 fn pull(state: &State, now: Instant) -> Option<digest::Pull> {
     let progress = state.store_progress.borrow();
-    let is_needed = !progress.is_fresh(now);
+    let is_needed = !progress.is_fresh(now) && !state.start.is_reading(now);
     is_needed.then(|| change_feed::encode_pull(progress.pull()))
 }
 
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -13,7 +13,9 @@
 use poplarvale_lib::relay::limit::{AnnouncedLimit, Source};
 use poplarvale_lib::relay::links::{self, Results, ServiceResults};
 use poplarvale_lib::relay::load_reports::{self, Load, Reporter};
-use poplarvale_lib::relay::membership::{Candidate, Location, MISSED_PERIODS, PERIOD, Statement};
+use poplarvale_lib::relay::membership::{
+    Candidate, Location, MISSED_PERIODS, PERIOD, Peers, Statement,
+};
 use poplarvale_lib::relay::quota::{Coverage, PeerReport, Quota, TeamUse};
 use poplarvale_lib::relay::rollout::evidence::{Comparison, Key, VersionCounts};
 use poplarvale_lib::relay::rollout::{MoveChange, MoveReport, Order, Outcome};
@@ -143,26 +145,37 @@
         // This daemon may have to take its place.
         state.digest_due.notify_one();
     }
+    peers.record_link(from, digest.link, now);
     peers.set_cut_off(from, &digest.cut_off, now);
     if let Some(roster) = &digest.roster {
-        let zones = roster.zones.iter().map(|row| {
-            let daemons = row.daemons.iter().copied().map(Ipv4Addr::from);
-            (row.zone, daemons.collect())
-        });
-        let candidates = roster.candidates.iter().map(|row| Candidate {
-            address: row.address.into(),
-            location: Location {
-                zone: row.zone,
-                memory_mb: row.memory,
-            },
-            is_watcher: row.watcher,
-        });
-        let candidates: Vec<Candidate> = candidates.collect();
-        peers.merge_roster(&zones.collect(), &candidates, now);
+        let former = peers.parents(now);
+        merge_roster(&mut peers, roster, now);
+        if !state.start.is_ready() && peers.parents(now) != former {
+            // This daemon asks the watchers of its zone for what it lacks.
+            state.digest_due.notify_one();
+        }
     }
     true
 }
 
+/// Merges daemons that another one lists as running.
+pub(crate) fn merge_roster(peers: &mut Peers, roster: &digest::Roster, now: Instant) {
+    let zones = roster.zones.iter().map(|row| {
+        let daemons = row.daemons.iter().copied().map(Ipv4Addr::from);
+        (row.zone, daemons.collect())
+    });
+    let candidates = roster.candidates.iter().map(|row| Candidate {
+        address: row.address.into(),
+        location: Location {
+            zone: row.zone,
+            memory_mb: row.memory,
+        },
+        is_watcher: row.watcher,
+    });
+    let candidates: Vec<Candidate> = candidates.collect();
+    peers.merge_roster(&zones.collect(), &candidates, now);
+}
+
 /// Records the newest change of the operators that another daemon was told of. The digest may also
 /// have told that its sender has a change that this daemon waits for.
 fn record_config(state: &State, name: &CompactString, revision: Revision) {
@@ -542,7 +555,7 @@
 /// this daemon misses changes.
 fn merge_feed(state: &State, name: &str, news: digest::News, now: Instant) -> bool {
     match change_feed::decode(news, now) {
-        Ok(feed) => apply_feed(state, &feed, now),
+        Ok(feed) => apply_feed(state, name, &feed, now),
         Err(error) => {
             state.measure(|metrics| metrics.record_call("peers", "invalid"));
             log::warn!("peers: ignored the changes from {name}, {error}.");
--- a/daemon/src/relay/peers/encode.rs
+++ b/daemon/src/relay/peers/encode.rs
@@ -52,6 +52,7 @@
         cut_off: cut_off(state),
         config_revision: progress.config_revision(),
         config_read: progress.config_read().unwrap_or_default(),
+        link: own_link(state),
         follows: peers.followed(now).map_or(0, u32::from),
         holder: state.holder.get().map(|(address, token)| digest::Holder {
             address: address.into(),
@@ -61,6 +62,11 @@
     }
 }
 
+/// What the link of this host carries, in kilobytes a second; 0 if it is not known.
+pub(crate) fn own_link(state: &State) -> u32 {
+    (state.settings.capacity.link / 1000.0) as u32
+}
+
 /// Hashes of the services whose requests this daemon has others serve.
 fn cut_off(state: &State) -> Vec<u32> {
     let (reach, links) = (state.reach.borrow(), state.links.borrow());
@@ -236,7 +242,7 @@
 }
 
 /// Daemons that run, and watchers.
-pub(super) fn roster(zones: ZoneRoster, candidates: Vec<Candidate>) -> digest::Roster {
+pub(crate) fn roster(zones: ZoneRoster, candidates: Vec<Candidate>) -> digest::Roster {
     let zones = zones.into_iter().map(|(zone, daemons)| digest::ZoneRoster {
         zone,
         daemons: daemons.into_iter().map(u32::from).collect(),
@@ -246,6 +252,7 @@
         zone: row.location.zone,
         memory: row.location.memory_mb,
         watcher: row.is_watcher,
+        link: 0,
     });
     digest::Roster {
         zones: zones.collect(),
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -25,6 +25,7 @@
 use super::crash::{Clearance, LazyFingerprint, clearance};
 use super::dispatch::{dispatch, dispatch_to_daemons};
 use super::reach::{ServiceReach, service_reach, take_trial};
+use super::startup;
 use super::state::State;
 
 /// Rank of a team whose settings give none.
@@ -122,6 +123,9 @@
         origin,
     } = *received;
     let keep = request.keep_alive && state.phase().is_serving();
+    if origin == Origin::Caller && !state.start.is_ready() {
+        startup::hold(state, body.len()).await;
+    }
     let catalog = state.catalog.borrow().clone();
     let Some(catalog) = catalog else {
         let rejection = not_served(origin, Code::NoLists);
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -33,6 +33,7 @@
 use super::logging::Sampler;
 use super::metrics::Metrics;
 use super::progress::Progress;
+use super::startup::Start;
 use super::upstream::Upstreams;
 
 const MEGABYTE: u64 = 1024 * 1024;
@@ -80,6 +81,7 @@
     /// Random number of this process, chosen at its start.
     pub(crate) incarnation: Incarnation,
     pub(crate) started: Instant,
+    pub(crate) start: Start,
     /// Whether the list of endpoints was read from the store at least once.
     pub(crate) listed: Cell<bool>,
     pub(crate) upstreams: Upstreams,
@@ -161,6 +163,7 @@
             duty_holder: RefCell::new(None),
             incarnation,
             started,
+            start: Start::new(&settings, own_address, started),
             settings,
             listed: Cell::new(false),
             upstreams: Upstreams::default(),
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -29,6 +29,7 @@
 use super::crash::{self, CRASH_PREFIX};
 use super::duties::{LEADER_KEY, OWN_PREFIX};
 use super::evacuation;
+use super::startup;
 use super::state::State;
 
 /// How long the store may hold a watch open. A connection on which the store stopped answering
@@ -108,6 +109,9 @@
     loop {
         let began = Instant::now();
         let task = next_task(&state, next_watch, began);
+        if task == Task::All {
+            state.start.begin_read(began);
+        }
         let result = match task {
             Task::Own => read_own(&state, &mut client).await,
             Task::Config => {
@@ -115,7 +119,15 @@
                 state.reads_config.set(false);
                 read_operators(&state, &mut client).await
             }
-            Task::All => read_all(&state, &mut client).await,
+            Task::All if state.start.is_ready() => read_all(&state, &mut client).await,
+            Task::All => {
+                tokio::select! {
+                    biased;
+                    result = read_all(&state, &mut client) => result,
+                    // Another daemon was faster.
+                    () = state.start.until_fed() => continue,
+                }
+            }
             Task::Watch(after) => watch_once(&state, &mut client, after).await,
             Task::Wait(until) => {
                 tokio::select! {
@@ -157,6 +169,7 @@
                 }
                 // After an outage the whole list is read again, as a removal may have been missed.
                 state.store_failed(began);
+                state.start.record_failure();
                 if !state.connectivity.get().is_reachable() {
                     state.reads_all.set(true);
                 }
@@ -176,6 +189,14 @@
         return Task::Config;
     }
     let progress = state.store_progress.borrow();
+    let lacks_any = !state.listed.get() || progress.config_read().is_none();
+    if lacks_any && let Some(from) = startup::read_from(state, now) {
+        return match state.listed.get() {
+            _ if now < from => Task::Wait(from),
+            true => Task::Config,
+            false => Task::All,
+        };
+    }
     let peers = state.peers.borrow();
     if !peers.is_watcher() {
         return Task::Wait(now + MAX_WAIT);
@@ -258,6 +279,7 @@
         let saved = saved.and_then(|item| checkpoint::decode(&item.value));
         checkpoint::restore_retries(state, saved.as_ref());
         if let Some(saved) = saved {
+            startup::decide(state, &saved);
             checkpoint::restore_quota(state, &saved);
         }
     }
@@ -270,7 +292,6 @@
     let (items, revision) = list(client, REGISTRY_PREFIX).await?;
     // After the registry, as the next watch goes on from the registry's revision.
     read_operators(state, client).await?;
-    read_own(state, client).await?;
     if era_of(revision) != state.eras.newest() {
         return Err(StoreError::Restored.into());
     }
@@ -279,7 +300,7 @@
     let known = state.store_progress.borrow().revision();
     if known.is_some_and(|known| known > revision) {
         // A feed brought something newer meanwhile.
-        return Ok(());
+        return read_own_again(state, client).await;
     }
     let restored = state.eras.record_read(era_of(revision));
     let entries = items
@@ -304,8 +325,22 @@
     progress.record_snapshot(revision, entries, now);
     drop(progress);
     state.listed.set(true);
+    startup::record_registry(state, Source::Store);
     announce(state, &changes);
-    Ok(())
+    read_own_again(state, client).await
+}
+
+/// Reads the keys that daemons write again, as of the registry's revision, if this daemon goes on with
+/// watches.
+async fn read_own_again(state: &State, client: &mut Client) -> Result<(), WatchError> {
+    if !state.peers.borrow().is_watcher() {
+        return Ok(());
+    }
+    let result = read_own(state, client).await;
+    if result.is_err() {
+        state.reads_all.set(true);
+    }
+    result
 }
 
 /// Reads all pages of a list; returns its items and the revision of the first page.
@@ -429,7 +464,7 @@
 }
 
 /// Applies a feed or a page of a watcher; returns whether this daemon has to pull what it misses.
-pub(crate) fn apply_feed(state: &State, feed: &ChangeFeed, now: Instant) -> bool {
+pub(crate) fn apply_feed(state: &State, from: &str, feed: &ChangeFeed, now: Instant) -> bool {
     let era = era_of(feed.newest);
     if era > state.eras.newest() {
         state.eras.record(Ok(Some(era)));
@@ -441,7 +476,7 @@
     }
     let effects = match action {
         FeedAction::Ignore => return false,
-        FeedAction::Pull => return true,
+        FeedAction::Pull => return !state.start.is_reading(now),
         FeedAction::Apply(changes) => {
             if !feed.grace.is_zero() && !changes.is_empty() {
                 state.endpoints.borrow_mut().set_grace(now + feed.grace);
@@ -455,7 +490,9 @@
                 table.set_grace(now + feed.grace);
             }
             state.listed.set(true);
-            table.replace(listings, now)
+            let effects = table.replace(listings, now);
+            startup::record_registry(state, Source::Daemon(&from));
+            effects
         }
     };
     log_changes(state, &effects);
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -104,6 +104,9 @@
     /// Revision up to which all of them are in force at the sender; 0 before the first.
     #[prost(uint64, tag = "39")]
     pub config_read: u64,
+    /// What the link of the sender's host carries, in kilobytes a second; 0 if it is not known.
+    #[prost(uint32, tag = "40")]
+    pub link: u32,
 }
 /// Nested message and enum types in `Digest`.
 pub mod digest {
@@ -170,6 +173,9 @@
         /// Whether it is a watcher.
         #[prost(bool, tag = "4")]
         pub watcher: bool,
+        /// What its link carries, in kilobytes a second; 0 if it is not known.
+        #[prost(uint32, tag = "5")]
+        pub link: u32,
     }
     #[derive(serde::Serialize, serde::Deserialize)]
     #[serde(default)]
@@ -801,6 +807,15 @@
     pub counters: ::prost::alloc::vec::Vec<checkpoint::Counter>,
     #[prost(message, repeated, tag = "6")]
     pub needs: ::prost::alloc::vec::Vec<checkpoint::Need>,
+    /// Endpoints in the registry.
+    #[prost(uint32, tag = "10")]
+    pub endpoints: u32,
+    /// Routes, services, teams and keys of the configuration.
+    #[prost(uint32, tag = "11")]
+    pub entries: u32,
+    /// The daemons that rank first in the writer's zone, and the watchers of all zones.
+    #[prost(message, optional, tag = "12")]
+    pub roster: ::core::option::Option<digest::Roster>,
 }
 /// Nested message and enum types in `Checkpoint`.
 pub mod checkpoint {
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -43,6 +43,7 @@
 pub mod shutdown;
 pub mod slow_start;
 pub mod sse;
+pub mod startup;
 pub(crate) mod token_bucket;
 pub(crate) mod tombstones;
 pub mod usage;
--- a/lib/src/relay/membership.rs
+++ b/lib/src/relay/membership.rs
@@ -107,6 +107,8 @@
     is_closing: bool,
     follows: Option<Ipv4Addr>,
     config_read: Revision,
+    /// What its link carries, in kilobytes a second; 0 if it is not known.
+    link: u32,
     /// Whether it is a seed of the settings.
     is_seed: bool,
     /// Sequence number of the last digest with its own use.
@@ -166,6 +168,7 @@
             is_closing: false,
             follows: None,
             config_read: 0,
+            link: 0,
             is_seed: false,
             use_sequence: 0,
             expected: None,
@@ -308,6 +311,18 @@
         is_watcher && (statement.is_blind || statement.is_closing)
     }
 
+    /// Records what the link of a daemon carries, in kilobytes a second; 0 if it does not know.
+    pub fn record_link(&mut self, address: Ipv4Addr, link: u32, now: Instant) {
+        if let Some(row) = self.entry(address, now) {
+            row.link = link;
+        }
+    }
+
+    /// What the link of a daemon carries, in kilobytes a second; 0 if it is not known.
+    pub fn link(&self, address: Ipv4Addr) -> u32 {
+        self.get(address).map_or(0, |row| row.link)
+    }
+
     /// Replaces the services that a daemon states not to reach, by the hashes of their names.
     pub fn set_cut_off(&mut self, address: Ipv4Addr, services: &[u32], now: Instant) {
         if let Some(row) = self.entry(address, now) {
@@ -386,6 +401,14 @@
         (addresses(local), addresses(remote))
     }
 
+    /// Whether a daemon is heard that has the configuration in force, and another daemon of this zone
+    /// runs.
+    pub fn hears_source(&self, now: Instant) -> bool {
+        let mut heard = self.rows.iter().filter(|row| row.is_heard(now));
+        let has_source = heard.any(|row| row.config_read > 0);
+        has_source && self.recent(now).any(|row| self.is_local(row))
+    }
+
     /// Records the sequence number of a digest with the sender's own use.
     pub fn record_use(&mut self, address: Ipv4Addr, sequence: u64, now: Instant) {
         if let Some(row) = self.entry(address, now) {
--- a/lib/src/relay/settings.rs
+++ b/lib/src/relay/settings.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 
 use super::quota::Tolerance;
+use super::startup::Capacity;
 use crate::{RegionId, ZoneId};
 
 /// Where a daemon runs, which addresses it uses and which bounds it keeps.
@@ -31,6 +32,8 @@
     pub seeds: Vec<IpAddr>,
     /// Address of the platform's key-value service.
     pub store: SocketAddr,
+    /// What the store and the link of this host take.
+    pub capacity: Capacity,
     /// Address of the platform's API for usage reports and endpoint orders.
     pub cloud: Option<SocketAddr>,
     /// Whether the duty holder reports usage.
