--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -21,13 +21,14 @@
 use poplarvale_lib::relay::limit::Source;
 use poplarvale_lib::relay::membership::{PERIOD, Peers, sums_period};
 use poplarvale_lib::relay::sharers::Sharers;
+use poplarvale_lib::relay::startup::ASK_PERIOD as ASK_PERIOD_AT_START;
 use prost::Message as _;
 use tokio::net::UdpSocket;
 
-pub(crate) use self::apply::{merge_moves, merge_roster};
 use self::apply::{Replies, apply_digest};
-pub(crate) use self::encode::{moves_without_evidence, own_link, roster};
+pub(crate) use self::apply::{merge_moves, merge_roster};
 use self::encode::{Scope, fleet_use, header, own_use, runs, shared, zone_use};
+pub(crate) use self::encode::{moves_without_evidence, own_link, roster};
 use super::state::State;
 
 mod apply;
@@ -103,6 +104,11 @@
         let blind_from = state.peers.borrow().blind_from(state.store_heard());
         let is_blind_soon = |at: &Instant| (now..now + PERIOD).contains(at);
         let next = blind_from.filter(is_blind_soon).unwrap_or(now + PERIOD);
+        let next = if state.start.asks(now) {
+            now + ASK_PERIOD_AT_START
+        } else {
+            next
+        };
         tokio::select! {
             () = tokio::time::sleep_until((next + TIMER_SLACK).into()) => {}
             () = state.digest_due.notified() => {}
--- a/daemon/src/relay/startup.rs
+++ b/daemon/src/relay/startup.rs
@@ -7,7 +7,7 @@
 use compact_str::{CompactString, ToCompactString as _};
 use poplarvale_lib::protos::relay::Checkpoint;
 use poplarvale_lib::relay::settings::RelaySettings;
-use poplarvale_lib::relay::startup::{Fleet, Startup, View};
+use poplarvale_lib::relay::startup::{Fleet, Heard, Startup, View};
 use tokio::sync::Notify;
 
 use super::catalog::timeline::Source;
@@ -68,6 +68,12 @@
         !self.is_ready.get() && self.reading_until.get().is_some_and(|until| now < until)
     }
 
+    /// Whether this daemon repeats its digests sooner: a watcher that started at the same moment may
+    /// not have received the first one.
+    pub(crate) fn asks(&self, now: Instant) -> bool {
+        !self.is_ready.get() && self.decision.borrow().hold_until(now).is_some()
+    }
+
     /// Records that the store is being read.
     pub(crate) fn begin_read(&self, now: Instant) {
         let is_independent = self.decision.borrow().is_independent();
@@ -86,7 +92,7 @@
     pub(crate) async fn until_fed(&self) {
         self.until_ready().await;
         if self.has_read.get() {
-            std::future::pending().await
+            std::future::pending::<()>().await;
         }
     }
 
@@ -133,11 +139,18 @@
 /// From when on this daemon reads the store itself; `None` if it gets all from others.
 pub(crate) fn read_from(state: &State, now: Instant) -> Option<Instant> {
     let peers = state.peers.borrow();
+    let heard = if peers.rows().is_empty() {
+        Heard::Alone
+    } else if peers.hears_source(now) {
+        Heard::Source
+    } else if peers.followed(now).is_some() {
+        Heard::Watcher
+    } else {
+        Heard::Nothing
+    };
     let view = View {
-        is_alone: peers.rows().is_empty(),
+        heard,
         is_watcher: peers.is_watcher(),
-        is_fed: peers.hears_source(now),
-        hears_watcher: peers.followed(now).is_some(),
     };
     state.start.decision.borrow().read_from(view)
 }
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -321,15 +321,24 @@
         }
         table.replace(listings, now)
     };
-    let mut progress = state.store_progress.borrow_mut();
-    progress.record_snapshot(revision, entries, now);
-    drop(progress);
+    record_snapshot(state, revision, entries, now);
     state.listed.set(true);
     startup::record_registry(state, Source::Store);
     announce(state, &changes);
     read_own_again(state, client).await
 }
 
+/// Records the whole registry as of a revision.
+fn record_snapshot(
+    state: &State,
+    revision: Revision,
+    entries: Vec<(Revision, Listing)>,
+    now: Instant,
+) {
+    let mut progress = state.store_progress.borrow_mut();
+    progress.record_snapshot(revision, entries, now);
+}
+
 /// Reads the keys that daemons write again, as of the registry's revision, if this daemon goes on with
 /// watches.
 async fn read_own_again(state: &State, client: &mut Client) -> Result<(), WatchError> {
--- a/lib/src/relay/startup.rs
+++ b/lib/src/relay/startup.rs
@@ -38,6 +38,8 @@
 const MIN_PATIENCE: Duration = Duration::from_millis(50);
 /// Longest time over which the daemons that found nobody spread their reads.
 const MAX_SPREAD: Duration = Duration::from_secs(10);
+/// Time between two digests by which a daemon asks watchers that start with it.
+pub const ASK_PERIOD: Duration = Duration::from_millis(50);
 /// Time after its start during which a daemon lets requests wait.
 const HOLD_SPAN: Duration = Duration::from_millis(250);
 /// Longest wait of a request.
@@ -103,17 +105,26 @@
     Duration::from_secs_f64(seconds.clamp(0.0, MAX_SPREAD.as_secs_f64()))
 }
 
-/// What a daemon that starts knows of the others.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// What a daemon that starts has heard of others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// There is no other one, not even by the settings.
+    Alone,
+    /// None that watches for this zone, and none that has the configuration.
+    Nothing,
+    /// A watcher of this zone that has no configuration yet.
+    Watcher,
+    /// A running daemon has the configuration, and another one of this zone runs.
+    Source,
+}
+
+/// What a daemon that starts knows of itself and of others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct View {
-    /// Whether no other daemon is known, not even by the settings.
-    pub is_alone: bool,
-    /// Whether this daemon ranks as a watcher of its zone.
+    /// What it heard.
+    pub heard: Heard,
+    /// Whether it ranks as a watcher of its zone.
     pub is_watcher: bool,
-    /// Whether a running daemon has the configuration, and another one of this zone runs.
-    pub is_fed: bool,
-    /// Whether a watcher of this zone is heard.
-    pub hears_watcher: bool,
 }
 
 /// Who reads the store.
@@ -144,7 +155,10 @@
             Plan::Unknown => f.write_str("the fleet is not known"),
             Plan::Direct(Duration::ZERO) => f.write_str("each daemon reads the store"),
             Plan::Direct(patience) => {
-                write!(f, "the watchers read the store, others after {patience:.0?}")
+                write!(
+                    f,
+                    "the watchers read the store, others after {patience:.0?}"
+                )
             }
             Plan::Ranked(_) => f.write_str("the watchers read the store"),
         }
@@ -194,13 +208,14 @@
 
     /// From when on this daemon reads the store itself; `None` if it does not.
     pub fn read_from(&self, view: View) -> Option<Instant> {
+        let is_fed = view.heard == Heard::Source;
         let after = match self.plan {
-            _ if view.is_alone => Duration::ZERO,
-            Plan::Direct(_) if view.is_fed => FED_TIME,
-            Plan::Direct(_) | Plan::Ranked(_) if view.is_watcher && !view.is_fed => Duration::ZERO,
+            _ if view.heard == Heard::Alone => Duration::ZERO,
+            Plan::Direct(_) if is_fed => FED_TIME,
+            Plan::Direct(_) | Plan::Ranked(_) if view.is_watcher && !is_fed => Duration::ZERO,
             Plan::Direct(patience) => patience,
             Plan::Ranked(_) | Plan::Unknown if view.is_watcher => DISCOVERY_TIME,
-            Plan::Ranked(spread) if !view.is_fed && !view.hears_watcher => {
+            Plan::Ranked(spread) if view.heard == Heard::Nothing => {
                 DISCOVERY_TIME + spread.mul_f64(self.place)
             }
             Plan::Ranked(_) | Plan::Unknown => return None,
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -47,6 +47,7 @@
 mod test_relay_shared;
 mod test_relay_shutdown;
 mod test_relay_slow_start;
+mod test_relay_startup;
 mod test_relay_stream;
 mod test_routing;
 mod test_routing_cache;
