--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -35,6 +35,7 @@
 mod test_relay_rollout;
 mod test_relay_shutdown;
 mod test_relay_silence;
+mod test_relay_startup;
 mod test_relay_store;
 mod test_relay_watchers;
 mod test_shares;
