relay: crashes that come together count as one, quarantined requests are tried

The decision counted crashes under a part alone. Endpoints that crash within a moment from a cause that is in no request quarantined each part that three of them ran, at all daemons and in the store, and a part without alternative was not tried for ten minutes.

Daemons now exchange which endpoints crashed whatever they ran, also those that refuse a connection while nothing of theirs runs there. Crashes of one moment in which endpoints without the part crash as well count once. Crashes of a single moment stay in doubt for a second, in which requests wait, and a stream that has run for a second shows that its parts are sound. What has no alternative is tried by one daemon at a time, at the endpoint with the fewest requests, and four times later after each further crash. Entries of the store have times and the last trial, and are removed once the request was served. Retry-After tells when a trial may be.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -27,7 +27,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::buffered_stream::BufferedStream;
-use super::crash::{LazyFingerprint, check_crash, clear, record_served};
+use super::crash::{LazyFingerprint, check_crash, check_refusal, clear, record_served};
 use super::exchange::{EndpointResponse, ExchangeError, OK, SERVER_ERROR, exchange, read_body};
 use super::reach;
 use super::state::State;
@@ -192,6 +192,7 @@
             stream,
             sent: self,
             first_event: now,
+            is_safe: false,
         }
     }
 }
@@ -202,9 +203,21 @@
     pub(crate) stream: OpenStream,
     sent: Sent,
     first_event: Std,
+    /// Whether it has run for [`SAFE_AFTER`], and that was recorded.
+    is_safe: bool,
 }
 
 impl EndpointStream {
+    /// Records that more of it was received. Once it has run for [`SAFE_AFTER`], its endpoint does not
+    /// crash from it.
+    pub(crate) fn record_received(&mut self, state: &State, job: &Job<'_>) {
+        if !self.is_safe && self.first_event.elapsed() >= SAFE_AFTER {
+            self.is_safe = true;
+            clear(state, &job.fingerprint);
+            record_served(state, &job.fingerprint);
+        }
+    }
+
     /// Records that the whole stream was received, and keeps its connection.
     pub(crate) fn complete(self, state: &Rc<State>, job: &Job<'_>) {
         let events = self.stream.count().saturating_sub(1) as u32;
@@ -424,6 +437,9 @@
             let row = table.get_mut(&choice.id);
             let opened = row.is_some_and(|row| row.breaker.record_connect_failure(Std::now()));
             drop(table);
+            if error.kind() == ErrorKind::ConnectionRefused {
+                check_refusal(state, &endpoint);
+            }
             state.measure(|metrics| metrics.record_attempt("not connected"));
             reach::record_failure(state, &job.service.name);
             reach::record_result(state, &job.service.name, &choice.id, Std::now(), false);
--- a/daemon/src/relay/crash.rs
+++ b/daemon/src/relay/crash.rs
@@ -1,6 +1,9 @@
 //! Detects which endpoints crashed under a request, and saves the requests that crash endpoints
 //! to the store.
 //!
+//! A refused connection of a request that was sent nowhere yet may show such a crash as well, of an
+//! endpoint that ran nothing from here.
+//!
 //! A broken connection does not prove that its endpoint crashed: links are reset, and faulty
 //! endpoints close connections early. So the daemon connects to the endpoint again: one that
 //! crashed refuses the connection, while other endpoints accept one.
@@ -14,9 +17,10 @@
 use poplarvale_lib::http1::Request;
 use poplarvale_lib::protos::relay::digest;
 use poplarvale_lib::relay::crash::{
-    CRASH_TTL, Crash, CrashUpdate, Fingerprint, IncarnationHash, QUARANTINE_CRASHES, fingerprint,
-    incarnation_hash, part_fingerprint,
+    CRASH_TTL, Crash, CrashUpdate, Fall, Fingerprint, IncarnationHash, QUARANTINE_CRASHES,
+    fingerprint, incarnation_hash, part_fingerprint, trial_delay,
 };
+use poplarvale_lib::relay::endpoint_table::EndpointState;
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::request::{Prompt, RequestHead};
 use poplarvale_platform::{Txn, grant_lease, read_lease, read_txn, txn};
@@ -34,10 +38,12 @@
 const URGENT_CRASHES: usize = QUARANTINE_CRASHES - 1;
 /// Timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
-/// Longest time until the first trial of a request with a quarantined part.
-const MAX_TRIAL_DELAY: Duration = Duration::from_millis(1500);
-/// When a request that may be tried is to come back.
+/// Interval at which a request waits while it is in doubt whether it is quarantined.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(50);
+/// Shortest time after which a request that may be tried is to come back.
 const TRIAL_RETRY: Duration = Duration::from_secs(1);
+/// Most endpoints that are checked at once for a crash because they refused a connection.
+const MAX_REFUSAL_CHECKS: usize = 4;
 /// Pause after a request could not be saved.
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
 /// Maximum number of attempts to save a request; the other daemons that observed a crash
@@ -100,14 +106,34 @@
 pub(crate) enum Clearance {
     /// Nothing quarantined is in it.
     Clear,
-    /// It is tried, as something that is not in it explains the crashes as well.
+    /// It is tried, as it may not be what crashed the endpoints.
     Trial,
     /// It may come back after this time.
     Quarantined(Duration),
 }
 
-/// Whether a request may be sent to an endpoint.
-pub(crate) fn clearance(state: &State, fingerprint: &LazyFingerprint<'_>) -> Clearance {
+/// Whether a request may be sent to an endpoint. Waits while that is in doubt.
+pub(crate) async fn clearance(
+    state: &State,
+    fingerprint: &LazyFingerprint<'_>,
+    deadline: Instant,
+) -> Clearance {
+    while is_in_doubt(state, fingerprint) && Instant::now() + DOUBT_INTERVAL < deadline {
+        tokio::time::sleep(DOUBT_INTERVAL).await;
+    }
+    decide(state, fingerprint)
+}
+
+/// Whether requests that run elsewhere may still show that a quarantined one is sound.
+pub(crate) fn is_in_doubt(state: &State, fingerprint: &LazyFingerprint<'_>) -> bool {
+    let crashes = state.crashes.borrow();
+    !crashes.is_empty()
+        && crashes
+            .settles(&fingerprint.suspects(), Instant::now())
+            .is_some()
+}
+
+fn decide(state: &State, fingerprint: &LazyFingerprint<'_>) -> Clearance {
     let mut crashes = state.crashes.borrow_mut();
     if crashes.is_empty() {
         return Clearance::Clear;
@@ -120,17 +146,22 @@
     let Some(left) = left.max() else {
         return Clearance::Clear;
     };
-    // Only a part may be quarantined for what it merely ran beside again and again.
-    let is_whole = crashes.quarantine_left(fingerprint.get(), now).is_some();
-    if is_whole || !crashes.may_try(&suspects, now) {
-        return Clearance::Quarantined(left);
-    }
-    let delay = MAX_TRIAL_DELAY.mul_f64(fastrand::f64());
+    let delay = own_trial_delay(state, now);
     if crashes.take_trial(&suspects, delay, now) {
-        Clearance::Trial
-    } else {
-        Clearance::Quarantined(left.min(TRIAL_RETRY))
+        state.digest_due.notify_one();
+        return Clearance::Trial;
     }
+    let next = crashes.next_trial(&suspects, delay, now);
+    let wait = next.map_or(left, |next| next.saturating_duration_since(now));
+    Clearance::Quarantined(left.min(wait.max(TRIAL_RETRY)))
+}
+
+/// Time by which this daemon tries a request later than the first one.
+fn own_trial_delay(state: &State, now: Instant) -> Duration {
+    let peers = state.peers.borrow();
+    let all = peers.rows().len() + 1;
+    let daemons = state.quota.borrow().fleet_size().unwrap_or(0).max(all);
+    trial_delay(peers.own_address(), &peers.recent_addresses(now), daemons)
 }
 
 /// Whether something in a request is quarantined.
@@ -179,6 +210,30 @@
     actix_web::rt::spawn(probe(Rc::clone(state), endpoint.clone(), incarnation));
 }
 
+/// Checks whether an endpoint that refused a connection has crashed, unless that is known.
+pub(crate) fn check_refusal(state: &Rc<State>, endpoint: &Listing) {
+    let incarnation = incarnation_hash(endpoint);
+    let mut crash_checks = state.crash_checks.borrow_mut();
+    let is_checked = crash_checks
+        .iter()
+        .any(|row| row.incarnation == incarnation);
+    let is_known = state.crashes.borrow().has_crashed(incarnation);
+    let is_leaving = {
+        let table = state.endpoints.borrow();
+        let row = table.get(&endpoint.id);
+        row.is_none_or(|row| row.state == EndpointState::Leaving)
+    };
+    if is_checked || is_known || is_leaving || crash_checks.len() >= MAX_REFUSAL_CHECKS {
+        return;
+    }
+    crash_checks.push(CrashCheck {
+        incarnation,
+        requests: 0,
+        suspects: Vec::new(),
+    });
+    actix_web::rt::spawn(probe(Rc::clone(state), endpoint.clone(), incarnation));
+}
+
 /// Connects to an endpoint, and records a crash if it refuses the connection while others accept
 /// one.
 async fn probe(state: Rc<State>, endpoint: Listing, incarnation: IncarnationHash) {
@@ -201,6 +256,7 @@
                 requests, suspects = suspects.len();
                 "crash: endpoint {} crashed while it ran requests.", endpoint.id
             );
+            state.digest_due.notify_one();
             let mut crashes = state.crashes.borrow_mut();
             let updates = crashes.record_crash(&suspects, incarnation, Instant::now());
             drop(crashes);
@@ -233,6 +289,12 @@
 fn publish(state: &State, fingerprint: Fingerprint, update: CrashUpdate, source: &str) {
     match update {
         CrashUpdate::Unchanged => return,
+        CrashUpdate::Released => {
+            log::info!(
+                content:% = format_args!("{fingerprint:016x}");
+                "crash: request or part of prompts no longer quarantined, other endpoints crashed at the same moment (source: {source})."
+            );
+        }
         CrashUpdate::Suspected(crashes) => {
             log::info!(
                 content:% = format_args!("{fingerprint:016x}"), lives = crashes;
@@ -243,8 +305,13 @@
             }
         }
         CrashUpdate::Quarantined => {
+            let (crashes, moments) = state
+                .crashes
+                .borrow()
+                .evidence(fingerprint)
+                .map_or((0, 0), |row| (row.0, row.1));
             log::warn!(
-                content:% = format_args!("{fingerprint:016x}");
+                content:% = format_args!("{fingerprint:016x}"), crashes, moments;
                 "crash: request or part of prompts quarantined and no longer served (source: {source})."
             );
             state.measure(Metrics::record_quarantine);
@@ -263,6 +330,30 @@
     }
 }
 
+/// Merges the crash of an endpoint that another daemon reports.
+pub(crate) fn merge_fall(state: &State, name: &str, fall: &digest::Fall) {
+    let fall = Fall {
+        incarnation: fall.life,
+        age: Duration::from_millis(fall.age_ms.into()),
+    };
+    let released = state.crashes.borrow_mut().merge_fall(fall, Instant::now());
+    for fingerprint in released {
+        publish(state, fingerprint, CrashUpdate::Released, name);
+    }
+}
+
+/// Crash of an endpoint as it stands in digests.
+pub(crate) fn encode_fall(fall: Fall) -> digest::Fall {
+    digest::Fall {
+        life: fall.incarnation,
+        age_ms: millis(fall.age),
+    }
+}
+
+fn millis(age: Duration) -> u32 {
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Clears a request that another daemon reports as served; a daemon that `relays` reports that too.
 pub(crate) fn merge_cleared(state: &State, name: &str, fingerprint: Fingerprint, relays: bool) {
     let mut crashes = state.crashes.borrow_mut();
@@ -276,14 +367,33 @@
             content:% = format_args!("{fingerprint:016x}");
             "crash: request or part of prompts cleared (source: {name})."
         );
+        state.quarantined.notify_one();
     }
 }
 
 /// Restores a quarantined request from its entry in the store.
 pub(crate) fn restore(state: &State, value: &[u8]) {
-    match digest::Crash::decode(value) {
-        Ok(saved) => merge(state, "the store", saved),
-        Err(error) => log::warn!("crash: an entry of the store is invalid and ignored, {error}."),
+    let saved = match digest::Crash::decode(value) {
+        Ok(saved) => saved,
+        Err(error) => {
+            log::warn!("crash: an entry of the store is invalid and ignored, {error}.");
+            return;
+        }
+    };
+    let since = saved
+        .saved_ms
+        .map_or(0, |at| State::wall_ms().saturating_sub(at));
+    let since = Duration::from_millis(since).min(CRASH_TTL);
+    let mut crash = from_digest(saved);
+    if crash.ages.is_empty() {
+        crash.ages = vec![Duration::ZERO; crash.incarnations.len()];
+    }
+    for age in crash.ages.iter_mut().chain(&mut crash.tried) {
+        *age += since;
+    }
+    let update = state.crashes.borrow_mut().restore(&crash, Instant::now());
+    if update == CrashUpdate::Quarantined {
+        publish(state, crash.fingerprint, update, "the store");
     }
 }
 
@@ -319,6 +429,7 @@
         content:% = format_args!("{fingerprint:016x}");
         "crash: request or part of prompts cleared, an endpoint served it."
     );
+    state.quarantined.notify_one();
     state.digest_due.notify_one();
 }
 
@@ -327,24 +438,42 @@
     digest::Crash {
         content: crash.fingerprint,
         lives: crash.incarnations,
-        left_ms: u32::try_from(crash.left.as_millis()).unwrap_or(u32::MAX),
+        left_ms: millis(crash.left),
+        ages_ms: crash.ages.into_iter().map(millis).collect(),
+        tried_ms: crash.tried.map(millis),
+        saved_ms: None,
     }
 }
 
 fn from_digest(report: digest::Crash) -> Crash {
+    let age = |ms: u32| Duration::from_millis(ms.into());
     Crash {
         fingerprint: report.content,
         incarnations: report.lives,
-        left: Duration::from_millis(report.left_ms.into()),
+        ages: report.ages_ms.into_iter().map(age).collect(),
+        tried: report.tried_ms.map(age),
+        left: age(report.left_ms),
     }
 }
 
-/// Saves quarantined requests to the store until the process ends. Daemons that are partitioned
-/// from the others, or that start after all were killed, read them there.
+/// Saves quarantined requests to the store, and removes those that were served since, until the
+/// process ends. Daemons that are partitioned from the others, or that start after all were killed,
+/// read them there.
 pub(crate) async fn save_quarantined(state: Rc<State>) {
     let mut store = Client::of_store(&state);
     loop {
-        state.quarantined.notified().await;
+        let settled = state.crashes.borrow().next_settled(Instant::now());
+        match settled {
+            Some(at) => tokio::select! {
+                () = state.quarantined.notified() => {}
+                () = tokio::time::sleep_until(at.into()) => {}
+            },
+            None => state.quarantined.notified().await,
+        }
+        let cleared = state.crashes.borrow_mut().take_cleared();
+        for fingerprint in cleared {
+            remove(&mut store, fingerprint).await;
+        }
         let unsaved = state.crashes.borrow_mut().take_unsaved(Instant::now());
         for crash in unsaved {
             save(&mut store, crash).await;
@@ -352,10 +481,34 @@
     }
 }
 
+/// Removes a request that was served from the store. It expires there in any case.
+async fn remove(store: &mut Client, fingerprint: Fingerprint) {
+    match write_removal(store, fingerprint).await {
+        Ok(()) => log::info!("crash: request {fingerprint:016x} removed from the store."),
+        Err(error) => {
+            log::info!("crash: request {fingerprint:016x} not removed from the store, {error}.");
+        }
+    }
+}
+
+async fn write_removal(store: &mut Client, fingerprint: Fingerprint) -> Result<(), WriteError> {
+    let call = txn(&Txn {
+        expect: Vec::new(),
+        puts: Vec::new(),
+        removes: vec![format_compact!("{CRASH_PREFIX}{fingerprint:016x}")],
+    })?;
+    read_txn(&store.call(&call, CALL_TIMEOUT).await?)?;
+    Ok(())
+}
+
 /// Saves a quarantined request, with retries.
 async fn save(store: &mut Client, crash: Crash) {
     let fingerprint = crash.fingerprint;
-    let value = to_digest(crash).encode_to_vec();
+    let value = digest::Crash {
+        saved_ms: Some(State::wall_ms()),
+        ..to_digest(crash)
+    };
+    let value = value.encode_to_vec();
     for _ in 0..MAX_TRIES {
         match write(store, fingerprint, &value).await {
             Ok(()) => return,
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -30,14 +30,14 @@
 use poplarvale_lib::relay::quota;
 use poplarvale_lib::relay::request::Origin;
 use poplarvale_lib::relay::selection::{
-    Choice, Criteria, SelectError, choose, choose_trial, sharers,
+    Choice, Criteria, SelectError, choose, choose_idle, choose_trial, sharers,
 };
 use poplarvale_lib::{Code, EndpointId};
 use tokio::net::tcp::WriteHalf;
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{self, Begun, EndpointStream, Job};
-use super::crash::is_quarantined;
+use super::crash::{is_in_doubt, is_quarantined};
 use super::exchange::{ExchangeError, OK, SERVER_ERROR, TOO_MANY_REQUESTS};
 use super::forward::{self, DaemonStream, MAX_DAEMONS};
 use super::progress::{Loss, Progress, Tracker};
@@ -82,6 +82,8 @@
     Sound(Std),
     /// One of which it is not known whether this daemon reaches it.
     Trial,
+    /// The one that runs least, as the request may crash it.
+    Idle,
 }
 
 /// A stream that has begun, and who sends it.
@@ -92,6 +94,13 @@
 }
 
 impl Source {
+    /// Records that more of the stream was received.
+    fn record_received(&mut self, state: &State, job: &Job<'_>) {
+        if let Self::Endpoint(source) = self {
+            source.record_received(state, job);
+        }
+    }
+
     fn stream(&mut self) -> &mut OpenStream {
         match self {
             Self::Endpoint(source) => &mut source.stream,
@@ -278,6 +287,9 @@
                         // A silent attempt that this one would replace may still go on.
                         let is_only_way = !self.progress().attempts().is_any_pending();
                         let may_wait = at.head_sent && is_only_way && stop.may_pass();
+                        let is_in_doubt = stop == Stop::Quarantined
+                            && is_in_doubt(self.state, &self.job.fingerprint);
+                        let may_wait = may_wait || is_in_doubt;
                         if !may_wait || Instant::now() >= resume_until {
                             return Err(stop);
                         }
@@ -379,6 +391,11 @@
         if !is_tried && is_quarantined(state, &job.fingerprint) {
             return Err(Stop::Quarantined);
         }
+        let how = if is_tried && how == Pick::Any {
+            Pick::Idle
+        } else {
+            how
+        };
         let choice = pick(state, job, &tried, how).map_err(Stop::Select)?;
         if sent > 0 && !self.try_retry() {
             return Err(Stop::Budget);
@@ -529,6 +546,7 @@
             if let More::Next(next) = self.receive(row, &mut source, *forwarded).await {
                 return StreamEnd::Next(next);
             }
+            source.record_received(self.state, self.job);
         }
     }
 
@@ -792,6 +810,7 @@
 ) -> Result<Choice, SelectError> {
     match how {
         Pick::Any => select(state, job, avoid, choose),
+        Pick::Idle => select(state, job, avoid, choose_idle),
         Pick::Sound(since) => select(state, job, avoid, |table, criteria| {
             let sound_since = Some(since);
             choose(
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -72,6 +72,9 @@
     for limit in &digest.limits {
         merge_limit(state, &name, limit, source, now);
     }
+    for fall in &digest.falls {
+        crash::merge_fall(state, &name, fall);
+    }
     for row in digest.crashes {
         crash::merge(state, &name, row);
     }
--- a/daemon/src/relay/peers/encode.rs
+++ b/daemon/src/relay/peers/encode.rs
@@ -86,6 +86,8 @@
     let reported = crashes.report(full, relays, now).into_iter();
     message.crashes = reported.map(crash::to_digest).collect();
     message.cleared = crashes.report_cleared(now);
+    let falls = crashes.report_falls(relays, now).into_iter();
+    message.falls = falls.map(crash::encode_fall).collect();
     let table = state.endpoints.borrow();
     let limits = table.advertised_limits(limits, now).into_iter();
     message.limits = limits.map(|row| encode_limit(row, now)).collect();
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -184,12 +184,12 @@
             return done;
         }
     }
-    match clearance(state, &job.fingerprint) {
+    match clearance(state, &job.fingerprint, deadline).await {
         Clearance::Clear => {}
         Clearance::Trial => {
             log::info!(
                 request = head.id.as_str();
-                "crash: request is tried, something else may have crashed the endpoints."
+                "crash: request is tried, as it may not be what crashed the endpoints."
             );
             job.is_trial = true;
         }
--- a/daemon/src/relay/status.rs
+++ b/daemon/src/relay/status.rs
@@ -59,6 +59,19 @@
         .quarantined()
         .map(|fingerprint| format!("{fingerprint:016x}"))
         .collect();
+    let evidence: Vec<Value> = crashes
+        .quarantined()
+        .filter_map(|fingerprint| {
+            let (counted, moments, trial) = crashes.evidence(fingerprint)?;
+            let left = crashes.quarantine_left(fingerprint, now);
+            let until = |at: Instant| at.saturating_duration_since(now).as_millis() as u64;
+            Some(json!({
+                "content": format!("{fingerprint:016x}"), "crashes": counted, "moments": moments,
+                "left_ms": left.map(|left| left.as_millis() as u64),
+                "trial_ms": trial.map(until),
+            }))
+        })
+        .collect();
     json!({
         "name": state.settings.name.as_str(),
         "zone": state.settings.zone.as_str(),
@@ -72,6 +85,7 @@
         "holder": state.duty_holder.borrow().as_deref(),
         "log_lines_dropped": super::logging::dropped_lines(),
         "quarantined": quarantined,
+        "quarantine_evidence": evidence,
         "evacuated": table.evacuated(),
         "endpoints": endpoints,
         "daemons": peers,
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -104,6 +104,9 @@
     /// Revision up to which all of them are in force at the sender; 0 before the first.
     #[prost(uint64, tag = "39")]
     pub config_read: u64,
+    /// Lives of endpoints that lately ended by themselves, whatever they ran.
+    #[prost(message, repeated, tag = "42")]
+    pub falls: ::prost::alloc::vec::Vec<digest::Fall>,
 }
 /// Nested message and enum types in `Digest`.
 pub mod digest {
@@ -208,6 +211,26 @@
         /// How long it is still remembered, in milliseconds.
         #[prost(uint32, tag = "3")]
         pub left_ms: u32,
+        /// How long ago each of the lives ended, in milliseconds.
+        #[prost(uint32, repeated, tag = "4")]
+        pub ages_ms: ::prost::alloc::vec::Vec<u32>,
+        /// How long ago the request was last sent on trial, in milliseconds; missing if it was not.
+        #[prost(uint32, optional, tag = "5")]
+        pub tried_ms: ::core::option::Option<u32>,
+        /// True time of the writing, in milliseconds since 1970; only in the store.
+        #[prost(uint64, optional, tag = "6")]
+        pub saved_ms: ::core::option::Option<u64>,
+    }
+    /// End of an endpoint.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(default)]
+    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+    pub struct Fall {
+        #[prost(fixed32, tag = "1")]
+        pub life: u32,
+        /// How long ago it ended, in milliseconds.
+        #[prost(uint32, tag = "2")]
+        pub age_ms: u32,
     }
     /// Time during which the store answered without a break.
     #[derive(serde::Serialize, serde::Deserialize)]
--- a/lib/src/relay/selection.rs
+++ b/lib/src/relay/selection.rs
@@ -166,6 +166,26 @@
     Ok(evaluate(row, service_speed, criteria, &shared, None).1)
 }
 
+/// Chooses the endpoint with the fewest requests, for one that may crash it.
+///
+/// # Errors
+/// If no endpoint can take the request now.
+pub fn choose_idle(table: &EndpointTable, criteria: &Criteria<'_>) -> Result<Choice, SelectError> {
+    let step = table.concurrency_step(&criteria.service.name);
+    let rows = table.rows().iter().filter(|row| {
+        is_eligible(row, criteria)
+            && row.check_rate(criteria.now).is_ok()
+            && !is_full(row, criteria, step)
+    });
+    let random = |row: &Endpoint| xxh3_64_with_seed(row.listing.id.as_bytes(), criteria.seed);
+    let Some(row) = rows.min_by_key(|row| (row.active_requests(), random(row))) else {
+        return choose(table, criteria);
+    };
+    let shared = criteria.prompt.map(prefix_hashes).unwrap_or_default();
+    let service_speed = table.service_speed(&criteria.service.name);
+    Ok(evaluate(row, service_speed, criteria, &shared, None).1)
+}
+
 /// Other daemons that share the rates of a few random endpoints at which this daemon has used its
 /// share.
 ///
