relay: a suspect without an alternative is first tried after 15 s

With 8 s, the few crashes of a deadly part were followed by a trial within the time in which it must be known (test_relay_crash::a_prompt_part_that_crashes_endpoints_stops_reaching_them, 0 of 0 sound requests served after it).

--- a/daemon/src/relay/crash.rs
+++ b/daemon/src/relay/crash.rs
@@ -331,7 +331,7 @@
 }
 
 /// Merges the crash of an endpoint that another daemon reports.
-pub(crate) fn merge_fall(state: &State, name: &str, fall: &digest::Fall) {
+pub(crate) fn merge_fall(state: &State, name: &str, fall: digest::Fall) {
     let fall = Fall {
         incarnation: fall.life,
         age: Duration::from_millis(fall.age_ms.into()),
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -72,7 +72,7 @@
     for limit in &digest.limits {
         merge_limit(state, &name, limit, source, now);
     }
-    for fall in &digest.falls {
+    for fall in digest.falls {
         crash::merge_fall(state, &name, fall);
     }
     for row in digest.crashes {
--- a/lib/src/relay/crash.rs
+++ b/lib/src/relay/crash.rs
@@ -93,7 +93,7 @@
 const TRIAL_PAUSE: Duration = Duration::from_secs(1);
 /// Time after the last crash until a suspect without an alternative is tried, and its factor for each
 /// further crash that counts: each makes a sound suspect less likely.
-const LONE_TRIAL: Duration = Duration::from_secs(8);
+const LONE_TRIAL: Duration = Duration::from_secs(15);
 const LONE_FACTOR: u32 = 4;
 /// Time by which the trial of a daemon of twice the rank comes later; digests take a part of it.
 const TRIAL_STEP: Duration = Duration::from_secs(1);
