quota: divide a scarce allowance among a team's kinds of requests

A team that asks for several times its rate was rejected whatever it asked: in a flood, charges of 200 units as often as letters of 10,000, and a long one that overdrew a share had the short ones after it rejected.

The rate is divided by weighted max-min among kinds (rank of the route, size of the request). A kind below its fair share gets all it asks, bound by the window and not by the bucket; the others are sampled by kind. Daemons report the demand by kind in an optional field of digests. Teams below their rate, teams without one and teams with one kind go the former way.

--- a/daemon/src/relay/catalog.rs
+++ b/daemon/src/relay/catalog.rs
@@ -86,6 +86,7 @@
     drop(log);
     timeline::applied(state, source, catalog.version);
     set_slow_starts(state, &catalog);
+    state.quota.borrow_mut().set_teams(&catalog.teams);
     *state.catalog.borrow_mut() = Some(Rc::new(catalog));
 }
 
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -27,7 +27,6 @@
 use poplarvale_lib::relay::attempts::{AttemptEnd, AttemptIndex, Stop, Via};
 use poplarvale_lib::relay::budget::Decision;
 use poplarvale_lib::relay::endpoint_table::{EndpointState, EndpointTable};
-use poplarvale_lib::relay::quota;
 use poplarvale_lib::relay::request::Origin;
 use poplarvale_lib::relay::selection::{
     Choice, Criteria, SelectError, choose, choose_trial, sharers,
@@ -43,7 +42,8 @@
 use super::progress::{Loss, Progress, Tracker};
 use super::reach::{self, ServiceReach, service_reach};
 use super::serve::{
-    Connection, RETRY_SOON, Rejection, connection, forward_response, record_demand, reject,
+    Connection, RETRY_SOON, Rejection, connection, cost, forward_response, record_demand,
+    record_units, reject,
 };
 use super::state::State;
 use super::stream::{Forwarded, OpenStream};
@@ -657,8 +657,9 @@
         if let Some(team) = self.job.team
             && !self.refunded.replace(true)
         {
-            let units = quota::units(team, self.job.head);
-            self.state.quota.borrow_mut().refund(team, units);
+            let cost = cost(team, self.job.head, self.job.route);
+            self.state.quota.borrow_mut().refund(team, cost);
+            record_units(self.state, team, cost, "returned");
         }
     }
 
--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -5,7 +5,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use poplarvale_lib::ServiceId;
+use poplarvale_lib::{CustomerId, ServiceId};
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
 use super::logging;
@@ -31,6 +31,7 @@
     forwarded: Counter<u64>,
     incomplete: Counter<u64>,
     retries: Counter<u64>,
+    units: Counter<u64>,
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
     /// Kept until the instruments are dropped.
@@ -104,6 +105,10 @@
                 "poplarvale_relay_retries",
                 "Retries that were asked of the budget, by service and outcome",
             ),
+            units: counter(
+                "poplarvale_relay_units",
+                "Units of teams with a rate, by team, kind of request and whether they were admitted",
+            ),
             first_event: histogram(
                 "poplarvale_relay_first",
                 "Time from a request's head to its first event or answer",
@@ -159,6 +164,22 @@
         self.retries.add(1, &labels);
     }
 
+    /// Records whether units of a team were admitted; `kind` is one of the few kinds of requests.
+    pub(crate) fn record_units(
+        &self,
+        team: &CustomerId,
+        kind: &'static str,
+        outcome: &'static str,
+        units: f64,
+    ) {
+        let labels = [
+            KeyValue::new("team", team.to_string()),
+            KeyValue::new("kind", kind),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.units.add(units as u64, &labels);
+    }
+
     /// Records how forwarding a request to another daemon ended.
     pub(crate) fn record_forwarded(&self, outcome: &'static str) {
         self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -14,6 +14,7 @@
 use poplarvale_lib::relay::links::{self, Results, ServiceResults};
 use poplarvale_lib::relay::load_reports::{self, Load, Reporter};
 use poplarvale_lib::relay::membership::{Candidate, Location, MISSED_PERIODS, PERIOD, Statement};
+use poplarvale_lib::relay::quota::division::{self, Demands, TeamDemands};
 use poplarvale_lib::relay::quota::{Coverage, PeerReport, Quota, TeamUse};
 use poplarvale_lib::relay::rollout::evidence::{Comparison, Key, VersionCounts};
 use poplarvale_lib::relay::rollout::{MoveChange, MoveReport, Order, Outcome};
@@ -264,8 +265,11 @@
     peers.record_use(sender.address, sequence, now);
     let report = sender.report(decode_teams(&own.teams), Coverage::default(), now);
     let timeout = period(own.period_ms) * MISSED_PERIODS;
-    state.quota.borrow_mut().merge_report(&report, timeout);
     let reporter = Reporter::Daemon(sender.zone, sender.name.clone());
+    let mut quota = state.quota.borrow_mut();
+    quota.merge_report(&report, timeout);
+    quota.merge_demands(&reporter, decode_demands(&own.teams));
+    drop(quota);
     merge_demand(state, reporter.clone(), &own.services, now);
     merge_results(state, reporter.clone(), decode_results(&own.results), now);
     let mut table = state.endpoints.borrow_mut();
@@ -291,8 +295,11 @@
         .checked_sub(Duration::from_millis(zone_use.uptime_ms))
         .unwrap_or(now);
     let timeout = period(zone_use.period_ms) * MISSED_PERIODS;
-    state.quota.borrow_mut().merge_zone(&report, timeout);
     let reporter = Reporter::Zone(sender.zone);
+    let mut quota = state.quota.borrow_mut();
+    quota.merge_zone(&report, timeout);
+    quota.merge_demands(&reporter, decode_demands(&zone_use.teams));
+    drop(quota);
     merge_demand(state, reporter.clone(), &zone_use.services, now);
     merge_results(
         state,
@@ -328,11 +335,13 @@
         decode_loads(&fleet_use.endpoints),
     );
     let mut results = decode_results(&fleet_use.results);
+    let mut demands = decode_demands(&fleet_use.teams);
     if let Some(own) = own {
         coverage.daemons = coverage.daemons.saturating_sub(1);
         uses = Quota::without_own(uses, &own.teams);
         loads = load_reports::without_own(loads, &own.loads);
         results = links::without_own(results, &own.results);
+        demands = division::without_own(demands, &own.demands);
     }
     let mut report = sender.report(uses, coverage, now);
     // Totals with and without this daemon's part count from different values.
@@ -341,7 +350,10 @@
         .checked_sub(Duration::from_millis(fleet_use.uptime_ms))
         .unwrap_or(now);
     let timeout = period(fleet_use.period_ms) * MISSED_PERIODS;
-    state.quota.borrow_mut().merge_fleet(&report, timeout);
+    let mut quota = state.quota.borrow_mut();
+    quota.merge_fleet(&report, timeout);
+    quota.merge_demands(&Reporter::Fleet, demands);
+    drop(quota);
     let mut table = state.endpoints.borrow_mut();
     table.apply_report(Reporter::Fleet, loads, now);
     drop(table);
@@ -361,6 +373,14 @@
     uses
 }
 
+fn decode_demands(rows: &[digest::TeamUse]) -> TeamDemands {
+    let known = rows.iter().filter(|row| !row.kinds.is_empty());
+    let row = |row: &digest::TeamUse| (row.team, Demands::from_row(&row.kinds));
+    let mut demands: TeamDemands = known.map(row).collect();
+    demands.sort_by_key(|row| row.0);
+    demands
+}
+
 fn decode_loads(rows: &[digest::EndpointUse]) -> Vec<(u32, Load)> {
     let mut loads: Vec<(u32, Load)> = rows.iter().map(decode_load).collect();
     loads.sort_by_key(|row| row.0);
--- a/daemon/src/relay/peers/encode.rs
+++ b/daemon/src/relay/peers/encode.rs
@@ -10,6 +10,7 @@
 use poplarvale_lib::relay::links::Results;
 use poplarvale_lib::relay::load_reports::Load;
 use poplarvale_lib::relay::membership::{Candidate, PERIOD, ZoneRoster};
+use poplarvale_lib::relay::quota::division::TeamDemands;
 use poplarvale_lib::relay::quota::{Sum, TeamUse, name_hash};
 use poplarvale_lib::relay::rollout::evidence::{Comparison, Key, VersionCounts};
 use poplarvale_lib::relay::rollout::{MoveReport, Outcome};
@@ -141,9 +142,10 @@
     let quota = state.quota.borrow();
     let loads = state.endpoints.borrow().local_load();
     let results = state.links.borrow().own_results(now);
+    let demands = quota.own_demands(now);
     let message = digest::Use {
         daemons: 1,
-        teams: encode_teams(quota.team_uses(now)),
+        teams: encode_teams(quota.team_uses(now), &demands),
         endpoints: loads.iter().copied().map(encode_load).collect(),
         period_ms: PERIOD.as_millis() as u32,
         services: encode_work(state.demand.borrow().local_rates(now)),
@@ -153,6 +155,7 @@
     state.sent_uses.borrow_mut().push(SentUse {
         sequence,
         teams: quota.all_uses(now),
+        demands,
         loads,
         results,
     });
@@ -188,7 +191,7 @@
         silent: sum.coverage.unresponsive,
         age_ms: sum.coverage.age.as_millis() as u32,
         uptime_ms: sum.uptime.as_millis() as u64,
-        teams: encode_teams(sum.uses),
+        teams: encode_teams(sum.uses, &sum.demands),
         endpoints: loads.into_iter().map(encode_load).collect(),
         period_ms: PERIOD.as_millis() as u32,
         services: Vec::new(),
@@ -216,8 +219,14 @@
     rows.collect()
 }
 
-fn encode_teams(uses: Vec<TeamUse>) -> Vec<digest::TeamUse> {
+/// Both are sorted by team.
+fn encode_teams(uses: Vec<TeamUse>, demands: &TeamDemands) -> Vec<digest::TeamUse> {
+    let kinds = |team: u32| {
+        let at = demands.binary_search_by_key(&team, |row| row.0);
+        at.map_or_else(|_| Vec::new(), |at| demands[at].1.to_row())
+    };
     let rows = uses.into_iter().map(|row| digest::TeamUse {
+        kinds: kinds(row.team),
         team: row.team,
         units: row.units as u32,
         rate: row.rate as u32,
--- a/daemon/src/relay/serve.rs
+++ b/daemon/src/relay/serve.rs
@@ -12,7 +12,8 @@
 use poplarvale_lib::relay::catalog::{Backend, Catalog, Route, Service, Team};
 use poplarvale_lib::relay::demand;
 use poplarvale_lib::relay::homes::home_zones;
-use poplarvale_lib::relay::quota;
+use poplarvale_lib::relay::quota::division::{self, Kind};
+use poplarvale_lib::relay::quota::{self, Cost};
 use poplarvale_lib::relay::request::{Origin, RequestHead};
 use poplarvale_lib::relay::rollout::Versions;
 use poplarvale_lib::{Code, Ran, ServiceId};
@@ -31,7 +32,7 @@
 const DEFAULT_RANK: u8 = 1;
 /// Number of ranks of a team and of a route. Engines accept ranks 0 to 9, and each pair of a
 /// team's rank and a route's rank has its own.
-const RANK_COUNT: u8 = 3;
+const RANK_COUNT: u8 = division::RANKS;
 /// Least urgent rank of a team or a route.
 const LEAST_URGENT: u8 = RANK_COUNT - 1;
 /// Time after which a caller may retry if nothing better is known: by then a change of daemons
@@ -198,7 +199,7 @@
             return reject(state, write, known, rejection, keep).await;
         }
     }
-    if let Some(Err(rejection)) = team.map(|team| admit(state, head, team)) {
+    if let Some(Err(rejection)) = team.map(|team| admit(state, head, team, route)) {
         return reject(state, write, known, rejection, keep).await;
     }
     record_demand(state, &job);
@@ -217,15 +218,37 @@
 }
 
 /// Counts a request against the allowance of its team.
-fn admit(state: &State, head: &RequestHead, team: &Team) -> Result<(), Rejection> {
-    let units = quota::units(team, head);
-    let admission = state.quota.borrow_mut().admit(team, units, Std::now());
+fn admit(state: &State, head: &RequestHead, team: &Team, route: &Route) -> Result<(), Rejection> {
+    let cost = cost(team, head, route);
+    let admission = state.quota.borrow_mut().admit(team, cost, Std::now());
+    let outcome = if admission.is_ok() {
+        "admitted"
+    } else {
+        "rejected"
+    };
+    record_units(state, team, cost, outcome);
     admission.map_err(|retry_after| {
-        log_standing(state, head, team, units);
+        log_standing(state, head, team, cost);
         Rejection::retry_later(Code::TokenRate, retry_after)
     })
 }
 
+/// What a request counts against the allowance of its team.
+pub(crate) fn cost(team: &Team, head: &RequestHead, route: &Route) -> Cost {
+    Cost {
+        units: quota::units(team, head),
+        rank: route.rank,
+    }
+}
+
+/// Counts the units of a request of a team that has a rate.
+pub(crate) fn record_units(state: &State, team: &Team, cost: Cost, outcome: &'static str) {
+    if team.rate.is_some() {
+        let kind = Kind::of(cost).name();
+        state.measure(|metrics| metrics.record_units(&team.name, kind, outcome, cost.units));
+    }
+}
+
 /// Counts the work of a request. The daemon that forwards one counts it.
 pub(crate) fn record_demand(state: &State, job: &Job<'_>) {
     if let Some(prompt) = &job.head.prompt
@@ -253,15 +276,16 @@
 
 /// Logs what a rejection by a team's allowance is based on; a few times a second, as a flood is
 /// rejected request by request.
-fn log_standing(state: &State, head: &RequestHead, team: &Team, units: f64) {
+fn log_standing(state: &State, head: &RequestHead, team: &Team, cost: Cost) {
     let now = Std::now();
     if !state.sampler.allows(now) {
         return;
     }
-    if let Some(known) = state.quota.borrow().standing(team, now) {
+    if let Some(known) = state.quota.borrow().standing(team, cost, now) {
         log::info!(
-            request = head.id.as_str(), team = team.name.as_str(), units = units as u64,
-            available = known.available as i64, depth = known.depth as u64,
+            request = head.id.as_str(), team = team.name.as_str(), units = cost.units as u64,
+            kind = known.kind.name(), kind_share = known.kind_share as u64,
+            kind_demand = known.kind_demand as u64, available = known.available as i64, depth = known.depth as u64,
             rate = known.rate as u64, demand = known.demand as u64,
             own_demand = known.own_demand as u64, isolated = known.isolated,
             peers = known.peers, silent = known.unresponsive;
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -322,7 +322,7 @@
     /// Units that a team used at a group of daemons.
     #[derive(serde::Serialize, serde::Deserialize)]
     #[serde(default)]
-    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
     pub struct TeamUse {
         #[prost(fixed32, tag = "1")]
         pub team: u32,
@@ -338,6 +338,10 @@
         /// Units a second that callers asked for, let in or not.
         #[prost(uint32, tag = "5")]
         pub asked: u32,
+        /// The same by kind of request, up to the last that is not 0; only for teams that ask for more
+        /// than their rate, or nearly.
+        #[prost(uint32, repeated, tag = "6")]
+        pub kinds: ::prost::alloc::vec::Vec<u32>,
     }
     /// What is in progress at an endpoint.
     #[derive(serde::Serialize, serde::Deserialize)]
--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -15,6 +15,10 @@
 //! hundreds of daemons such a share is less than one long prompt; then each daemon admits
 //! one request out of several, in the ratio of the rate to the demand.
 //!
+//! Which requests are admitted meanwhile follows from a division of the rate among the team's kinds
+//! of requests ([`division`]). A kind that gets all that it asks is not bound by the bucket, which
+//! the others may have overdrawn before their digests arrived, but by what the window has left.
+//!
 //! A daemon hears the others only as a sum that its watcher reports, and the watchers hear the
 //! daemons of their zone one by one and the other zones as sums ([`sums`]). If reports stop
 //! arriving, all daemons that they cover are unresponsive.
@@ -37,6 +41,8 @@
 
 mod allotment;
 mod checkpoint;
+mod demands;
+pub mod division;
 mod groups;
 mod steps;
 mod sums;
@@ -47,6 +53,8 @@
 pub use self::allotment::Standing;
 use self::checkpoint::Restored;
 pub use self::checkpoint::Spent;
+pub use self::division::Cost;
+use self::division::{Division, Kind};
 pub use self::groups::{Coverage, PeerReport, TeamUse};
 use self::groups::{Group, GroupTeam};
 use self::steps::{StepId, Steps};
@@ -79,6 +87,21 @@
 /// Shortest and longest time after which a rejected team is told to retry, in seconds.
 const MIN_RETRY_SECS: f64 = 0.3;
 const MAX_RETRY_SECS: f64 = 8.0;
+/// How long the kinds that get all that they ask find room in what is kept for them, in seconds of
+/// their demand.
+const COVERED_SECS: f64 = 1.0;
+
+/// What one team requests of a kind at this daemon lately.
+#[derive(Clone, Debug)]
+struct LocalKind {
+    kind: Kind,
+    /// Units admitted.
+    steps: Steps,
+    /// Units requested, admitted or not.
+    demand: Steps,
+    /// Sampling credit in requests, like that of the team.
+    credit: f64,
+}
 
 /// What one team used at this daemon lately.
 #[derive(Clone, Debug)]
@@ -92,6 +115,49 @@
     demand: Steps,
     /// Sampling credit in requests, from 0 to 1; the request that brings it to 1 is admitted.
     credit: f64,
+    /// Sorted by kind.
+    kinds: Vec<LocalKind>,
+}
+
+impl LocalUse {
+    fn kind(&self, kind: Kind) -> Option<&LocalKind> {
+        let at = self.kinds.binary_search_by_key(&kind, |row| row.kind);
+        at.ok().map(|at| &self.kinds[at])
+    }
+
+    fn kind_mut(&mut self, kind: Kind) -> Option<&mut LocalKind> {
+        let at = self.kinds.binary_search_by_key(&kind, |row| row.kind);
+        at.ok().map(|at| &mut self.kinds[at])
+    }
+}
+
+/// How a request of a kind fares while its team asks for more than its rate.
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    kind: Kind,
+    units: f64,
+    /// Units a second that are asked at all daemons: of the kind if the rate is divided, otherwise
+    /// of the team.
+    demand: f64,
+    /// Units a second that all daemons may grant of that.
+    rate: f64,
+    /// `None` if the rate is not divided.
+    division: Option<Division>,
+}
+
+impl Turn {
+    fn is_covered(&self) -> bool {
+        self.division
+            .is_some_and(|division| division.is_covered(self.kind))
+    }
+
+    /// Units that are kept for the kinds that get all that they ask. At most half of what a request
+    /// would leave of `most`, or no long one would ever be admitted.
+    fn reserve(&self, most: f64) -> f64 {
+        let covered = self.division.map_or(0.0, |division| division.covered());
+        let kept = (most - self.units).max(0.0) / 2.0;
+        (covered * COVERED_SECS).min(kept)
+    }
 }
 
 /// How far a team may exceed its allowance within a window.
@@ -111,6 +177,8 @@
     window: Duration,
     /// Initial sampling credit, from 0 to 1.
     phase: f64,
+    /// Units a second by hash of the team's name, sorted.
+    rates: Vec<(u32, f64)>,
     /// Sorted by team.
     local: Vec<LocalUse>,
     /// Whether this daemon is a watcher, which hears daemons and zones rather than their sum.
@@ -154,6 +222,7 @@
             started: now,
             window,
             phase: 0.0,
+            rates: Vec::new(),
             local: Vec::new(),
             is_watcher: false,
             peers: Vec::new(),
@@ -174,15 +243,22 @@
         Self { phase, ..self }
     }
 
-    /// Admits a request of `units` and counts it.
+    /// Admits a request and counts it.
     ///
     /// # Errors
     /// The time after which there will be room.
-    pub fn admit(&mut self, team: &Team, units: f64, now: Instant) -> Result<(), Duration> {
+    pub fn admit(
+        &mut self,
+        team: &Team,
+        cost: impl Into<Cost>,
+        now: Instant,
+    ) -> Result<(), Duration> {
         let Some(rate) = team.rate else {
             return Ok(());
         };
-        self.record_demand(&team.name, units, now);
+        let cost = cost.into();
+        let units = cost.units;
+        self.record_demand(&team.name, cost, now);
         let age = now.saturating_duration_since(self.started);
         let allotment = self.allotment(rate, team.burst, now);
         if self.daemons() == 0 && age < STARTUP_WAIT {
@@ -190,9 +266,10 @@
                 let left = STARTUP_WAIT.saturating_sub(age);
                 return Err(left.max(Duration::from_secs_f64(MIN_RETRY_SECS)));
             }
-            self.record_admitted(&team.name, units, now);
+            self.record_admitted(&team.name, cost, now);
             return Ok(());
         }
+        let turn = self.turn(&team.name, cost, &allotment, now);
         let available = if allotment.isolated {
             self.available_isolated(&team.name, &allotment, now)
         } else {
@@ -205,42 +282,74 @@
         } else {
             units.min(allotment.depth)
         };
-        if available < needed {
-            if allotment.isolated && self.fits_last_demand(&team.name, units, rate, &allotment, now)
+        let missing = if turn.is_covered() {
+            let room = self.window_room(&team.name, &allotment, now);
+            (needed - available).min(units - room)
+        } else {
+            let most = if allotment.isolated {
+                allotment.window_max
+            } else {
+                allotment.depth
+            };
+            needed + turn.reserve(most) - available
+        };
+        if missing > 0.0 {
+            if allotment.isolated && self.fits_last_demand(&team.name, cost, rate, &allotment, now)
             {
-                self.record_admitted(&team.name, units, now);
+                self.record_admitted(&team.name, cost, now);
                 return Ok(());
             }
-            return Err(retry_after(needed - available, allotment.rate));
+            return Err(retry_after(missing, allotment.rate));
         }
-        let demand = self.total_demand(&team.name, now);
-        let contended = demand > allotment.rate && available < self.unreported(allotment.rate);
-        if allotment.isolated || contended {
-            self.take_from_share(&team.name, units, &allotment, demand, now)?;
+        let total = self.total_demand(&team.name, now);
+        let left = available - turn.reserve(allotment.depth);
+        let contended = total > allotment.rate && left < self.scarce(&turn, allotment.rate);
+        if !turn.is_covered() && (allotment.isolated || contended) {
+            self.take_from_share(&team.name, &turn, allotment.isolated, now)?;
         }
-        self.record_admitted(&team.name, units, now);
+        self.record_admitted(&team.name, cost, now);
         Ok(())
     }
 
-    /// Takes a request out of this daemon's share of the rate, where `demand` is the
-    /// demand at all daemons.
+    /// How a request fares if its team asks for more than its rate.
+    fn turn(&self, team: &CustomerId, cost: Cost, allotment: &Allotment, now: Instant) -> Turn {
+        let kind = Kind::of(cost);
+        let total = self.total_demand(team, now);
+        let known = self.known_demands(team, now);
+        let division = Division::new(allotment.rate, total, &known);
+        Turn {
+            kind,
+            units: cost.units,
+            demand: division.map_or(total, |division| division.demand(kind)),
+            rate: division.map_or(allotment.rate, |division| division.share(kind)),
+            division,
+        }
+    }
+
+    /// Takes a request out of this daemon's share of what its kind gets, or its team if the rate is
+    /// not divided.
     fn take_from_share(
         &mut self,
         team: &CustomerId,
-        units: f64,
-        allotment: &Allotment,
-        demand: f64,
+        turn: &Turn,
+        isolated: bool,
         now: Instant,
     ) -> Result<(), Duration> {
-        let share = self.demand_share(team, demand, now) * allotment.rate;
-        if !allotment.isolated && share * THIN_SHARE_SECS < units {
-            return if self.sample(team, allotment.rate / demand) {
+        let part = if turn.demand > 0.0 {
+            self.turn_demand(team, turn, now) / turn.demand
+        } else {
+            1.0
+        };
+        let (units, share) = (turn.units, part * turn.rate);
+        if !isolated && share * THIN_SHARE_SECS < units {
+            let kind = turn.division.map(|_| turn.kind);
+            return if self.sample(team, kind, turn.rate / turn.demand) {
                 Ok(())
             } else {
                 Err(retry_after(units, share))
             };
         }
-        let level = self.share_level(team, share, now);
+        let level = self.share_level(team, turn, share, now);
         // A request may overdraw the share, so that long ones pass as often as short
         // ones; those after it wait longer.
         if level < 0.0 {
@@ -249,12 +358,18 @@
         Ok(())
     }
 
-    /// Selects `fraction` of the requests at even distances; `true` for one to admit.
-    fn sample(&mut self, team: &str, fraction: f64) -> bool {
+    /// Selects `fraction` of the requests of a kind, or of all, at even distances; `true` for one to
+    /// admit.
+    fn sample(&mut self, team: &str, kind: Option<Kind>, fraction: f64) -> bool {
         let Ok(at) = self.find(team) else {
             return false;
         };
-        let credit = &mut self.local[at].credit;
+        let local = &mut self.local[at];
+        let found = kind.map(|kind| local.kinds.binary_search_by_key(&kind, |row| row.kind));
+        let credit = match found {
+            Some(Ok(at)) => &mut local.kinds[at].credit,
+            _ => &mut local.credit,
+        };
         *credit += fraction;
         let selected = *credit >= 1.0;
         *credit = credit.fract();
@@ -266,7 +381,7 @@
     fn fits_last_demand(
         &mut self,
         team: &str,
-        units: f64,
+        cost: Cost,
         rate: f64,
         allotment: &Allotment,
         now: Instant,
@@ -275,13 +390,19 @@
         let used = self
             .find(team)
             .map(|at| self.local[at].steps.sum_since(first));
-        if allotment.window_max >= units || used.is_ok_and(|used| used > 0.0) {
+        if allotment.window_max >= cost.units || used.is_ok_and(|used| used > 0.0) {
             return false;
         }
         let hash = name_hash(team);
         let rows = self.groups().filter_map(|group| group.team(hash));
         let demand: f64 = rows.map(|row| row.demand).sum();
-        self.sample(team, (rate / demand.max(1.0)).min(1.0))
+        let kind = Kind::of(cost);
+        match Division::new(rate, demand, &self.last_demands(hash)) {
+            Some(division) if division.demand(kind) > 0.0 => {
+                self.sample(team, Some(kind), division.fraction(kind))
+            }
+            _ => self.sample(team, None, (rate / demand.max(1.0)).min(1.0)),
+        }
     }
 
     /// Whether a daemon that has received no digest yet may admit a request: a checkpoint
@@ -297,13 +418,19 @@
     }
 
     /// Returns the units of a request that did not run.
-    pub fn refund(&mut self, team: &Team, units: f64) {
+    pub fn refund(&mut self, team: &Team, cost: impl Into<Cost>) {
+        let cost = cost.into();
+        let units = cost.units;
         if let Ok(at) = self.find(&team.name) {
             let local = &mut self.local[at];
             local.total = local.total.wrapping_sub(units as u64);
             if let Some(last) = local.steps.last_mut() {
                 *last -= units;
             }
+            let kind = local.kind_mut(Kind::of(cost));
+            if let Some(last) = kind.and_then(|row| row.steps.last_mut()) {
+                *last -= units;
+            }
             self.add_to_totals(&team.name, -units);
         }
     }
@@ -337,6 +464,10 @@
         for local in &mut self.local {
             local.steps.drop_before(first);
             local.demand.drop_before(first);
+            for kind in &mut local.kinds {
+                kind.steps.drop_before(first);
+                kind.demand.drop_before(first);
+            }
         }
         let is_kept = |group: &Group| now.saturating_duration_since(group.received) <= window * 2;
         self.peers.retain(is_kept);
@@ -386,12 +517,19 @@
         (first, self.step(received))
     }
 
-    /// Units that other daemons may admit before this one learns of it. When the bucket holds
-    /// less than that, daemons take from their own shares.
+    /// Units that other daemons may admit before this one learns of it.
     fn unreported(&self, rate: f64) -> f64 {
         rate * self.longest_lag().as_secs_f64()
     }
 
+    /// Units in the bucket below which daemons take from their own shares.
+    fn scarce(&self, turn: &Turn, rate: f64) -> f64 {
+        // Otherwise the kinds with short requests would take what comes in before it is enough for a
+        // long one.
+        let shared = turn.division.map_or(0.0, |_| rate * SHARE_BURST_SECS);
+        self.unreported(rate).max(shared)
+    }
+
     /// Groups of other daemons that this one hears of, none of which overlap.
     fn groups(&self) -> impl Iterator<Item = &Group> {
         self.peers.iter().chain(&self.zones).chain(&self.fleet)
@@ -486,13 +624,15 @@
         at.map_or(0.0, |at| self.mean_rate(&self.local[at].demand, now))
     }
 
-    /// This daemon's share of the `total` demand for a team.
-    fn demand_share(&self, team: &str, total: f64, now: Instant) -> f64 {
-        if total > 0.0 {
-            self.local_demand(team, now) / total
-        } else {
-            1.0
+    /// Units a second that callers request at this daemon: of the kind if the rate is divided,
+    /// otherwise of the team.
+    fn turn_demand(&self, team: &str, turn: &Turn, now: Instant) -> f64 {
+        if turn.division.is_none() {
+            return self.local_demand(team, now);
         }
+        let local = self.find(team).ok().map(|at| &self.local[at]);
+        let row = local.and_then(|local| local.kind(turn.kind));
+        row.map_or(0.0, |row| self.mean_rate(&row.demand, now))
     }
 
     /// Units a second over the last [`SHARE_STEPS`].
@@ -503,15 +643,18 @@
     }
 
     /// Level of the bucket of this daemon's own share, which gains `rate` units a second.
-    fn share_level(&self, team: &str, rate: f64, now: Instant) -> f64 {
+    fn share_level(&self, team: &str, turn: &Turn, rate: f64, now: Instant) -> f64 {
         let Ok(at) = self.find(team) else {
             return 0.0;
         };
+        let local = &self.local[at];
+        let kind = turn.division.and_then(|_| local.kind(turn.kind));
+        let taken = kind.map_or(&local.steps, |row| &row.steps);
         let depth = rate * SHARE_BURST_SECS;
         let mut level = depth;
         let mut last = self.first_step(now);
         let length = self.window.as_secs_f64() / f64::from(STEPS);
-        for (step, units) in self.local[at].steps.since(last) {
+        for (step, units) in taken.since(last) {
             let gained = (step - last) as f64 * length * rate;
             level = (level + gained).min(depth) - units;
             last = *step;
@@ -521,7 +664,8 @@
     }
 
     /// Counts units that a caller requests.
-    fn record_demand(&mut self, team: &CustomerId, units: f64, now: Instant) {
+    fn record_demand(&mut self, team: &CustomerId, cost: Cost, now: Instant) {
+        let kind = Kind::of(cost);
         let step = self.step(now);
         let at = self.find(team).unwrap_or_else(|at| {
             let local = LocalUse {
@@ -530,20 +674,38 @@
                 steps: Steps::default(),
                 demand: Steps::default(),
                 credit: self.phase,
+                kinds: Vec::new(),
             };
             self.local.insert(at, local);
             at
         });
-        self.local[at].demand.add(step, units);
+        let local = &mut self.local[at];
+        local.demand.add(step, cost.units);
+        let found = local.kinds.binary_search_by_key(&kind, |row| row.kind);
+        let at = found.unwrap_or_else(|at| {
+            let row = LocalKind {
+                kind,
+                steps: Steps::default(),
+                demand: Steps::default(),
+                credit: self.phase,
+            };
+            local.kinds.insert(at, row);
+            at
+        });
+        local.kinds[at].demand.add(step, cost.units);
     }
 
     /// Counts units that are admitted, after [`Self::record_demand`].
-    fn record_admitted(&mut self, team: &CustomerId, units: f64, now: Instant) {
+    fn record_admitted(&mut self, team: &CustomerId, cost: Cost, now: Instant) {
         let step = self.step(now);
+        let units = cost.units;
         if let Ok(at) = self.find(team) {
             let local = &mut self.local[at];
             local.total = local.total.wrapping_add(units as u64);
             local.steps.add(step, units);
+            if let Some(row) = local.kind_mut(Kind::of(cost)) {
+                row.steps.add(step, units);
+            }
             self.add_to_totals(team, units);
         }
     }
--- a/lib/src/relay/quota/allotment.rs
+++ b/lib/src/relay/quota/allotment.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use super::division::{Cost, Kind};
 use super::{Quota, STEPS, name_hash};
 use crate::relay::catalog::Team;
 
@@ -50,6 +51,13 @@
     pub demand: f64,
     /// Units a second that callers request at this daemon.
     pub own_demand: f64,
+    /// Kind of the request.
+    pub kind: Kind,
+    /// Units a second that the kind gets at all daemons; the rate if it is not divided.
+    pub kind_share: f64,
+    /// Units a second that callers ask of the kind at all daemons; the demand if the rate is not
+    /// divided.
+    pub kind_demand: f64,
     /// Whether most peers are unresponsive.
     pub isolated: bool,
     /// Number of known peers.
@@ -59,9 +67,10 @@
 }
 
 impl Quota {
-    /// What the limiter knows of a team, to explain a rejection.
-    pub fn standing(&self, team: &Team, now: Instant) -> Option<Standing> {
+    /// What the limiter knows of a team, to explain the rejection of a request.
+    pub fn standing(&self, team: &Team, cost: Cost, now: Instant) -> Option<Standing> {
         let allotment = self.allotment(team.rate?, team.burst, now);
+        let turn = self.turn(&team.name, cost, &allotment, now);
         let available = if allotment.isolated {
             self.available_isolated(&team.name, &allotment, now)
         } else {
@@ -73,6 +82,9 @@
             rate: allotment.rate,
             demand: self.total_demand(&team.name, now),
             own_demand: self.local_demand(&team.name, now),
+            kind: turn.kind,
+            kind_share: turn.rate,
+            kind_demand: turn.demand,
             isolated: allotment.isolated,
             peers: self.daemons(),
             unresponsive: self.unresponsive(now),
@@ -138,6 +150,17 @@
         level.min(allotment.window_max - spent.iter().sum::<f64>())
     }
 
+    /// Units that are left of what a window allows, whatever the bucket holds.
+    pub(super) fn window_room(&self, team: &str, allotment: &Allotment, now: Instant) -> f64 {
+        if allotment.isolated {
+            return self.available_isolated(team, allotment, now);
+        }
+        let (hash, first) = (name_hash(team), self.first_step(now));
+        let restored = self.restored_steps(hash, now).sum_since(first);
+        let spent: f64 = self.admitted(hash, first, now).map(|row| row.1).sum();
+        allotment.window_max - spent - restored
+    }
+
     /// Units that an isolated daemon may still admit: an even share of what a window
     /// allows, whatever the unresponsive daemons use.
     pub(super) fn available_isolated(
--- a/lib/src/relay/quota/groups.rs
+++ b/lib/src/relay/quota/groups.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 
+use super::division::{Demands, TeamDemands};
 use super::steps::{StepId, Steps};
 use crate::{Incarnation, ZoneHash};
 
@@ -102,6 +103,8 @@
     pub(super) coverage: Coverage,
     /// Sorted by team.
     pub(super) teams: Vec<GroupTeam>,
+    /// Demand by kind of the teams for which the last report has it, sorted by team.
+    pub(super) demands: TeamDemands,
 }
 
 impl Group {
@@ -116,9 +119,16 @@
             started: report.started,
             coverage: report.coverage,
             teams: Vec::new(),
+            demands: Vec::new(),
         }
     }
 
+    /// Demand by kind of a team, if the last report has it.
+    pub(super) fn demands(&self, team: u32) -> Option<&Demands> {
+        let at = self.demands.binary_search_by_key(&team, |row| row.0);
+        at.ok().map(|at| &self.demands[at].1)
+    }
+
     /// What a team used at this group.
     pub(super) fn team(&self, team: u32) -> Option<&GroupTeam> {
         let at = self.teams.binary_search_by_key(&team, |row| row.team);
@@ -166,6 +176,7 @@
             team.rate = 0.0;
             team.demand = 0.0;
         }
+        self.demands.clear();
         let mut added = Vec::new();
         for row in &report.uses {
             let found = self.teams.binary_search_by_key(&row.team, |team| team.team);
--- a/lib/src/relay/quota/sums.rs
+++ b/lib/src/relay/quota/sums.rs
@@ -11,6 +11,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::division::TeamDemands;
 use super::groups::{Counting, Coverage, Group, PeerReport, TeamUse};
 use super::{Quota, name_hash};
 use crate::ZoneHash;
@@ -47,6 +48,8 @@
     pub uptime: Duration,
     /// What teams used there, sorted by team.
     pub uses: Vec<TeamUse>,
+    /// Demand by kind of teams that ask for more than their rate, sorted by team.
+    pub demands: TeamDemands,
 }
 
 impl Quota {
@@ -214,6 +217,7 @@
             },
             uptime: self.median_uptime(groups, now),
             uses,
+            demands: self.sum_demands(groups, now),
         }
     }
 
--- a/lib/src/relay/sent_uses.rs
+++ b/lib/src/relay/sent_uses.rs
@@ -7,6 +7,7 @@
 use super::links::ServiceResults;
 use super::load_reports::Load;
 use super::quota::TeamUse;
+use super::quota::division::TeamDemands;
 
 /// Number of reports that are kept: four seconds of them. A watcher that has got none since then
 /// counts this daemon as unresponsive.
@@ -19,6 +20,8 @@
     pub sequence: u64,
     /// Use of all teams since the start, sorted by team.
     pub teams: Vec<TeamUse>,
+    /// Demand by kind that was reported, sorted by team.
+    pub demands: TeamDemands,
     /// Requests in progress by hash of the endpoint's id, sorted.
     pub loads: Vec<(u32, Load)>,
     /// Latest results of attempts, sorted by service.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -32,6 +32,7 @@
 mod test_relay_change_feed;
 mod test_relay_connectivity;
 mod test_relay_crash;
+mod test_relay_division;
 mod test_relay_endpoint_table;
 mod test_relay_engine;
 mod test_relay_evacuation;
