quota: kinds that get all they ask find room after an overdraft

In a flood of 4.1 times the rate on virtual time, 31 of 4,925 short requests were rejected at 66 daemons: whenever something was left in the bucket, all daemons admitted all that was asked, overdrew it again and filled the window. As long as the rate is divided, the other kinds now keep to their shares, and what the bucket holds is divided over four seconds. Isolated daemons admit one request in a window of a kind that got all it asked before.

--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -49,8 +49,8 @@
 
 use std::time::{Duration, Instant};
 
-use self::allotment::Allotment;
 pub use self::allotment::Standing;
+use self::allotment::{Allotment, UNRESPONSIVE_SHARE};
 use self::checkpoint::Restored;
 pub use self::checkpoint::Spent;
 pub use self::division::Cost;
@@ -90,6 +90,10 @@
 /// How long the kinds that get all that they ask find room in what is kept for them, in seconds of
 /// their demand.
 const COVERED_SECS: f64 = 1.0;
+/// Time over which what is left in the bucket is divided among the kinds, in seconds. If daemons
+/// admitted all that is asked as soon as something is left, a flood would overdraw it again and
+/// again before their digests arrive.
+const SPREAD_SECS: f64 = 4.0;
 
 /// What one team requests of a kind at this daemon lately.
 #[derive(Clone, Debug)]
@@ -269,12 +273,12 @@
             self.record_admitted(&team.name, cost, now);
             return Ok(());
         }
-        let turn = self.turn(&team.name, cost, &allotment, now);
         let available = if allotment.isolated {
             self.available_isolated(&team.name, &allotment, now)
         } else {
             self.available(&team.name, &allotment, now)
         };
+        let turn = self.turn(&team.name, cost, &allotment, available, now);
         // A request larger than the bucket passes when the bucket is full: otherwise a
         // team with a small allowance could send no long prompt at all.
         let needed = if allotment.isolated {
@@ -301,10 +305,12 @@
             }
             return Err(retry_after(missing, allotment.rate));
         }
-        let total = self.total_demand(&team.name, now);
-        let left = available - turn.reserve(allotment.depth);
-        let contended = total > allotment.rate && left < self.scarce(&turn, allotment.rate);
-        if !turn.is_covered() && (allotment.isolated || contended) {
+        let contended = if turn.division.is_some() {
+            !turn.is_covered()
+        } else {
+            turn.demand > allotment.rate && available < self.unreported(allotment.rate)
+        };
+        if contended || (allotment.isolated && !turn.is_covered()) {
             self.take_from_share(&team.name, &turn, allotment.isolated, now)?;
         }
         self.record_admitted(&team.name, cost, now);
@@ -312,11 +318,23 @@
     }
 
     /// How a request fares if its team asks for more than its rate.
-    fn turn(&self, team: &CustomerId, cost: Cost, allotment: &Allotment, now: Instant) -> Turn {
+    fn turn(
+        &self,
+        team: &CustomerId,
+        cost: Cost,
+        allotment: &Allotment,
+        available: f64,
+        now: Instant,
+    ) -> Turn {
         let kind = Kind::of(cost);
         let total = self.total_demand(team, now);
         let known = self.known_demands(team, now);
-        let division = Division::new(allotment.rate, total, &known);
+        let spread = if allotment.isolated {
+            0.0
+        } else {
+            available.max(0.0) / SPREAD_SECS
+        };
+        let division = Division::new(allotment.rate + spread, total, &known);
         Turn {
             kind,
             units: cost.units,
@@ -341,8 +359,10 @@
             1.0
         };
         let (units, share) = (turn.units, part * turn.rate);
-        if !isolated && share * THIN_SHARE_SECS < units {
-            let kind = turn.division.map(|_| turn.kind);
+        let kind = turn.division.map(|_| turn.kind);
+        // A daemon that hears half of the others has the kinds' demand there too.
+        let is_alone = isolated && (kind.is_none() || part >= 1.0);
+        if !is_alone && share * THIN_SHARE_SECS < units {
             return if self.sample(team, kind, turn.rate / turn.demand) {
                 Ok(())
             } else {
@@ -377,7 +397,8 @@
     }
 
     /// Whether an isolated daemon may admit a request that is larger than its even share of a
-    /// window, by the demand of all daemons before it was isolated.
+    /// window, by the demand of all daemons before it was isolated; or one of a kind that got all
+    /// that it asked then, though the even share is used up.
     fn fits_last_demand(
         &mut self,
         team: &str,
@@ -386,22 +407,26 @@
         allotment: &Allotment,
         now: Instant,
     ) -> bool {
+        let (kind, hash) = (Kind::of(cost), name_hash(team));
+        let rows = self.groups().filter_map(|group| group.team(hash));
+        let demand: f64 = rows.map(|row| row.demand).sum();
+        // What isolated daemons admit is not corrected by reports, and the others leave them that much.
+        let left = rate * UNRESPONSIVE_SHARE;
+        let division = Division::new(left, demand, &self.last_demands(hash));
+        let division = division.filter(|division| division.demand(kind) > 0.0);
+        let is_covered = division.is_some_and(|division| division.is_covered(kind));
         let first = self.first_step(now);
-        let used = self
-            .find(team)
-            .map(|at| self.local[at].steps.sum_since(first));
-        if allotment.window_max >= cost.units || used.is_ok_and(|used| used > 0.0) {
+        let used = self.find(team).map_or(0.0, |at| {
+            let local = &self.local[at];
+            let own = local.kind(kind).filter(|_| is_covered);
+            own.map_or(&local.steps, |row| &row.steps).sum_since(first)
+        });
+        if used > 0.0 || (allotment.window_max >= cost.units && !is_covered) {
             return false;
         }
-        let hash = name_hash(team);
-        let rows = self.groups().filter_map(|group| group.team(hash));
-        let demand: f64 = rows.map(|row| row.demand).sum();
-        let kind = Kind::of(cost);
-        match Division::new(rate, demand, &self.last_demands(hash)) {
-            Some(division) if division.demand(kind) > 0.0 => {
-                self.sample(team, Some(kind), division.fraction(kind))
-            }
-            _ => self.sample(team, None, (rate / demand.max(1.0)).min(1.0)),
+        match division {
+            Some(division) => self.sample(team, Some(kind), division.fraction(kind)),
+            None => self.sample(team, None, (rate / demand.max(1.0)).min(1.0)),
         }
     }
 
@@ -517,19 +542,12 @@
         (first, self.step(received))
     }
 
-    /// Units that other daemons may admit before this one learns of it.
+    /// Units that other daemons may admit before this one learns of it. When the bucket holds
+    /// less than that, daemons take from their own shares.
     fn unreported(&self, rate: f64) -> f64 {
         rate * self.longest_lag().as_secs_f64()
     }
 
-    /// Units in the bucket below which daemons take from their own shares.
-    fn scarce(&self, turn: &Turn, rate: f64) -> f64 {
-        // Otherwise the kinds with short requests would take what comes in before it is enough for a
-        // long one.
-        let shared = turn.division.map_or(0.0, |_| rate * SHARE_BURST_SECS);
-        self.unreported(rate).max(shared)
-    }
-
     /// Groups of other daemons that this one hears of, none of which overlap.
     fn groups(&self) -> impl Iterator<Item = &Group> {
         self.peers.iter().chain(&self.zones).chain(&self.fleet)
--- a/lib/src/relay/quota/allotment.rs
+++ b/lib/src/relay/quota/allotment.rs
@@ -15,6 +15,9 @@
 /// of a team's rate, so without it teams well within their allowance would be rejected by
 /// chance. The rest of the tolerance covers what peers admit before they report it.
 const DEPTH_TOLERANCE: f64 = 0.4;
+/// Part of the tolerance within a window that kinds of requests may use which get all that they ask.
+/// They need less than the rate, so that little of it is admitted before it is reported.
+const COVERED_TOLERANCE: f64 = 0.7;
 /// Share of the allowance that is held back for each second by which reports lag behind, as no
 /// daemon knows what the others admit meanwhile.
 const RESERVE_PER_SEC: f64 = 0.16;
@@ -24,7 +27,7 @@
 /// use about 55 % of the allowance on an ordinary day. Where more than half of the peers are
 /// unresponsive, this daemon is probably the one that is partitioned, perhaps with many
 /// others that are each isolated, and assumes that they use their whole share.
-const UNRESPONSIVE_SHARE: f64 = 0.75;
+pub(super) const UNRESPONSIVE_SHARE: f64 = 0.75;
 
 /// What this daemon and its responsive peers may grant of an allowance.
 pub(super) struct Allotment {
@@ -34,6 +37,8 @@
     pub(super) depth: f64,
     /// Most units within a window.
     pub(super) window_max: f64,
+    /// The same for the kinds of requests that get all that they ask.
+    pub(super) covered_max: f64,
     /// Whether most peers are unresponsive, so that this daemon is probably partitioned.
     pub(super) isolated: bool,
 }
@@ -70,12 +75,12 @@
     /// What the limiter knows of a team, to explain the rejection of a request.
     pub fn standing(&self, team: &Team, cost: Cost, now: Instant) -> Option<Standing> {
         let allotment = self.allotment(team.rate?, team.burst, now);
-        let turn = self.turn(&team.name, cost, &allotment, now);
         let available = if allotment.isolated {
             self.available_isolated(&team.name, &allotment, now)
         } else {
             self.available(&team.name, &allotment, now)
         };
+        let turn = self.turn(&team.name, cost, &allotment, available, now);
         Some(Standing {
             available,
             depth: allotment.depth,
@@ -97,14 +102,16 @@
         let isolated = unresponsive * 2 > self.daemons();
         let each = if isolated { 1.0 } else { UNRESPONSIVE_SHARE };
         let daemons = (self.daemons() + 1) as f64;
-        let left = self.usable_share() * (1.0 - unresponsive as f64 * each / daemons);
+        let responsive = 1.0 - unresponsive as f64 * each / daemons;
+        let left = self.usable_share() * responsive;
         let whole = rate * self.window.as_secs_f64() + burst;
-        let tolerated = whole * self.tolerance.share + self.tolerance.units;
-        let tolerated = tolerated * DEPTH_TOLERANCE;
+        let tolerance = whole * self.tolerance.share + self.tolerance.units;
+        let tolerated = tolerance * DEPTH_TOLERANCE;
         Allotment {
             rate: rate * left,
             depth: (burst + rate * EXTRA_DEPTH_SECS + tolerated) * left,
             window_max: (whole + tolerated) * left,
+            covered_max: (whole + tolerance * COVERED_TOLERANCE) * responsive,
             isolated,
         }
     }
@@ -150,7 +157,9 @@
         level.min(allotment.window_max - spent.iter().sum::<f64>())
     }
 
-    /// Units that are left of what a window allows, whatever the bucket holds.
+    /// Units that are left of what a window allows to the kinds that get all that they ask, whatever
+    /// the bucket holds. The share that is held back for what the others admit meanwhile is kept from
+    /// the other kinds only.
     pub(super) fn window_room(&self, team: &str, allotment: &Allotment, now: Instant) -> f64 {
         if allotment.isolated {
             return self.available_isolated(team, allotment, now);
@@ -158,7 +167,7 @@
         let (hash, first) = (name_hash(team), self.first_step(now));
         let restored = self.restored_steps(hash, now).sum_since(first);
         let spent: f64 = self.admitted(hash, first, now).map(|row| row.1).sum();
-        allotment.window_max - spent - restored
+        allotment.covered_max - spent - restored
     }
 
     /// Units that an isolated daemon may still admit: an even share of what a window
