daemon: tests of scarce allowances at real daemons

Short requests at one daemon while long ones flood at another, which it knows of by digests only; and a rate below 0 in an edit of the configuration.

--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -32,6 +32,7 @@
 mod test_relay_links;
 mod test_relay_log;
 mod test_relay_partition;
+mod test_relay_quota;
 mod test_relay_rollout;
 mod test_relay_shutdown;
 mod test_relay_silence;
--- a/lib/src/relay/quota.rs
+++ b/lib/src/relay/quota.rs
@@ -328,13 +328,15 @@
     ) -> Turn {
         let kind = Kind::of(cost);
         let total = self.total_demand(team, now);
-        let known = self.known_demands(team, now);
         let spread = if allotment.isolated {
             0.0
         } else {
             available.max(0.0) / SPREAD_SECS
         };
-        let division = Division::new(allotment.rate + spread, total, &known);
+        let rate = allotment.rate + spread;
+        let division = (total > rate)
+            .then(|| Division::new(rate, total, &self.known_demands(team, now)))
+            .flatten();
         Turn {
             kind,
             units: cost.units,
