--- a/daemon/tests/test_relay_quota.rs
+++ b/daemon/tests/test_relay_quota.rs
@@ -36,7 +36,7 @@
 
 /// Long prompts flood at one daemon, and all short requests come to another one, which knows of the
 /// flood only what daemons report to each other. The short ones must be served.
-#[tokio::test(flavor = "current_thread")]
+#[actix_web::test]
 async fn short_requests_are_served_while_long_ones_flood_elsewhere() {
     let one = endpoint().await;
     let zone = Zone::start(48, store_with(&[&one]).await).await;
@@ -68,7 +68,7 @@
 
 /// An operator's edit has a rate below 0. The configuration before it must stay in force, and a sound
 /// edit after it must take effect.
-#[tokio::test(flavor = "current_thread")]
+#[actix_web::test]
 async fn a_rate_below_zero_leaves_the_former_configuration_in_force() {
     let one = endpoint().await;
     let site = Site::without_duties(&[&one]).await;
