--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -5,7 +5,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use poplarvale_lib::ServiceId;
+use poplarvale_lib::{CustomerId, ServiceId};
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
 use super::logging;
@@ -32,6 +32,7 @@
     incomplete: Counter<u64>,
     retries: Counter<u64>,
     over_share: Counter<u64>,
+    units: Counter<u64>,
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
     start: Histogram<f64>,
@@ -110,6 +111,10 @@
                 "poplarvale_relay_over_share",
                 "Requests of teams over their share of short engines that were rejected, by service",
             ),
+            units: counter(
+                "poplarvale_relay_units",
+                "Units of teams with a rate, by team, kind of request and whether they were admitted",
+            ),
             first_event: histogram(
                 "poplarvale_relay_first",
                 "Time from a request's head to its first event or answer",
@@ -175,6 +180,22 @@
             .add(1, &[KeyValue::new("service", service.to_string())]);
     }
 
+    /// Records whether units of a team were admitted; `kind` is one of the few kinds of requests.
+    pub(crate) fn record_units(
+        &self,
+        team: &CustomerId,
+        kind: &'static str,
+        outcome: &'static str,
+        units: f64,
+    ) {
+        let labels = [
+            KeyValue::new("team", team.to_string()),
+            KeyValue::new("kind", kind),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.units.add(units as u64, &labels);
+    }
+
     /// Records how forwarding a request to another daemon ended.
     pub(crate) fn record_forwarded(&self, outcome: &'static str) {
         self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/lib/src/relay/quota/allotment.rs
+++ b/lib/src/relay/quota/allotment.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use super::division::{Cost, Kind};
 use super::{Quota, STEPS, name_hash};
 use crate::relay::catalog::{Team, Unit};
 use crate::relay::fair_share::TeamLoad;
@@ -15,6 +16,9 @@
 /// of a team's rate, so without it teams well within their allowance would be rejected by
 /// chance. The rest of the tolerance covers what peers admit before they report it.
 const DEPTH_TOLERANCE: f64 = 0.4;
+/// Part of the tolerance within a window that kinds of requests may use which get all that they ask.
+/// They need less than the rate, so that little of it is admitted before it is reported.
+const COVERED_TOLERANCE: f64 = 0.7;
 /// Share of the allowance that is held back for each second by which reports lag behind, as no
 /// daemon knows what the others admit meanwhile.
 const RESERVE_PER_SEC: f64 = 0.16;
@@ -24,7 +28,7 @@
 /// use about 55 % of the allowance on an ordinary day. Where more than half of the peers are
 /// unresponsive, this daemon is probably the one that is partitioned, perhaps with many
 /// others that are each isolated, and assumes that they use their whole share.
-const UNRESPONSIVE_SHARE: f64 = 0.75;
+pub(super) const UNRESPONSIVE_SHARE: f64 = 0.75;
 
 /// What this daemon and its responsive peers may grant of an allowance.
 pub(super) struct Allotment {
@@ -34,6 +38,8 @@
     pub(super) depth: f64,
     /// Most units within a window.
     pub(super) window_max: f64,
+    /// The same for the kinds of requests that get all that they ask.
+    pub(super) covered_max: f64,
     /// Whether most peers are unresponsive, so that this daemon is probably partitioned.
     pub(super) isolated: bool,
 }
@@ -51,6 +57,13 @@
     pub demand: f64,
     /// Units a second that callers request at this daemon.
     pub own_demand: f64,
+    /// Kind of the request.
+    pub kind: Kind,
+    /// Units a second that the kind gets at all daemons; the rate if it is not divided.
+    pub kind_share: f64,
+    /// Units a second that callers ask of the kind at all daemons; the demand if the rate is not
+    /// divided.
+    pub kind_demand: f64,
     /// Whether most peers are unresponsive.
     pub isolated: bool,
     /// Number of known peers.
@@ -60,20 +73,24 @@
 }
 
 impl Quota {
-    /// What the limiter knows of a team, to explain a rejection.
-    pub fn standing(&self, team: &Team, now: Instant) -> Option<Standing> {
+    /// What the limiter knows of a team, to explain the rejection of a request.
+    pub fn standing(&self, team: &Team, cost: Cost, now: Instant) -> Option<Standing> {
         let allotment = self.allotment(team.rate?, team.burst, now);
         let available = if allotment.isolated {
             self.available_isolated(&team.name, &allotment, now)
         } else {
             self.available(&team.name, &allotment, now)
         };
+        let turn = self.turn(&team.name, cost, &allotment, available, now);
         Some(Standing {
             available,
             depth: allotment.depth,
             rate: allotment.rate,
             demand: self.total_demand(&team.name, now),
             own_demand: self.local_demand(&team.name, now),
+            kind: turn.kind,
+            kind_share: turn.rate,
+            kind_demand: turn.demand,
             isolated: allotment.isolated,
             peers: self.daemons(),
             unresponsive: self.unresponsive(now),
@@ -106,14 +123,16 @@
         let isolated = unresponsive * 2 > self.daemons();
         let each = if isolated { 1.0 } else { UNRESPONSIVE_SHARE };
         let daemons = (self.daemons() + 1) as f64;
-        let left = self.usable_share() * (1.0 - unresponsive as f64 * each / daemons);
+        let responsive = 1.0 - unresponsive as f64 * each / daemons;
+        let left = self.usable_share() * responsive;
         let whole = rate * self.window.as_secs_f64() + burst;
-        let tolerated = whole * self.tolerance.share + self.tolerance.units;
-        let tolerated = tolerated * DEPTH_TOLERANCE;
+        let tolerance = whole * self.tolerance.share + self.tolerance.units;
+        let tolerated = tolerance * DEPTH_TOLERANCE;
         Allotment {
             rate: rate * left,
             depth: (burst + rate * EXTRA_DEPTH_SECS + tolerated) * left,
             window_max: (whole + tolerated) * left,
+            covered_max: (whole + tolerance * COVERED_TOLERANCE) * responsive,
             isolated,
         }
     }
@@ -159,6 +178,19 @@
         level.min(allotment.window_max - spent.iter().sum::<f64>())
     }
 
+    /// Units that are left of what a window allows to the kinds that get all that they ask, whatever
+    /// the bucket holds. The share that is held back for what the others admit meanwhile is kept from
+    /// the other kinds only.
+    pub(super) fn window_room(&self, team: &str, allotment: &Allotment, now: Instant) -> f64 {
+        if allotment.isolated {
+            return self.available_isolated(team, allotment, now);
+        }
+        let (hash, first) = (name_hash(team), self.first_step(now));
+        let restored = self.restored_steps(hash, now).sum_since(first);
+        let spent: f64 = self.admitted(hash, first, now).map(|row| row.1).sum();
+        allotment.covered_max - spent - restored
+    }
+
     /// Units that an isolated daemon may still admit: an even share of what a window
     /// allows, whatever the unresponsive daemons use.
     pub(super) fn available_isolated(
