selection: endpoints are placed by the pace that they announce

Ruled out: queues before the largest prompts (few have one); figures heard within some hundred milliseconds alone (a daemon has heard one engine in a hundred of them).

Change: relay::pace keeps a mean of what all daemons hear of an endpoint and the latest figure with its age; each daemon fits how far the estimates predicted the times of long prompts, and they count by that. The factor of an engine has only what the pace does not explain. Digest.EndpointUse.pace tells others. Figures that cannot be true are ignored, counted and logged.

The existing test test_relay_selection::a_slow_engine_is_avoided names the new field of InFlight; it is otherwise as it was.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -18,6 +18,7 @@
 use poplarvale_lib::relay::endpoint_table::EndpointState;
 use poplarvale_lib::relay::limit::AnnouncedLimit;
 use poplarvale_lib::relay::listing::Listing;
+use poplarvale_lib::relay::pace::Pace;
 use poplarvale_lib::relay::request::{Origin, Prompt, RequestHead};
 use poplarvale_lib::relay::rollout::evidence::Sample;
 use poplarvale_lib::relay::rollout::{MoveChange, Versions};
@@ -29,6 +30,7 @@
 use super::buffered_stream::BufferedStream;
 use super::crash::{LazyFingerprint, check_crash, clear, record_served};
 use super::exchange::{EndpointResponse, ExchangeError, OK, SERVER_ERROR, exchange, read_body};
+use super::metrics::Metrics;
 use super::reach;
 use super::state::State;
 use super::stream::{Forwarded, OpenStream};
@@ -128,6 +130,7 @@
     record_brittle(state, &endpoint, &response, sent.at);
     record_leaving(state, &endpoint, &response);
     record_rest(state, &endpoint, &response);
+    record_pace(state, &endpoint, &response);
     if response.meta.not_run {
         record_not_run(state, job, choice, sent.at, &response);
         drain_rejection(state, sent.address, conn, &response).await;
@@ -343,6 +346,31 @@
     }
 }
 
+/// Records how long work takes at an endpoint, as it announced in a response.
+fn record_pace(state: &State, endpoint: &Listing, response: &EndpointResponse) {
+    let now = Std::now();
+    let announced = match response.meta.pace {
+        Announced::Absent => return,
+        Announced::Value(percent) => Pace::from_percent(percent),
+        Announced::Invalid => None,
+    };
+    match announced {
+        Some(pace) => {
+            let mut table = state.endpoints.borrow_mut();
+            table.record_pace(&endpoint.id, pace, now);
+        }
+        None => {
+            state.measure(Metrics::record_ignored_pace);
+            if state.pace_sampler.allows(now) {
+                log::warn!(
+                    announced:? = response.meta.pace;
+                    "pace: what endpoint {} announced cannot be true and is ignored.", endpoint.id
+                );
+            }
+        }
+    }
+}
+
 /// Records that an endpoint did not run a request.
 fn record_not_run(
     state: &State,
--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -31,6 +31,7 @@
     forwarded: Counter<u64>,
     incomplete: Counter<u64>,
     retries: Counter<u64>,
+    ignored_paces: Counter<u64>,
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
     /// Kept until the instruments are dropped.
@@ -104,6 +105,10 @@
                 "poplarvale_relay_retries",
                 "Retries that were asked of the budget, by service and outcome",
             ),
+            ignored_paces: counter(
+                "poplarvale_relay_ignored_paces",
+                "Paces that endpoints announced and that cannot be true",
+            ),
             first_event: histogram(
                 "poplarvale_relay_first",
                 "Time from a request's head to its first event or answer",
@@ -159,6 +164,11 @@
         self.retries.add(1, &labels);
     }
 
+    /// Records that an endpoint announced a pace that cannot be true.
+    pub(crate) fn record_ignored_pace(&self) {
+        self.ignored_paces.add(1, &[]);
+    }
+
     /// Records how forwarding a request to another daemon ended.
     pub(crate) fn record_forwarded(&self, outcome: &'static str) {
         self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -220,7 +220,7 @@
     let mut digest = header(state, now);
     digest.left = left.to_vec();
     shared(state, &mut digest, Source::Zone, Scope::Relayed, now);
-    digest.zone_use = Some(zone_use(state, now));
+    digest.zone_use = Some(zone_use(state, digest.sequence, now));
     digest.pull = pull(state, now);
     let zones = state.peers.borrow_mut().zone_roster(now);
     digest.roster = Some(roster(zones, Vec::new()));
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -14,6 +14,7 @@
 use poplarvale_lib::relay::links::{self, Results, ServiceResults};
 use poplarvale_lib::relay::load_reports::{self, Load, Reporter};
 use poplarvale_lib::relay::membership::{Candidate, Location, MISSED_PERIODS, PERIOD, Statement};
+use poplarvale_lib::relay::pace::Pace;
 use poplarvale_lib::relay::quota::{Coverage, PeerReport, Quota, TeamUse};
 use poplarvale_lib::relay::rollout::evidence::{Comparison, Key, VersionCounts};
 use poplarvale_lib::relay::rollout::{MoveChange, MoveReport, Order, Outcome};
@@ -268,8 +269,7 @@
     let reporter = Reporter::Daemon(sender.zone, sender.name.clone());
     merge_demand(state, reporter.clone(), &own.services, now);
     merge_results(state, reporter.clone(), decode_results(&own.results), now);
-    let mut table = state.endpoints.borrow_mut();
-    table.apply_report(reporter, decode_loads(&own.endpoints), now);
+    merge_endpoints(state, reporter, &own.endpoints, now);
 }
 
 fn decode_coverage(message: &digest::Use) -> Coverage {
@@ -300,8 +300,7 @@
         decode_results(&zone_use.results),
         now,
     );
-    let mut table = state.endpoints.borrow_mut();
-    table.apply_report(reporter, decode_loads(&zone_use.endpoints), now);
+    merge_endpoints(state, reporter, &zone_use.endpoints, now);
 }
 
 /// Merges the sums of the fleet, less what they have of this daemon itself: the watcher got its
@@ -343,6 +342,7 @@
     let timeout = period(fleet_use.period_ms) * MISSED_PERIODS;
     state.quota.borrow_mut().merge_fleet(&report, timeout);
     let mut table = state.endpoints.borrow_mut();
+    table.merge_paces(&Reporter::Fleet, &decode_paces(&fleet_use.endpoints), now);
     table.apply_report(Reporter::Fleet, loads, now);
     drop(table);
     merge_results(state, Reporter::Fleet, results, now);
@@ -361,6 +361,19 @@
     uses
 }
 
+/// Merges what is in progress at endpoints, and their paces.
+fn merge_endpoints(state: &State, reporter: Reporter, rows: &[digest::EndpointUse], now: Instant) {
+    let mut table = state.endpoints.borrow_mut();
+    table.merge_paces(&reporter, &decode_paces(rows), now);
+    table.apply_report(reporter, decode_loads(rows), now);
+}
+
+/// Paces by hash of the endpoint's id; 0 stands for a usual or unknown one.
+fn decode_paces(rows: &[digest::EndpointUse]) -> Vec<(u32, Pace)> {
+    let row = |row: &digest::EndpointUse| Some((row.endpoint, Pace::from_percent(row.pace)?));
+    rows.iter().filter_map(row).collect()
+}
+
 fn decode_loads(rows: &[digest::EndpointUse]) -> Vec<(u32, Load)> {
     let mut loads: Vec<(u32, Load)> = rows.iter().map(decode_load).collect();
     loads.sort_by_key(|row| row.0);
--- a/daemon/src/relay/peers/encode.rs
+++ b/daemon/src/relay/peers/encode.rs
@@ -10,6 +10,7 @@
 use poplarvale_lib::relay::links::Results;
 use poplarvale_lib::relay::load_reports::Load;
 use poplarvale_lib::relay::membership::{Candidate, PERIOD, ZoneRoster};
+use poplarvale_lib::relay::pace::{EndpointPace, Pace};
 use poplarvale_lib::relay::quota::{Sum, TeamUse, name_hash};
 use poplarvale_lib::relay::rollout::evidence::{Comparison, Key, VersionCounts};
 use poplarvale_lib::relay::rollout::{MoveReport, Outcome};
@@ -20,6 +21,8 @@
 
 /// One in so many digests lists all quarantined requests, not only the latest.
 const FULL_EVERY: u64 = 4;
+/// One in so many digests to other zones tells the paces of endpoints, which grow its rows by a fifth.
+const PACES_EVERY: u64 = 4;
 
 /// Whose observations a digest has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -141,10 +144,11 @@
     let quota = state.quota.borrow();
     let loads = state.endpoints.borrow().local_load();
     let results = state.links.borrow().own_results(now);
+    let since = now.checked_sub(PERIOD).unwrap_or(now);
     let message = digest::Use {
         daemons: 1,
         teams: encode_teams(quota.team_uses(now)),
-        endpoints: loads.iter().copied().map(encode_load).collect(),
+        endpoints: encode_loads(state, &loads, |pace| pace.heard_since(since)),
         period_ms: PERIOD.as_millis() as u32,
         services: encode_work(state.demand.borrow().local_rates(now)),
         results: encode_results(&results),
@@ -159,16 +163,21 @@
     message
 }
 
-/// Sums of this daemon's zone.
-pub(super) fn zone_use(state: &State, now: Instant) -> digest::Use {
+/// Sums of this daemon's zone, for the digest of this number.
+pub(super) fn zone_use(state: &State, sequence: u64, now: Instant) -> digest::Use {
     let zone = state.peers.borrow().own_location().zone;
     let sum = state.quota.borrow().zone_sum(zone, now);
     let services = encode_work(state.demand.borrow().zone_rates(zone, now));
     let results = state.links.borrow().zone_results(zone, now);
+    let loads = state.endpoints.borrow().zone_load(zone);
     digest::Use {
         services,
         results: encode_results(&results),
-        ..encode_sum(sum, state.endpoints.borrow().zone_load(zone))
+        ..encode_sum(state, sum, &loads, |pace| {
+            let is_due = sequence.is_multiple_of(PACES_EVERY);
+            let mean = pace.zone_mean(now).filter(|_| is_due);
+            mean.filter(|pace| !pace.is_usual())
+        })
     }
 }
 
@@ -176,20 +185,28 @@
 pub(super) fn fleet_use(state: &State, now: Instant) -> digest::Use {
     let sum = state.quota.borrow().fleet_sum(now);
     let results = state.links.borrow().fleet_results(now);
+    let loads = state.endpoints.borrow().fleet_load();
     digest::Use {
         results: encode_results(&results),
-        ..encode_sum(sum, state.endpoints.borrow().fleet_load())
+        ..encode_sum(state, sum, &loads, |pace| {
+            pace.fleet_mean(now).filter(|pace| !pace.is_usual())
+        })
     }
 }
 
-fn encode_sum(sum: Sum, loads: Vec<(u32, Load)>) -> digest::Use {
+fn encode_sum(
+    state: &State,
+    sum: Sum,
+    loads: &[(u32, Load)],
+    pace: impl Fn(&EndpointPace) -> Option<Pace>,
+) -> digest::Use {
     digest::Use {
         daemons: sum.coverage.daemons,
         silent: sum.coverage.unresponsive,
         age_ms: sum.coverage.age.as_millis() as u32,
         uptime_ms: sum.uptime.as_millis() as u64,
         teams: encode_teams(sum.uses),
-        endpoints: loads.into_iter().map(encode_load).collect(),
+        endpoints: encode_loads(state, loads, pace),
         period_ms: PERIOD.as_millis() as u32,
         services: Vec::new(),
         results: Vec::new(),
@@ -227,12 +244,23 @@
     rows.collect()
 }
 
-fn encode_load((endpoint, load): (u32, Load)) -> digest::EndpointUse {
-    digest::EndpointUse {
-        endpoint,
+/// Loads with the paces of their endpoints, of which `pace` reads what is told.
+fn encode_loads(
+    state: &State,
+    loads: &[(u32, Load)],
+    pace: impl Fn(&EndpointPace) -> Option<Pace>,
+) -> Vec<digest::EndpointUse> {
+    let table = state.endpoints.borrow();
+    let rows = loads.iter().map(|(endpoint, load)| digest::EndpointUse {
+        endpoint: *endpoint,
         requests: load.requests,
         tokens: load.tokens as u32,
-    }
+        pace: table
+            .pace(*endpoint)
+            .and_then(&pace)
+            .map_or(0, Pace::percent),
+    });
+    rows.collect()
 }
 
 /// Daemons that run, and watchers.
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -95,6 +95,8 @@
     pub(crate) metrics: Option<Metrics>,
     /// Which successful requests are logged.
     pub(crate) sampler: Sampler,
+    /// Which paces are logged that endpoints announced and that are ignored.
+    pub(crate) pace_sampler: Sampler,
     /// Requests that were admitted or forwarded and have no whole answer yet, sorted by number.
     pub(crate) in_progress: RefCell<Vec<(u64, Rc<Progress>)>>,
     /// Number of requests in progress, each from its first byte on.
@@ -172,6 +174,7 @@
             receiving: Cell::new(None),
             metrics: Metrics::new(),
             sampler: Sampler::new(started),
+            pace_sampler: Sampler::new(started),
             in_progress: RefCell::default(),
             active: Cell::new(0),
             phase: Cell::new(Phase::Serving),
--- a/daemon/src/relay/status.rs
+++ b/daemon/src/relay/status.rs
@@ -1,13 +1,14 @@
 //! Metrics and a dump of the daemon's state, for operators.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use poplarvale_lib::http1::Request;
 use poplarvale_lib::relay::connectivity::ReachableSpan;
-use poplarvale_lib::relay::endpoint_table::{Endpoint, EndpointState};
+use poplarvale_lib::relay::endpoint_table::{Endpoint, EndpointState, EndpointTable};
 use poplarvale_lib::relay::limit::Limit;
+use poplarvale_lib::relay::pace::Pace;
 use poplarvale_lib::{Code, Ran};
 use poplarvale_platform::rejection_response;
 use serde_json::{Value, json};
@@ -16,6 +17,9 @@
 use super::plain_server::serve_plain;
 use super::state::State;
 
+/// Work of a long prompt, for which an endpoint's slowdown is told.
+const LONG_WORK: Duration = Duration::from_secs(1);
+
 /// Answers the requests of one connection until it ends.
 pub(crate) async fn serve_status(state: Rc<State>, stream: TcpStream) {
     serve_plain(state, stream, answer).await;
@@ -42,7 +46,11 @@
 fn dump(state: &State) -> Value {
     let now = Instant::now();
     let table = state.endpoints.borrow();
-    let endpoints: Vec<Value> = table.rows().iter().map(|row| endpoint(row, now)).collect();
+    let endpoints: Vec<Value> = table
+        .rows()
+        .iter()
+        .map(|row| endpoint(&table, row, now))
+        .collect();
     let peers = state.peers.borrow();
     let peers: Vec<Value> = peers
         .rows()
@@ -85,12 +93,14 @@
 }
 
 /// One row of the endpoint table.
-fn endpoint(row: &Endpoint, now: Instant) -> Value {
+fn endpoint(table: &EndpointTable, row: &Endpoint, now: Instant) -> Value {
     let state = match row.state {
         EndpointState::Ready => "ready",
         EndpointState::Doubtful(_) => "doubtful",
         EndpointState::Leaving => "leaving",
     };
+    let pace = row.pace.expected(LONG_WORK, now);
+    let slowdown = table.service_speed(&row.listing.service).slowdown(pace);
     json!({
         "id": row.listing.id.as_str(),
         "service": row.listing.service.as_str(),
@@ -102,6 +112,8 @@
         "others": row.remote_load.requests,
         "backlog_tokens": row.backlog() as u64,
         "evacuated": row.is_evacuated,
+        "pace_percent": row.pace.fleet_mean(now).map(Pace::percent),
+        "slowdown": slowdown,
         "cold_ms": row.cold.as_ref().map(|cold| {
             cold.warm_at().saturating_duration_since(now).as_millis() as u64
         }),
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -351,6 +351,10 @@
         /// Prompt tokens that wait to be read.
         #[prost(uint32, tag = "3")]
         pub tokens: u32,
+        /// How long work takes there, in percent of what is usual: what the sender just heard, or the
+        /// mean of its group unless that is usual; 0 if nothing is told.
+        #[prost(uint32, tag = "4")]
+        pub pace: u32,
     }
     /// Latest attempts at endpoints of a service, and those of them that got a sound answer.
     #[derive(serde::Serialize, serde::Deserialize)]
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -30,6 +30,7 @@
 pub mod listing;
 pub mod load_reports;
 pub mod membership;
+pub mod pace;
 pub mod prefix_cache;
 pub mod quota;
 pub mod reachability;
--- a/lib/src/relay/endpoint_table.rs
+++ b/lib/src/relay/endpoint_table.rs
@@ -23,6 +23,7 @@
 use super::limit::{AnnouncedLimit, Limit, Source};
 use super::listing::{ColdTime, Listing};
 use super::load_reports::{Load, LoadReports, Reporter, sum_loads};
+use super::pace::{EndpointPace, Pace};
 use super::prefix_cache::PrefixCache;
 use super::quota::name_hash;
 use super::rests::Rests;
@@ -52,6 +53,8 @@
     pub ahead: f64,
     /// Tokens that the request will hold in the KV cache when it ends.
     pub kv_tokens: u64,
+    /// Pace that was expected of the endpoint when it was sent.
+    pub pace: f64,
     /// When it was sent.
     pub sent: Instant,
     /// When its first event arrived.
@@ -96,6 +99,8 @@
     pub remote_load: Load,
     /// Learned speed.
     pub speed: EngineSpeed,
+    /// Announced pace.
+    pub pace: EndpointPace,
     /// Circuit breaker, by the results of its requests.
     pub breaker: CircuitBreaker,
     /// Prompt prefixes that it probably has in its KV cache.
@@ -345,9 +350,10 @@
         };
         request.first_event = Some(now);
         let took = now.saturating_duration_since(request.sent);
-        let (prefill, ahead, mut speed) = (request.prefill, request.ahead, row.speed);
+        let (prefill, ahead, pace) = (request.prefill, request.ahead, request.pace);
+        let mut speed = row.speed;
         let service = row.listing.service.clone();
-        speed.learn(self.service_speed_mut(&service), prefill, ahead, took);
+        speed.learn_paced(self.service_speed_mut(&service), prefill, ahead, took, pace);
         self.rows[at].speed = speed;
     }
 
@@ -498,6 +504,7 @@
             in_flight: Vec::new(),
             remote_load: self.reports.total(hash),
             speed: EngineSpeed::default(),
+            pace: EndpointPace::default(),
             breaker: CircuitBreaker::default(),
             cache: PrefixCache::default(),
             full_until: None,
@@ -665,6 +672,33 @@
         }
     }
 
+    /// Records the pace that an endpoint announced in an answer to this daemon.
+    pub fn record_pace(&mut self, id: &str, pace: Pace, now: Instant) {
+        if let Some(row) = self.get_mut(id) {
+            row.pace.hear(pace, now);
+        }
+    }
+
+    /// Merges paces that another daemon tells, by hash of the endpoint's id: what it heard itself,
+    /// or means of a group.
+    pub fn merge_paces(&mut self, reporter: &Reporter, paces: &[(u32, Pace)], now: Instant) {
+        for (endpoint, pace) in paces {
+            let Some(at) = self.find_hash(*endpoint) else {
+                continue;
+            };
+            let row = &mut self.rows[at].pace;
+            match reporter {
+                Reporter::Daemon(..) => row.merge_heard(*pace, now),
+                Reporter::Zone(_) | Reporter::Fleet => row.merge_mean(*pace, now),
+            }
+        }
+    }
+
+    /// What is known of the pace of the endpoint whose id has this hash.
+    pub fn pace(&self, endpoint: u32) -> Option<&EndpointPace> {
+        self.find_hash(endpoint).map(|at| &self.rows[at].pace)
+    }
+
     /// Requests in progress from this daemon, by hash of the endpoint's id, sorted.
     pub fn local_load(&self) -> Vec<(u32, Load)> {
         let busy = self.rows.iter().filter(|row| !row.in_flight.is_empty());
--- a/lib/src/relay/engine.rs
+++ b/lib/src/relay/engine.rs
@@ -11,12 +11,17 @@
 //! relative to that line, so an engine that turns slow is recognized within a few responses
 //! and does not make its service look slow.
 //!
+//! Where engines announce their pace, the line is that of an engine that works as usual, and the
+//! factor what the pace does not explain.
+//!
 //! The number of engines that the work needs is computed from quantiles over the requests that
 //! waited for no other. The line is unsuitable for this: it rises while engines are overloaded,
 //! as after a wave of reclaims, and far more engines would be ordered than the work needs.
 
 use std::time::Duration;
 
+use super::pace::PaceTrust;
+
 /// Prompt tokens that an engine prefills in a millisecond, assumed before anything was
 /// observed: the order of magnitude of common engines.
 const DEFAULT_TOKENS_PER_MS: f64 = 50.0;
@@ -192,6 +197,8 @@
     prefill: Quantile,
     /// Milliseconds per output token.
     step: Quantile,
+    /// How far the paces count that its engines announce.
+    paces: PaceTrust,
 }
 
 impl Default for ServiceSpeed {
@@ -200,6 +207,7 @@
             first: LatencyLine::prior(),
             prefill: Quantile::new(PREFILL_QUANTILE, 1.0 / DEFAULT_TOKENS_PER_MS),
             step: Quantile::new(STEP_QUANTILE, DEFAULT_STEP_MS),
+            paces: PaceTrust::default(),
         }
     }
 }
@@ -220,13 +228,20 @@
         self.step.value() / 1000.0
     }
 
+    /// Factor by which a request takes longer at an engine of which this pace is expected.
+    pub fn slowdown(&self, pace: f64) -> f64 {
+        self.paces.slowdown(pace)
+    }
+
     /// Learns from the time per output token of a stream.
     pub fn learn_step(&mut self, token: Duration) {
         self.step.learn(token.as_secs_f64() * 1000.0);
     }
 
-    fn learn_first(&mut self, prefill: f64, ahead: f64, millis: f64) {
-        self.first.learn(prefill + ahead, millis);
+    /// Learns from the time to a first event, which counts as `usual` milliseconds if the engine had
+    /// worked as usual.
+    fn learn_first(&mut self, prefill: f64, ahead: f64, millis: f64, usual: f64) {
+        self.first.learn(prefill + ahead, usual);
         if prefill >= LONG_PROMPT_TOKENS && ahead <= 0.0 {
             self.prefill.learn(millis / prefill);
         }
@@ -256,11 +271,30 @@
     /// Learns the speed of this engine and of its service from a first event that came after
     /// `took`.
     pub fn learn(&mut self, service: &mut ServiceSpeed, prefill: f64, ahead: f64, took: Duration) {
+        self.learn_paced(service, prefill, ahead, took, 1.0);
+    }
+
+    /// The same of a request that was placed by this estimate of the engine's pace. The factor has
+    /// only what the pace does not explain, so that neither counts twice.
+    pub fn learn_paced(
+        &mut self,
+        service: &mut ServiceSpeed,
+        prefill: f64,
+        ahead: f64,
+        took: Duration,
+        pace: f64,
+    ) {
         let millis = took.as_secs_f64() * 1000.0;
-        let ratio = millis / service.first.at(prefill + ahead);
+        let usual = millis / service.slowdown(pace);
+        let expected = service.first.at(prefill + ahead);
+        let ratio = usual / expected;
+        if prefill >= LONG_PROMPT_TOKENS {
+            // Short prompts mostly take what no machine's pace changes.
+            service.paces.learn(pace, millis / expected);
+        }
         let factor = self.factor + FACTOR_WEIGHT * (ratio - self.factor);
         self.factor = factor.clamp(MIN_FACTOR, MAX_FACTOR);
-        service.learn_first(prefill, ahead, millis);
+        service.learn_first(prefill, ahead, millis, usual);
     }
 
     /// Ratio of this engine's time to that of its service; above 1 if it is slower.
--- a/lib/src/relay/selection.rs
+++ b/lib/src/relay/selection.rs
@@ -44,6 +44,9 @@
 /// Cost of each request that runs at an engine, in seconds of the new request's answer: each
 /// lengthens all steps of the others by about a fortieth.
 const RUNNING_COST_S: f64 = 0.002;
+/// Share of the time that a whole answer takes which counts as time to its first event, where an
+/// engine announces that it is slower or faster than usual: streams there have longer pauses.
+const ANSWER_SHARE: f64 = 0.2;
 /// Share of an engine's slots that daemons fill before it counts as full. The rest is left for
 /// requests that other daemons sent since their last digest.
 const FULL_SHARE: f64 = 1.0;
@@ -104,6 +107,8 @@
     pub ahead: f64,
     /// Predicted time that the tokens ahead take.
     pub queue: Duration,
+    /// Pace that is expected of it, by what it announced.
+    pub pace: f64,
 }
 
 /// Why no endpoint can get a request.
@@ -319,6 +324,7 @@
         prefill: choice.prefill,
         ahead: choice.ahead,
         kv_tokens,
+        pace: choice.pace,
         sent: criteria.now,
         first_event: None,
     };
@@ -331,8 +337,12 @@
 
 /// Tokens that a request will hold in the KV cache when it ends, by the caller's estimate.
 pub fn kv_tokens(prompt: &Prompt) -> u64 {
-    let output = prompt.guess.unwrap_or(prompt.output).min(prompt.output);
-    u64::from(prompt.input) + u64::from(output)
+    u64::from(prompt.input) + u64::from(output_tokens(prompt))
+}
+
+/// Tokens of the answer, by the caller's estimate.
+fn output_tokens(prompt: &Prompt) -> u32 {
+    prompt.guess.unwrap_or(prompt.output).min(prompt.output)
 }
 
 /// Whether an endpoint may get the request, whatever its load.
@@ -437,6 +447,7 @@
             prefill: 0.0,
             ahead: 0.0,
             queue: Duration::ZERO,
+            pace: 1.0,
         };
         return (cost, choice);
     };
@@ -450,17 +461,21 @@
     let cached = recorded.max(presumed);
     let prefill = (f64::from(prompt.input) - cached).max(1.0);
     let ahead = row.backlog();
-    let wait = row
-        .speed
-        .time_to_first(&service_speed.line(), prefill, ahead);
+    let line = service_speed.line();
+    let usual = row.speed.time_to_first(&line, prefill, ahead);
+    let pace = row.pace.expected(usual, criteria.now);
+    let slowdown = service_speed.slowdown(pace);
+    let wait = usual.mul_f64(slowdown);
     let seconds = wait.as_secs_f64();
     let late = (seconds - criteria.target.as_secs_f64() * ON_TIME_SHARE).max(0.0);
     let repeated = (f64::from(total) - cached).max(0.0);
     let running = f64::from(row.active_requests());
+    let answer = f64::from(output_tokens(prompt)) * service_speed.step_s();
     let cost = seconds
         + late * LATE_FACTOR
         + repeated * REPEATED_PREFILL_FACTOR * service_speed.prefill_s()
         + running * RUNNING_COST_S
+        + answer * ANSWER_SHARE * (slowdown - 1.0)
         + crossing;
     (
         cost,
@@ -469,11 +484,10 @@
             wait,
             prefill,
             ahead,
-            queue: wait.saturating_sub(row.speed.time_to_first(
-                &service_speed.line(),
-                prefill,
-                0.0,
-            )),
+            queue: usual
+                .saturating_sub(row.speed.time_to_first(&line, prefill, 0.0))
+                .mul_f64(slowdown),
+            pace,
         },
     )
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -39,6 +39,7 @@
 mod test_relay_limit;
 mod test_relay_links;
 mod test_relay_membership;
+mod test_relay_pace;
 mod test_relay_quota;
 mod test_relay_reachability;
 mod test_relay_rollout;
--- a/lib/tests/test_relay_selection.rs
+++ b/lib/tests/test_relay_selection.rs
@@ -228,6 +228,7 @@
             prefill: 1000.0,
             ahead: 0.0,
             kv_tokens: 1000,
+            pace: 1.0,
             sent: fixture.now,
             first_event: None,
         };
