--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -33,6 +33,7 @@
     retries: Counter<u64>,
     over_share: Counter<u64>,
     units: Counter<u64>,
+    ignored_paces: Counter<u64>,
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
     start: Histogram<f64>,
@@ -115,6 +116,10 @@
                 "poplarvale_relay_units",
                 "Units of teams with a rate, by team, kind of request and whether they were admitted",
             ),
+            ignored_paces: counter(
+                "poplarvale_relay_ignored_paces",
+                "Paces that endpoints announced and that cannot be true",
+            ),
             first_event: histogram(
                 "poplarvale_relay_first",
                 "Time from a request's head to its first event or answer",
@@ -196,6 +201,11 @@
         self.units.add(units as u64, &labels);
     }
 
+    /// Records that an endpoint announced a pace that cannot be true.
+    pub(crate) fn record_ignored_pace(&self) {
+        self.ignored_paces.add(1, &[]);
+    }
+
     /// Records how forwarding a request to another daemon ended.
     pub(crate) fn record_forwarded(&self, outcome: &'static str) {
         self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -16,6 +16,7 @@
 use poplarvale_lib::relay::membership::{
     Candidate, Location, MISSED_PERIODS, PERIOD, Peers, Statement,
 };
+use poplarvale_lib::relay::pace::Pace;
 use poplarvale_lib::relay::quota::division::{self, Demands, TeamDemands};
 use poplarvale_lib::relay::quota::{Coverage, PeerReport, Quota, TeamUse};
 use poplarvale_lib::relay::rollout::evidence::{Comparison, Key, VersionCounts};
@@ -288,8 +289,7 @@
     drop(quota);
     merge_demand(state, reporter.clone(), &own.services, now);
     merge_results(state, reporter.clone(), decode_results(&own.results), now);
-    let mut table = state.endpoints.borrow_mut();
-    table.apply_report(reporter, decode_loads(&own.endpoints), now);
+    merge_endpoints(state, reporter, &own.endpoints, now);
 }
 
 fn decode_coverage(message: &digest::Use) -> Coverage {
@@ -323,8 +323,7 @@
         decode_results(&zone_use.results),
         now,
     );
-    let mut table = state.endpoints.borrow_mut();
-    table.apply_report(reporter, decode_loads(&zone_use.endpoints), now);
+    merge_endpoints(state, reporter, &zone_use.endpoints, now);
 }
 
 /// Merges the sums of the fleet, less what they have of this daemon itself: the watcher got its
@@ -371,6 +370,7 @@
     quota.merge_demands(&Reporter::Fleet, demands);
     drop(quota);
     let mut table = state.endpoints.borrow_mut();
+    table.merge_paces(&Reporter::Fleet, &decode_paces(&fleet_use.endpoints), now);
     table.apply_report(Reporter::Fleet, loads, now);
     drop(table);
     merge_results(state, Reporter::Fleet, results, now);
@@ -397,6 +397,19 @@
     demands
 }
 
+/// Merges what is in progress at endpoints, and their paces.
+fn merge_endpoints(state: &State, reporter: Reporter, rows: &[digest::EndpointUse], now: Instant) {
+    let mut table = state.endpoints.borrow_mut();
+    table.merge_paces(&reporter, &decode_paces(rows), now);
+    table.apply_report(reporter, decode_loads(rows), now);
+}
+
+/// Paces by hash of the endpoint's id; 0 stands for a usual or unknown one.
+fn decode_paces(rows: &[digest::EndpointUse]) -> Vec<(u32, Pace)> {
+    let row = |row: &digest::EndpointUse| Some((row.endpoint, Pace::from_percent(row.pace)?));
+    rows.iter().filter_map(row).collect()
+}
+
 fn decode_loads(rows: &[digest::EndpointUse]) -> Vec<(u32, Load)> {
     let mut loads: Vec<(u32, Load)> = rows.iter().map(decode_load).collect();
     loads.sort_by_key(|row| row.0);
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -32,6 +32,7 @@
 pub mod load_reports;
 pub mod max_min;
 pub mod membership;
+pub mod pace;
 pub mod prefix_cache;
 pub mod quota;
 pub mod reachability;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -42,6 +42,7 @@
 mod test_relay_links;
 mod test_relay_membership;
 mod test_relay_quarantine;
+mod test_relay_pace;
 mod test_relay_quota;
 mod test_relay_reachability;
 mod test_relay_rollout;
