--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -849,5 +849,14 @@
         pub service: ::prost::alloc::string::String,
         #[prost(double, tag = "2")]
         pub endpoints: f64,
+        /// Seconds that its engines take to prefill a prompt token and to generate an output token; absent
+        /// until the duty holder has observed both.
+        #[prost(double, optional, tag = "3")]
+        pub prefill_s: ::core::option::Option<f64>,
+        #[prost(double, optional, tag = "4")]
+        pub step_s: ::core::option::Option<f64>,
+        /// Endpoints needed lately, which on-demand ones in place of reclaimed ones follow.
+        #[prost(double, optional, tag = "5")]
+        pub recent: ::core::option::Option<f64>,
     }
 }
--- a/lib/src/relay/endpoint_table.rs
+++ b/lib/src/relay/endpoint_table.rs
@@ -317,6 +317,12 @@
         }
     }
 
+    /// Takes the speed of a service's engines, in seconds per prompt token and per output token, that a
+    /// former duty holder observed.
+    pub fn restore_speed(&mut self, service: &ServiceId, prefill_s: f64, step_s: f64) {
+        self.service_speed_mut(service).restore(prefill_s, step_s);
+    }
+
     fn service_speed_mut(&mut self, service: &ServiceId) -> &mut ServiceSpeed {
         let at = self.find_service_speed(service).unwrap_or_else(|at| {
             self.service_speeds
--- a/lib/src/relay/engine.rs
+++ b/lib/src/relay/engine.rs
@@ -181,6 +181,13 @@
     fn value(&self) -> f64 {
         self.value
     }
+
+    /// Takes a value that another daemon observed, unless there is an own one.
+    fn restore(&mut self, value: f64) {
+        if !self.is_observed && value.is_finite() && value > 0.0 {
+            (self.value, self.is_observed) = (value, true);
+        }
+    }
 }
 
 /// Learned speed of the engines of one service.
@@ -220,6 +227,20 @@
         self.step.value() / 1000.0
     }
 
+    /// Seconds of prefill per prompt token and seconds per output token; `None` until both were
+    /// observed.
+    pub fn observed(&self) -> Option<(f64, f64)> {
+        let is_observed = self.prefill.is_observed && self.step.is_observed;
+        is_observed.then(|| (self.prefill_s(), self.step_s()))
+    }
+
+    /// Takes both from a daemon that observed them. What was observed here, and values that are not
+    /// above zero, change nothing.
+    pub(crate) fn restore(&mut self, prefill_s: f64, step_s: f64) {
+        self.prefill.restore(prefill_s * 1000.0);
+        self.step.restore(step_s * 1000.0);
+    }
+
     /// Learns from the time per output token of a stream.
     pub fn learn_step(&mut self, token: Duration) {
         self.step.learn(token.as_secs_f64() * 1000.0);
