fleet: stand-ins follow the need of the last seconds, the reserve what may be lost

Ruled out: work beyond allowances as demand (it is recorded after the admission).

Change: the level falls to the highest need of the last ten seconds; on-demand endpoints in place of reclaimed ones follow a shorter span, that of a rate and a start. The engines' learned speed and what stand-ins follow are in the checkpoint. Losses of zones and crashes are followed, and the reserve is derived from them: reclaimable endpoints such that 1.4 for each needed are left when two zones go together (2.8 with four zones, as before; 2.1 with six), more after larger losses. A log line and a gauge tell need, wanted and held.

Discarded: 2.0 reclaimable ones for each needed and 4/3 of both kinds in a wave.

--- a/daemon/src/relay/checkpoint.rs
+++ b/daemon/src/relay/checkpoint.rs
@@ -65,9 +65,16 @@
             }),
         }
     }
-    let need = |(service, endpoints): (&CompactString, f64)| checkpoint::Need {
-        service: service.to_string(),
-        endpoints,
+    let table = state.endpoints.borrow();
+    let need = |(service, endpoints): (&CompactString, f64)| {
+        let speed = table.service_speed(service).observed();
+        checkpoint::Need {
+            service: service.to_string(),
+            endpoints,
+            prefill_s: speed.map(|speed| speed.0),
+            step_s: speed.map(|speed| speed.1),
+            recent: orders.stand_in(service),
+        }
     };
     written.needs = orders.needs().map(need).collect();
     written
@@ -134,10 +141,21 @@
     }
 }
 
-/// Restores how many endpoints the work needed.
-pub(crate) fn restore_needs(orders: &mut Orders, saved: &Checkpoint) {
+/// Restores how many endpoints the work needed, and the engines' speed from which that follows. Without
+/// the speed, a holder that has just started would compute the need of engines of the usual speed.
+pub(crate) fn restore_needs(state: &State, orders: &mut Orders, saved: &Checkpoint) {
     let now = Instant::now();
+    let mut table = state.endpoints.borrow_mut();
     for row in &saved.needs {
-        orders.restore(CompactString::from(&row.service), row.endpoints, now);
+        let service = CompactString::from(&row.service);
+        if let (Some(prefill), Some(step)) = (row.prefill_s, row.step_s) {
+            table.restore_speed(&service, prefill, step);
+        }
+        log::info!(
+            service = service.as_str(), prefill_s = row.prefill_s, step_s = row.step_s;
+            "fleet: a need of {:.1} endpoints restored.", row.endpoints
+        );
+        let recent = row.recent.unwrap_or(row.endpoints);
+        orders.restore_both(service, row.endpoints, recent, now);
     }
 }
--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -15,10 +15,10 @@
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use poplarvale_lib::relay::duty::DutyLease;
-use poplarvale_lib::relay::fleet::Orders;
+use poplarvale_lib::relay::fleet::{Orders, Plan};
 use poplarvale_lib::relay::rollout::Status;
 use poplarvale_lib::relay::usage::WindowId;
-use poplarvale_lib::{Era, era_of};
+use poplarvale_lib::{Era, ServiceId, era_of};
 use poplarvale_platform::{
     Duty, Item, STATUS_PREFIX, Txn, get, grant_lease, read_item, read_lease, read_txn, renew_lease,
     status_value, txn,
@@ -162,6 +162,8 @@
     /// When a failed report may be retried.
     retry_at: Option<Instant>,
     orders: Orders,
+    /// What the orders of each service followed from when it was last logged.
+    plans: Vec<(ServiceId, Plan)>,
     /// From when on it may give up the duties. A holder that gave them up earlier could act again
     /// within the lease time, after another one has acted.
     release_after: Instant,
@@ -248,7 +250,7 @@
         let saved = saved.and_then(|item| checkpoint::decode(&item.value));
         if let Some(saved) = &saved {
             checkpoint::restore_usage(state, saved);
-            checkpoint::restore_needs(&mut orders, saved);
+            checkpoint::restore_needs(state, &mut orders, saved);
         }
         let counted = state.usage.borrow().since(0).map(|row| row.1).min();
         let first = state.usage_window(state.started);
@@ -263,6 +265,7 @@
             unsent: last.map(|last| (last.window, last.counts)),
             retry_at: Some(Instant::now() + REPORT_DELAY),
             orders,
+            plans: Vec::new(),
             release_after: Instant::now() + state.settings.bounds.lease,
             next_save: Instant::now(),
         });
--- a/daemon/src/relay/duties/orders.rs
+++ b/daemon/src/relay/duties/orders.rs
@@ -2,6 +2,8 @@
 
 use std::time::Instant;
 
+use poplarvale_lib::relay::catalog::Service;
+use poplarvale_lib::relay::endpoint_table::{EndpointState, EndpointTable};
 use poplarvale_lib::relay::fleet::DesiredCount;
 use poplarvale_lib::relay::rollout::{Progress, UnixMs};
 use poplarvale_platform::{Order, order_call};
@@ -35,6 +37,7 @@
             moving.as_ref(),
             now,
         );
+        report_plan(state, holder, service, moving.is_some());
         for desired in desired_counts {
             let now = Instant::now();
             if !holder.lease.may_act(now) {
@@ -51,6 +54,50 @@
     }
 }
 
+/// Logs what the orders of a service follow from when it has changed, and updates the metrics.
+fn report_plan(state: &State, holder: &mut Holder, service: &Service, is_moving: bool) {
+    let Some(plan) = holder.orders.plan(service, state.settings.zones.len()) else {
+        return;
+    };
+    let table = state.endpoints.borrow();
+    let held = |spot| count(&table, &service.name, spot);
+    let (reclaimable, on_demand) = (held(true), held(false));
+    drop(table);
+    for (label, number) in [
+        ("need", plan.need),
+        ("reclaimable", f64::from(plan.reclaimable)),
+        ("on demand", f64::from(plan.on_demand)),
+        ("held reclaimable", f64::from(reclaimable)),
+        ("held on demand", f64::from(on_demand)),
+    ] {
+        state.measure(|metrics| metrics.record_endpoints(&service.name, label, number));
+    }
+    let last = holder.plans.iter_mut().find(|row| row.0 == service.name);
+    match last {
+        Some(row) if row.1 == plan => return,
+        Some(row) => row.1 = plan,
+        None => holder.plans.push((service.name.clone(), plan)),
+    }
+    let reserve = plan.reserve;
+    log::info!(
+        service = service.name.as_str(), reclaimable = reclaimable, on_demand = on_demand,
+        moving = is_moving;
+        "fleet: the work needs {:.1} endpoints ({:.1} lately); {} reclaimable and {} on demand wanted, \
+         for the loss of {} zones together or {:.0} % of all in a crash.",
+        plan.need, plan.stand_in, plan.reclaimable, plan.on_demand, reserve.zones,
+        reserve.crash * 100.0
+    );
+}
+
+/// Number of endpoints of one kind of a service that do not leave.
+fn count(table: &EndpointTable, service: &str, spot: bool) -> u32 {
+    let rows = table.rows().iter().filter(|row| {
+        let listing = &row.listing;
+        listing.service == service && listing.spot == spot && row.state != EndpointState::Leaving
+    });
+    rows.count() as u32
+}
+
 /// The version move of a service, until some time after its end: the platform stops or drains one of
 /// the versions then, and the registry still lists its endpoints for a while.
 fn move_under_way(state: &State, service: &str) -> Option<Progress> {
--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use poplarvale_lib::ServiceId;
 use prometheus::{Encoder as _, Registry, TextEncoder};
@@ -31,6 +31,7 @@
     forwarded: Counter<u64>,
     incomplete: Counter<u64>,
     retries: Counter<u64>,
+    endpoints: Gauge<f64>,
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
     /// Kept until the instruments are dropped.
@@ -104,6 +105,12 @@
                 "poplarvale_relay_retries",
                 "Retries that were asked of the budget, by service and outcome",
             ),
+            endpoints: meter
+                .f64_gauge("poplarvale_relay_endpoints")
+                .with_description(
+                    "Endpoints of a service as the duty holder sees them, by kind of count",
+                )
+                .build(),
             first_event: histogram(
                 "poplarvale_relay_first",
                 "Time from a request's head to its first event or answer",
@@ -159,6 +166,15 @@
         self.retries.add(1, &labels);
     }
 
+    /// Records a number of endpoints of a service that orders follow.
+    pub(crate) fn record_endpoints(&self, service: &ServiceId, count: &'static str, number: f64) {
+        let labels = [
+            KeyValue::new("service", service.to_string()),
+            KeyValue::new("count", count),
+        ];
+        self.endpoints.record(number, &labels);
+    }
+
     /// Records how forwarding a request to another daemon ended.
     pub(crate) fn record_forwarded(&self, outcome: &'static str) {
         self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/lib/src/relay/fleet.rs
+++ b/lib/src/relay/fleet.rs
@@ -26,19 +26,21 @@
 use super::engine::ServiceSpeed;
 use super::rollout::{Outcome, Progress};
 use crate::{ServiceId, ZoneId};
+use level::Level;
+pub use reserve::Reserve;
+use reserve::{Held, Losses};
+
+mod level;
+mod reserve;
 
 /// Share of an engine's slots that is assumed to be in use when the need is computed.
 const SLOT_UTILIZATION: f64 = 0.5;
-/// On-demand endpoints for each one that the work needs while there are reclaimable ones.
-const ON_DEMAND_FACTOR: f64 = 0.2;
-/// Reclaimable endpoints for each one that the work needs: a wave of reclaims may take
-/// half of them before others have started.
-const RECLAIMABLE_FACTOR: f64 = 2.8;
-/// Endpoints of both kinds for each one that the work needs. On-demand ones are ordered when
-/// there are fewer.
-const TOTAL_FACTOR: f64 = 1.5;
+/// On-demand endpoints for each one that the work needs, of a service without reclaimable ones.
+const ON_DEMAND_ONLY: f64 = 3.0;
 /// Minimum number of each kind over all zones, as soon as there is any work.
 const MIN_ENDPOINTS: f64 = 2.0;
+/// Endpoints for each one that teams could keep busy, before the need is known.
+const USEFUL_FACTOR: f64 = 2.8;
 /// Share of the on-demand endpoints of the operators that is kept before there is any work,
 /// once there are as many reclaimable ones.
 const IDLE_ON_DEMAND_SHARE: f64 = 0.4;
@@ -48,15 +50,11 @@
 /// How long there must be work before its rate is known; the span over which rates are
 /// measured.
 const RATE_SPAN: Duration = Duration::from_secs(4);
-/// Need, as a multiple of the level that orders follow, above and below which the level changes.
-const RAISE_ABOVE: f64 = 1.25;
-const REDUCE_BELOW: f64 = 0.7;
-/// How long the need must have been lower before fewer endpoints are ordered: traffic swings
-/// over tens of seconds.
-const REDUCE_DELAY: Duration = Duration::from_secs(10);
 /// Pause after a rejected order, doubled with each further one up to the maximum.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 const MAX_RETRY_PAUSE: Duration = Duration::from_secs(4);
+/// How long endpoints that were given up go on leaving the list.
+const GIVE_UP_TIME: Duration = Duration::from_secs(5);
 /// How long after the boot time of its endpoints an accepted order is repeated if they did not
 /// register: they may have been reclaimed meanwhile.
 const REORDER_DELAY: Duration = Duration::from_millis(2500);
@@ -89,17 +87,32 @@
     pause: Duration,
 }
 
-/// Level of the need that orders of one service follow.
+/// What is known of one service.
 #[derive(Clone, Debug, PartialEq)]
-struct Level {
+struct Known {
     service: ServiceId,
-    /// When work was first requested.
-    since: Instant,
-    /// Needed endpoints that orders are based on; `None` until the rate of work is known.
-    need: Option<f64>,
-    /// Since when the need has been so low that fewer endpoints suffice, and the highest need
-    /// since then.
-    lower: Option<(Instant, f64)>,
+    /// `None` until work was requested.
+    level: Option<Level>,
+    losses: Losses,
+    /// Reclaimable and on-demand endpoints that were wanted at the last look.
+    wanted: (u32, u32),
+    /// When fewer endpoints than those in use were last wanted.
+    lowered: Option<Instant>,
+}
+
+/// What the orders of a service follow from.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Plan {
+    /// Endpoints that the work needs, as orders follow it.
+    pub need: f64,
+    /// Endpoints that on-demand ones in place of reclaimed ones are based on; at most `need`.
+    pub stand_in: f64,
+    /// What is held for each endpoint needed.
+    pub reserve: Reserve,
+    /// Reclaimable endpoints wanted.
+    pub reclaimable: u32,
+    /// On-demand endpoints wanted.
+    pub on_demand: u32,
 }
 
 /// Highest number of on-demand endpoints of a service in each zone that this daemon has seen.
@@ -157,7 +170,7 @@
     /// Highest numbers of on-demand endpoints seen so far, by service.
     baselines: Vec<Baseline>,
     placed: Vec<PlacedOrder>,
-    levels: Vec<Level>,
+    services: Vec<Known>,
     /// When work was first requested, if that was before this daemon took over the duty.
     first_work: Option<Instant>,
     /// Tokens a second that all teams together may use; `None` if there is no limit.
@@ -208,9 +221,15 @@
     reclaimable: u32,
 }
 
-fn totals(scaling: &Scaling, level: Option<f64>, serving: &Serving, baseline: u32) -> Totals {
+fn totals(
+    scaling: &Scaling,
+    level: Option<(f64, f64)>,
+    reserve: Reserve,
+    serving: &Serving,
+    baseline: u32,
+) -> Totals {
     let spot = scaling.reclaimable_price.is_some();
-    let Some(need) = level else {
+    let Some((need, stand_in)) = level else {
         // Reclaimable endpoints are not reduced: a daemon that takes over the duty in the middle
         // of the day does not know the need for a few seconds, and endpoints that it gave up
         // then would take as long again to come back.
@@ -225,21 +244,19 @@
     };
     if !spot {
         return Totals {
-            on_demand: (need * (ON_DEMAND_FACTOR + RECLAIMABLE_FACTOR))
-                .max(MIN_ENDPOINTS)
-                .round() as u32,
+            on_demand: (need * ON_DEMAND_ONLY).max(MIN_ENDPOINTS).round() as u32,
             reclaimable: 0,
         };
     }
-    let usual_on_demand = (need * ON_DEMAND_FACTOR).max(MIN_ENDPOINTS).round() as u32;
+    let usual_on_demand = (need * reserve.on_demand).max(MIN_ENDPOINTS).round() as u32;
     // A reclaim is announced some seconds before it takes effect, about as long as another
     // endpoint takes to start, and in a wave no reclaimable ones are available anywhere.
     // On-demand ones replace them at the notice and are given up when reclaimable ones are back.
-    let missing = (need * TOTAL_FACTOR).round() as u32;
+    let missing = (stand_in * reserve.total).ceil() as u32;
     let missing = missing.saturating_sub(serving.reclaimable());
     Totals {
         on_demand: usual_on_demand.max(missing),
-        reclaimable: (need * RECLAIMABLE_FACTOR).max(MIN_ENDPOINTS).round() as u32,
+        reclaimable: (need * reserve.reclaimable).max(MIN_ENDPOINTS).round() as u32,
     }
 }
 
@@ -311,35 +328,6 @@
     shares
 }
 
-impl Level {
-    /// Updates the level from the current need: up when the need is well above it, down when the
-    /// need was well below it for a while. Following each swing would start and drain endpoints
-    /// all day, and every new endpoint starts with an empty cache.
-    fn update(&mut self, need: f64, now: Instant) -> Option<f64> {
-        let Some(level) = self.need else {
-            if now.duration_since(self.since) >= RATE_SPAN {
-                self.need = Some(need);
-            }
-            return self.need;
-        };
-        if need > level * RAISE_ABOVE {
-            self.need = Some(need);
-            self.lower = None;
-        } else if need < level * REDUCE_BELOW {
-            let (since, high) = self.lower.unwrap_or((now, need));
-            let high = high.max(need);
-            self.lower = Some((since, high));
-            if now.duration_since(since) >= REDUCE_DELAY {
-                self.need = Some(high);
-                self.lower = None;
-            }
-        } else {
-            self.lower = None;
-        }
-        self.need
-    }
-}
-
 impl Orders {
     /// No orders yet; `first_work` is when work was first requested, as far as this daemon knows.
     /// A daemon that takes over the duty in the middle of the day knows the rates already. If it
@@ -363,27 +351,39 @@
             return most;
         };
         let need = endpoints_needed(Work { read, write: 0.0 }, slots, speed);
-        let useful = (need * RECLAIMABLE_FACTOR).max(MIN_ENDPOINTS).round();
+        let useful = (need * USEFUL_FACTOR).max(MIN_ENDPOINTS).round();
         most.min(useful as u32)
     }
 
     /// Needed endpoints of each service, for a checkpoint.
     pub fn needs(&self) -> impl Iterator<Item = (&ServiceId, f64)> {
-        let rows = self.levels.iter();
-        rows.filter_map(|row| row.need.map(|need| (&row.service, need)))
+        let rows = self.services.iter();
+        rows.filter_map(|row| Some((&row.service, row.level.as_ref()?.need()?)))
+    }
+
+    /// What the orders of a service follow from; `None` until its need is known.
+    pub fn plan(&self, service: &Service, zones: usize) -> Option<Plan> {
+        let known = self
+            .services
+            .iter()
+            .find(|row| row.service == service.name)?;
+        let level = known.level.as_ref()?;
+        let need = level.need()?;
+        let start = service.scaling.as_ref()?.boot_time;
+        Some(Plan {
+            need,
+            stand_in: level.stand_in(),
+            reserve: known.losses.reserve(zones, start),
+            reclaimable: known.wanted.0,
+            on_demand: known.wanted.1,
+        })
     }
 
     /// Restores a service's need that the previous duty holder knew. Without it, a new holder
     /// would order nothing for the span of a rate, which is worst during a wave of reclaims, and
     /// then only for the few callers that it has learned of.
     pub fn restore(&mut self, service: ServiceId, need: f64, now: Instant) {
-        self.levels.retain(|row| row.service != service);
-        self.levels.push(Level {
-            service,
-            since: now,
-            need: Some(need),
-            lower: None,
-        });
+        self.restore_both(service, need, need, now);
     }
 
     /// Updates and returns the on-demand endpoints seen of a service.
@@ -404,19 +404,72 @@
         self.baselines[at].clone()
     }
 
-    /// Updates and returns the level that orders of a service follow; `None` while it is unknown.
-    fn level(&mut self, service: &ServiceId, need: f64, now: Instant) -> Option<f64> {
-        let at = self.levels.iter().position(|row| row.service == *service);
+    /// Restores also the need that on-demand endpoints in place of reclaimed ones followed.
+    pub fn restore_both(&mut self, service: ServiceId, need: f64, stand_in: f64, now: Instant) {
+        self.services.retain(|row| row.service != service);
+        self.services.push(Known {
+            service,
+            level: Some(Level::restored(need, stand_in, now)),
+            losses: Losses::default(),
+            wanted: (0, 0),
+            lowered: None,
+        });
+    }
+
+    /// Need that on-demand endpoints in place of reclaimed ones follow; `None` until it is known.
+    pub fn stand_in(&self, service: &str) -> Option<f64> {
+        let mut rows = self.services.iter();
+        let known = rows.find(|row| row.service == service)?;
+        let level = known.level.as_ref()?;
+        level.need().map(|_| level.stand_in())
+    }
+
+    /// What is known of a service.
+    fn known(&mut self, service: &ServiceId) -> &mut Known {
+        let at = self.services.iter().position(|row| row.service == *service);
         let at = at.unwrap_or_else(|| {
-            self.levels.push(Level {
+            self.services.push(Known {
                 service: service.clone(),
-                since: self.first_work.unwrap_or(now),
-                need: None,
-                lower: None,
+                level: None,
+                losses: Losses::default(),
+                wanted: (0, 0),
+                lowered: None,
             });
-            self.levels.len() - 1
+            self.services.len() - 1
         });
-        self.levels[at].update(need, now)
+        &mut self.services[at]
+    }
+
+    /// Follows what was lost of a service, and returns the reserve for further losses.
+    fn reserve(
+        &mut self,
+        service: &ServiceId,
+        serving: &Serving,
+        (moving, start): (bool, Duration),
+        now: Instant,
+    ) -> Reserve {
+        let row = |row: &(ZoneId, u32, u32)| {
+            let mut placed = self.placed.iter();
+            let placed = placed
+                .find(|placed| placed.service == *service && placed.zone == row.0 && placed.spot);
+            Held {
+                zone: row.0.clone(),
+                all: row.1 + row.2,
+                reclaimable: row.2,
+                ordered: placed.map(|placed| placed.count),
+            }
+        };
+        let held: Vec<Held> = serving.0.iter().map(row).collect();
+        let zones = held.len();
+        let known = self.known(service);
+        let given_up = known
+            .lowered
+            .is_some_and(|at| now.duration_since(at) < GIVE_UP_TIME);
+        // During a move the platform stops endpoints of its own.
+        if !moving {
+            known.losses.observe(&held, given_up, now);
+        }
+        known.losses.reserve(zones, start)
     }
 
     /// Desired endpoints of a service, where their number differs from those in use.
@@ -453,23 +506,22 @@
         let of = |may: &dyn Fn(&str) -> bool| Serving::of(table, &service.name, zones, may);
         let serving = of(&|version| serves(moving, version));
         let others = of(&|version| !serves(moving, version));
-        let level = if work == Work::default() {
-            self.levels
-                .iter()
-                .find(|row| row.service == service.name)
-                .and_then(|row| row.need)
-        } else {
-            let speed = table.service_speed(&service.name);
-            self.level(
-                &service.name,
-                endpoints_needed(work, engine.slots, speed),
-                now,
-            )
-        };
-        let baseline = self.baseline(&service.name, &serving, now);
         let speed = table.service_speed(&service.name);
+        let start = scaling.boot_time;
+        let since = self.first_work.unwrap_or(now);
+        let known = self.known(&service.name);
+        if work != Work::default() {
+            let need = endpoints_needed(work, engine.slots, speed);
+            let level = known.level.get_or_insert_with(|| Level::new(since));
+            level.update(need, start, now);
+        }
+        let level = known.level.as_ref();
+        let level = level.and_then(|level| Some((level.need()?, level.stand_in())));
+        let reserve = self.reserve(&service.name, &serving, (moving.is_some(), start), now);
+        let baseline = self.baseline(&service.name, &serving, now);
         let useful = self.useful(baseline.total(), engine.slots, speed);
-        let total = totals(scaling, level, &serving, useful);
+        let total = totals(scaling, level, reserve, &serving, useful);
+        self.known(&service.name).wanted = (total.reclaimable, total.on_demand);
         // On-demand endpoints that replace reclaimed ones go to the zones of these. Giving up
         // reclaimable ones elsewhere to make room for them would only raise the price.
         let room = |zone: &str| scaling.max.saturating_sub(serving.in_zone(zone).1);
@@ -511,6 +563,9 @@
                 } else {
                     wanted
                 };
+                if is_due && wanted < held {
+                    self.known(&service.name).lowered = Some(now);
+                }
                 if is_due {
                     counts.push(DesiredCount {
                         service: service.name.clone(),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -41,6 +41,7 @@
 mod test_relay_membership;
 mod test_relay_quota;
 mod test_relay_reachability;
+mod test_relay_reserve;
 mod test_relay_rollout;
 mod test_relay_rollout_troubles;
 mod test_relay_selection;
