--- a/lib/tests/test_relay_reserve.rs
+++ b/lib/tests/test_relay_reserve.rs
@@ -177,7 +177,7 @@
     holder.pass([(2, 0); 4], NEED, 1);
     assert!(holder.plan().reserve != before.reserve);
     holder.pass(WHOLE, NEED, 2);
-    holder.now += Duration::from_secs(3600);
+    holder.now += Duration::from_hours(1);
     holder.pass(WHOLE, NEED, 20);
     assert_eq!(holder.plan().reserve, before.reserve);
 }
