relay: one max-min division, lints of the joined parts

The division of an allowance among kinds uses the function that divides engines among teams. Behaviour is the same; lints that only show on the joined tree are mended.

--- a/lib/src/relay/links.rs
+++ b/lib/src/relay/links.rs
@@ -76,7 +76,7 @@
     /// Probability that no more of these attempts are answered if each is with the probability `share`.
     fn chance(self, share: f64) -> f64 {
         let lost = 1.0 - share;
-        let mut term = lost.powi(self.attempts as i32);
+        let mut term = lost.powf(f64::from(self.attempts));
         let mut sum = term;
         for answered in 0..self.answered {
             let left = f64::from(self.attempts - answered);
--- a/lib/src/relay/quota/division.rs
+++ b/lib/src/relay/quota/division.rs
@@ -14,6 +14,8 @@
 //! The division decides which requests are admitted. How many units are admitted is decided by the
 //! limiter: what a kind with a small demand uses is missing in what the others get.
 
+use crate::relay::max_min::{self, Claim};
+
 /// Number of ranks of a route. Those of less urgent routes count as the last.
 pub const RANKS: u8 = 3;
 /// Number of sizes of a request.
@@ -204,20 +206,15 @@
     }
 }
 
-/// Weighted max-min division.
 fn divide(rate: f64, demands: &Demands) -> Demands {
-    let mut order: Vec<usize> = (0..KINDS).filter(|at| demands.0[*at] > 0.0).collect();
-    let need = |at: usize| demands.0[at] / Kind::weight(at);
-    order.sort_by(|a, b| need(*a).total_cmp(&need(*b)));
-    let mut weights: f64 = order.iter().map(|at| Kind::weight(*at)).sum();
-    let mut left = rate;
+    let claim = |at: usize| Claim {
+        weight: Kind::weight(at),
+        demand: demands.0[at],
+    };
+    let claims: [Claim; KINDS] = std::array::from_fn(claim);
     let mut shares = Demands::default();
-    for at in order {
-        let weight = Kind::weight(at);
-        let share = demands.0[at].min(left * weight / weights);
-        shares.0[at] = share;
-        left -= share;
-        weights -= weight;
+    for (share, part) in shares.0.iter_mut().zip(max_min::divide(&claims, rate)) {
+        *share = part;
     }
     shares
 }
--- a/lib/tests/test_relay_division.rs
+++ b/lib/tests/test_relay_division.rs
@@ -8,7 +8,7 @@
 use poplarvale_lib::relay::quota::division::{
     Demands, Division, KINDS, Kind, TeamDemands, without_own,
 };
-use poplarvale_lib::relay::quota::{Cost, PeerReport, Quota, Sum, TeamUse, Tolerance};
+use poplarvale_lib::relay::quota::{Cost, Coverage, PeerReport, Quota, Sum, TeamUse, Tolerance};
 use proptest::prelude::*;
 
 const WINDOW: Duration = Duration::from_secs(8);
@@ -107,7 +107,7 @@
             incarnation: self.lives[from].0,
             received: now,
             started: self.lives[from].1,
-            coverage: Default::default(),
+            coverage: Coverage::default(),
             uses,
         }
     }
