--- a/daemon/tests/test_relay_announced.rs
+++ b/daemon/tests/test_relay_announced.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use poplarvale_standin::{
-    Endpoint, Mode, SeenRequest, Step, announcing, ask, plain, rejection_with, request,
+    Endpoint, Mode, SeenRequest, Step, announcing, ask, paced, plain, rejection_with, request,
 };
 
 use crate::relay_site::{Site, Zone, store_with};
@@ -159,3 +159,33 @@
     }
     assert_eq!(tired.endpoint.seen().len(), 1);
 }
+
+/// An endpoint announces paces that cannot be true. Requests would be kept away from it, or all be
+/// drawn to it, and nobody would see why.
+#[actix_web::test]
+async fn paces_that_cannot_be_true_are_ignored_and_counted() {
+    let endpoint = Endpoint::start("i-1", |seen| {
+        let Some(pace) = seen.id().strip_prefix("pace-").map(str::to_owned) else {
+            return vec![plain(seen, 200, "done")];
+        };
+        vec![paced(seen, &pace, "done")]
+    })
+    .await;
+    let site = Site::start(&[&endpoint]).await;
+    for pace in ["170", "0", "fast", "99999"] {
+        let text = request("GET", "/safe/a", &format!("pace-{pace}"), "");
+        let answer = ask(site.address(), &text).await;
+        assert_eq!(answer.expect("an answer").status, 200, "{pace}");
+    }
+    let status = site.relay.status().expect("the daemon shows its metrics");
+    let page = ask(status, &request("GET", "/metrics", "page", "")).await;
+    let page = page.expect("the page").body;
+    let count = page
+        .lines()
+        .find(|line| line.starts_with("poplarvale_relay_ignored_paces_total"))
+        .and_then(|line| line.rsplit(' ').next());
+    assert_eq!(count, Some("3"), "{page}");
+    let dump = ask(status, &request("GET", "/dump", "dump", "")).await;
+    let dump = dump.expect("the dump").body;
+    assert!(dump.contains("\"pace_percent\":170"), "{dump}");
+}
