--- a/lib/src/relay/fair_share.rs
+++ b/lib/src/relay/fair_share.rs
@@ -41,7 +41,8 @@
 /// rates of teams follow a change.
 const LIMIT_TIME: Duration = Duration::from_secs(3);
 /// How long engines of a service count as busy after a request was rejected for a queue of full length.
-const BUSY_TIME: Duration = Duration::from_secs(3);
+/// While a limit works no queue gets that long, so it is twice the time of a limit.
+const BUSY_TIME: Duration = Duration::from_secs(6);
 
 /// What a team requests and gets from all daemons, in units of its allowance.
 #[derive(Clone, Copy, Debug, PartialEq)]
