tests: a flood whose begin meets the isolation of half of the daemons

The test of isolated daemons cuts them off a window after the flood began. A cut right after the reports by kind had arrived admitted 1.09 of the allowance at 1,000 daemons in a trial, before isolated daemons divided three quarters of their part only. The case stands as a test of its own now, with the same bound, and passes.

--- a/lib/tests/test_relay_division.rs
+++ b/lib/tests/test_relay_division.rs
@@ -339,6 +339,21 @@
     }
 }
 
+/// Guards against a team that gets more than its allowance when half of the daemons are isolated as soon
+/// as its flood is known.
+#[test]
+fn a_flood_stays_in_the_allowance_if_half_are_isolated_at_its_begin() {
+    for (daemons, rate, seed) in [(66, 746_631.0, 1), (66, 240_000.0, 2), (1000, 64_800.0, 3)] {
+        let mut fleet = Fleet::new(daemons, rate, seed);
+        fleet.send(&mix(0.55), WINDOW * 2, even);
+        fleet.send(&mix(4.1), WARM_UP, even);
+        fleet.isolated = daemons / 2;
+        fleet.send(&mix(4.1), WINDOW * 2, even);
+        let most = fleet.most();
+        assert!(most <= 1.0, "{most} of what is allowed, {daemons} daemons");
+    }
+}
+
 /// Daemons of an earlier version report no demand by kind. The sum must stay within the allowance,
 /// and as much of it be used, as if all requests were of one kind.
 #[test]
