--- a/daemon/tests/test_relay_quota.rs
+++ b/daemon/tests/test_relay_quota.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use poplarvale_standin::{Endpoint, ask, config, plain, request, with_routes};
+use poplarvale_standin::{Endpoint, ask, config, long_prompt, plain, request, with_routes};
 use poplarvaled::Relay;
 
 use crate::relay_site::{ROUTES, Site, Zone, store_with, until};
@@ -13,10 +13,6 @@
 const SPREAD_TIME: Duration = Duration::from_millis(1500);
 /// Allowance in tokens a second, and its burst.
 const RATE: u64 = 10_000;
-/// Header lines of a prompt of 9,100 tokens.
-const LETTER: &str = "Poplarvale-Model: m\r\nPoplarvale-Token-Counts: 9000,100\r\n\
-                      Poplarvale-Prompt-Prefix: 1:9000\r\n";
-
 async fn endpoint() -> Endpoint {
     Endpoint::start("i-1", |seen| vec![plain(seen, 200, "done")]).await
 }
@@ -47,7 +43,8 @@
     zone.store.put("op/config", text.as_bytes());
     tokio::time::sleep(Duration::from_secs(3)).await;
     let [flooded, other] = [&zone.daemons[3].1, &zone.daemons[4].1];
-    let flood = send(flooded, LETTER, 8.0, SPREAD_TIME * 4);
+    let letter = long_prompt(9000, 100);
+    let flood = send(flooded, &letter, 8.0, SPREAD_TIME * 4);
     let payments = async {
         send(other, "", 20.0, SPREAD_TIME).await;
         send(other, "", 20.0, SPREAD_TIME * 2).await
