startup: names that tell who is asked

Daemons were "fed"; now they have a source or receive what they lack. The tests' names tell what is compared in place of what was, and the module on reports by kind tells what it holds in large fleets.

--- a/daemon/src/relay/startup.rs
+++ b/daemon/src/relay/startup.rs
@@ -89,7 +89,7 @@
     }
 
     /// Waits until they are known without a read of the store.
-    pub(crate) async fn until_fed(&self) {
+    pub(crate) async fn until_received(&self) {
         self.until_ready().await;
         if self.has_read.get() {
             std::future::pending::<()>().await;
@@ -106,7 +106,7 @@
 /// Decides by the checkpoint of the last fleet who reads the store.
 pub(crate) fn decide(state: &State, saved: &Checkpoint) {
     let now = Instant::now();
-    let (own_zone, is_fed) = {
+    let (own_zone, has_source) = {
         let peers = state.peers.borrow();
         (peers.own_location().zone, peers.hears_source(now))
     };
@@ -125,11 +125,11 @@
     decision.decide(fleet);
     log::info!(
         daemons = fleet.daemons, endpoints = fleet.endpoints, entries = fleet.entries,
-        watcher_kb = slowest, is_fed;
+        watcher_kb = slowest, has_source;
         "start: {decision}."
     );
     drop(decision);
-    if !is_fed {
+    if !has_source {
         merge_roster(&mut state.peers.borrow_mut(), &roster, now);
         update_roles(state, now);
         state.digest_due.notify_one();
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -125,7 +125,7 @@
                     biased;
                     result = read_all(&state, &mut client) => result,
                     // Another daemon was faster.
-                    () = state.start.until_fed() => continue,
+                    () = state.start.until_received() => continue,
                 }
             }
             Task::Watch(after) => watch_once(&state, &mut client, after).await,
--- a/lib/src/relay/quota/demands.rs
+++ b/lib/src/relay/quota/demands.rs
@@ -2,8 +2,9 @@
 //!
 //! A daemon reports it for teams of which it hears that they ask for more than their rate, or that
 //! ask it alone for more than an even share. Sums have it only for teams that ask for more than
-//! their rate at all daemons, and for few of them, so that reports stay short: most teams are within
-//! their rate at any time.
+//! their rate at all daemons, and for few of them, so that they stay short: most teams are within
+//! their rate at any time. In a fleet of hundreds a single request is more than an even share, and a
+//! daemon's own report has the teams that it served lately, up to the same number.
 
 use std::time::Instant;
 
--- a/lib/src/relay/startup.rs
+++ b/lib/src/relay/startup.rs
@@ -33,7 +33,7 @@
 /// started with it.
 const DISCOVERY_TIME: Duration = Duration::from_millis(400);
 /// Time after its start for which a daemon relies on others that run and have the configuration.
-const FED_TIME: Duration = Duration::from_millis(100);
+const SOURCE_TIME: Duration = Duration::from_millis(100);
 /// Least time after its start for which a daemon relies on watchers that start with it.
 const MIN_PATIENCE: Duration = Duration::from_millis(50);
 /// Longest time over which the daemons that found nobody spread their reads.
@@ -218,11 +218,11 @@
 
     /// From when on this daemon reads the store itself; `None` if it does not.
     pub fn read_from(&self, view: View) -> Option<Instant> {
-        let is_fed = view.heard == Heard::Source;
+        let has_source = view.heard == Heard::Source;
         let after = match self.plan {
             _ if view.heard == Heard::Alone => Duration::ZERO,
-            Plan::Direct(_) if is_fed => FED_TIME,
-            Plan::Direct(_) | Plan::Ranked(_) if view.is_watcher && !is_fed => Duration::ZERO,
+            Plan::Direct(_) if has_source => SOURCE_TIME,
+            Plan::Direct(_) | Plan::Ranked(_) if view.is_watcher && !has_source => Duration::ZERO,
             Plan::Direct(patience) => patience,
             Plan::Ranked(_) | Plan::Unknown if view.is_watcher => DISCOVERY_TIME,
             Plan::Ranked(spread) if view.heard == Heard::Nothing => {
--- a/lib/tests/test_relay_startup.rs
+++ b/lib/tests/test_relay_startup.rs
@@ -12,8 +12,8 @@
 const READS: f64 = 6000.0;
 /// When a daemon has read the checkpoint.
 const CHECKPOINT_TIME: Duration = Duration::from_millis(10);
-/// When a daemon that knew no other one read the store before.
-const FORMER_DELAY: Duration = Duration::from_millis(400);
+/// When a daemon reads the store that waits until it knows the others.
+const DISCOVERY_DELAY: Duration = Duration::from_millis(400);
 
 const UNFED: View = View {
     heard: Heard::Nothing,
@@ -98,12 +98,12 @@
     for number in watchers..fleet.daemons {
         let startup = startup(number, fleet, started);
         let own = Duration::from_secs_f64(fleet.peer_bytes() / SMALL_LINK);
-        let fed = known + handed + own;
+        let received = known + handed + own;
         let from = delay(&startup, MEMBER, started);
-        let direct = from.filter(|from| *from < fed);
+        let direct = from.filter(|from| *from < received);
         ready = ready.max(match direct {
-            Some(from) => read(from, SMALL_LINK).min(fed.max(from)),
-            None => fed,
+            Some(from) => read(from, SMALL_LINK).min(received.max(from)),
+            None => received,
         });
     }
     all.ready = ready;
@@ -111,12 +111,12 @@
 }
 
 /// Calls by which all daemons read everything.
-fn former_calls(fleet: Fleet) -> u32 {
+fn calls_if_each_reads(fleet: Fleet) -> u32 {
     fleet.daemons * fleet.calls()
 }
 
-/// All daemons of a small fleet start together. Each waited for watchers that nobody knew, and rejected
-/// every caller for half a second.
+/// All daemons of a small fleet start together. If each waited for watchers that nobody knows,
+/// every caller would be rejected for half a second.
 #[test]
 fn a_fleet_of_82_daemons_has_all_within_a_tenth_of_a_second() {
     let fleet = fleet(82, 4, 250, LARGE_LINK);
@@ -127,7 +127,7 @@
         start.ready
     );
     assert!(
-        start.calls <= former_calls(fleet) / 4,
+        start.calls <= calls_if_each_reads(fleet) / 4,
         "{} calls",
         start.calls
     );
@@ -146,7 +146,11 @@
         "{:?}",
         start.ready
     );
-    assert!(start.calls <= former_calls(fleet), "{} calls", start.calls);
+    assert!(
+        start.calls <= calls_if_each_reads(fleet),
+        "{} calls",
+        start.calls
+    );
 }
 
 /// Hundreds of daemons read the registry of thousands of endpoints at once, and the store answers none
@@ -161,13 +165,13 @@
         let start = replay(fleet);
         assert!(start.ready <= limit, "{fleet:?}: {:?}", start.ready);
         assert!(start.calls <= 2 * fleet.zones * fleet.calls());
-        let former = f64::from(fleet.daemons) * fleet.store_bytes();
-        assert!(start.store_bytes <= former / 10.0);
-        assert!(start.link_bytes <= former / 10.0);
+        let each_reads = f64::from(fleet.daemons) * fleet.store_bytes();
+        assert!(start.store_bytes <= each_reads / 10.0);
+        assert!(start.link_bytes <= each_reads / 10.0);
     }
 }
 
-/// A daemon without others, and one that starts beside others that run, must not wait longer than before.
+/// A daemon without others, and one that starts beside others that run, must not wait longer than if they knew nothing.
 #[test]
 fn a_daemon_that_starts_alone_reads_no_later_than_before() {
     let started = Instant::now();
@@ -179,12 +183,12 @@
                 is_watcher: true,
             };
             assert_eq!(delay(&startup, alone, started), Some(Duration::ZERO));
-            let fed = View {
+            let received = View {
                 heard: Heard::Source,
                 is_watcher: true,
             };
-            let from = delay(&startup, fed, started).expect("a watcher reads");
-            assert!(from <= FORMER_DELAY, "{from:?}");
+            let from = delay(&startup, received, started).expect("a watcher reads");
+            assert!(from <= DISCOVERY_DELAY, "{from:?}");
         }
     }
 }
@@ -199,7 +203,7 @@
     let mut times: Vec<Duration> = (0..1000).filter_map(from).collect();
     assert_eq!(times.len(), 1000);
     times.sort_unstable();
-    assert!(times[0] >= FORMER_DELAY);
+    assert!(times[0] >= DISCOVERY_DELAY);
     let busiest = times
         .windows(100)
         .map(|row| row[99].saturating_sub(row[0]))
@@ -216,7 +220,7 @@
     let mut startup = startup(5, fleet(66, 4, 250, SMALL_LINK), started);
     startup.record_failure();
     let from = delay(&startup, UNFED, started);
-    assert!(from.is_some_and(|from| from >= FORMER_DELAY));
+    assert!(from.is_some_and(|from| from >= DISCOVERY_DELAY));
     assert_eq!(delay(&startup, MEMBER, started), None);
     assert_eq!(startup.hold_until(started), None, "no request waits");
 }
@@ -231,7 +235,7 @@
     };
     let startup = Startup::new(started, capacity, Ipv4Addr::LOCALHOST);
     assert_eq!(delay(&startup, UNFED, started), None);
-    assert_eq!(delay(&startup, WATCHER, started), Some(FORMER_DELAY));
+    assert_eq!(delay(&startup, WATCHER, started), Some(DISCOVERY_DELAY));
 }
 
 /// A configuration of many thousand routes takes seconds over a slow link. If each daemon read it from the
@@ -244,7 +248,7 @@
         ..fleet(66, 4, 250, SMALL_LINK)
     };
     let from = delay(&startup(9, long, started), UNFED, started);
-    assert!(from.is_none_or(|from| from >= FORMER_DELAY), "{from:?}");
+    assert!(from.is_none_or(|from| from >= DISCOVERY_DELAY), "{from:?}");
 }
 
 /// Rates that the settings do not state must not let all daemons read at once.
@@ -254,7 +258,7 @@
     let mut startup = Startup::new(started, Capacity::default(), Ipv4Addr::LOCALHOST);
     startup.decide(fleet(66, 4, 250, 0.0));
     let from = delay(&startup, UNFED, started);
-    assert!(from.is_some_and(|from| from >= FORMER_DELAY), "{from:?}");
+    assert!(from.is_some_and(|from| from >= DISCOVERY_DELAY), "{from:?}");
 }
 
 /// A request that arrives right after the start waits a little; one that cannot be served soon is
