review: usage of a window is reported twice with different counts

A drill of the store takes back the record of the last reported window. The script kills the daemon that reports usage, starts it again 3.5 s later and has one drill with a copy 7 s old.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,8 @@
-"""More callers than usual send long bodies at once."""
+"""The daemon that reports usage is killed around a drill of the store."""
 
 import asyncio
 import os
+import signal
 import sys
 import time
 
@@ -12,94 +13,94 @@
 from standins import *  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# Callers of an ordinary day, and of a burst of 1.7 times the traffic.
-USUAL, BURST = 16, 27
-# The longest body that `maxBodyBytes` allows.
-BODY = b"s" * 4_194_304
-TIMEOUT_MS = 15000
-WORK_S, SLOTS = 2.0, 6
-ALLOWED = 3
+ZONES = ["brno", "olomouc", "praha"]
+TENANTS = ["hule930", "fida11"]
+# Bookings a second at each daemon.
+RATE = 20
+# After a usage report: the daemon is killed, the store goes away, the daemon is started again.
+KILL_S, DRILL_S, START_S = 0.2, 2.8, 3.7
+# How long the store is away, and how old the copy is from which it comes back.
+AWAY_S, COPY_S = 1.2, 7.0
 
 
-class Uploads(Worker):
-    """A worker that runs some requests at once and queues the others."""
-
-    def __init__(self, record, name):
-        super().__init__(record, name, WORK_S)
-        self.slots = asyncio.Semaphore(SLOTS)
+async def ask(daemon, record, tenant):
+    request, client = new_id(), Client(daemon.front)
+    try:
+        await client.connect()
+        client.send("POST", "/booking/new", request, b"{}",
+                    [("Poplarvale-Deadline-Ms", "1500"), ("Authorization", f"Bearer {tenant}-key")])
+        got = await asyncio.wait_for(client.receive(), 2)
+        record(f"client: {request} of {tenant} to {daemon.name}: {got and got[0]}")
+        client.close()
+    except (OSError, asyncio.TimeoutError) as error:
+        record(f"client: {request} of {tenant} to {daemon.name}: {error!r}")
 
-    async def handle(self, ip, line, fields, body):
-        async with self.slots:
-            return await super().handle(ip, line, fields, body)
 
+async def traffic(daemons, record):
+    asked = set()
+    while True:
+        for daemon in daemons:
+            task = asyncio.create_task(ask(daemon, record, TENANTS[len(asked) % 2]))
+            asked.add(task)
+        await asyncio.sleep(1 / RATE)
 
-async def send(client, record, body):
-    """Sends one request on a kept connection; its id and the status of its answer."""
-    request = new_id()
-    client.send("POST", "/booking/new", request, body, [("Poplarvale-Deadline-Ms", str(TIMEOUT_MS))])
-    try:
-        got = await asyncio.wait_for(client.receive(), TIMEOUT_MS / 1000 + 1)
-    except (OSError, asyncio.TimeoutError):
-        got = None
-    record(f"client: {request}, {len(body)} bytes: {got[0] if got else 'closed without an answer'}")
-    return request, got
 
-
-async def caller(daemon, record, until, lost, answered):
-    """Sends a short request and then long ones on one connection."""
-    try:
-        client = await Client(daemon.front).connect()
-    except (OSError, asyncio.TimeoutError):
-        return
-    _, got = await send(client, record, b"{}")
-    while got and time.monotonic() < until:
-        request, got = await send(client, record, BODY)
-        (answered if got else lost).append(request)
-    client.close()
+def reports(cloud):
+    """Counts of each window that were reported, different ones only."""
+    found = {}
+    for call in cloud.calls:
+        if call["path"] == "/usage":
+            counts = found.setdefault(call["body"]["windowSeq"], [])
+            if call["body"]["counts"] not in counts:
+                counts.append(call["body"]["counts"])
+    return found
 
 
 async def main(where):
     record = Record(HERE)
-    record(f"disruption: {'burst of 1.7 times the callers' if TROUBLE else 'none'}")
+    record(f"disruption: {'a drill of the store' if TROUBLE else 'none'}")
     store, cloud = await Store(record).listen(), await Cloud(record).listen()
-    tasks = [asyncio.create_task(store.expire())]
-    workers = []
-    for number in range(4):
-        workers.append(await Uploads(record, f"i-{number}7f3a91c").listen())
-        tasks.append(asyncio.create_task(workers[-1].beat(store)))
-    await store.put("op/config", config(TIMEOUT_MS))
-    [daemon] = daemons_of(42, ROOT, where, record, store, cloud, ["brno"])
-    platform = Platform([daemon], record, restarts=False)
+    tasks = [asyncio.create_task(store.expire()), asyncio.create_task(store.copy())]
+    for number, zone in enumerate(ZONES):
+        worker = await Worker(record, f"i-{number}7f3a91c").listen()
+        tasks.append(asyncio.create_task(worker.beat(store, zone)))
+    await store.put("op/config", config(tenants=TENANTS))
+    daemons = daemons_of(44, ROOT, where, record, store, cloud, ZONES)
     try:
-        daemon.start()
-        if not await daemon.until_ready():
-            print("the daemon did not get ready")
+        for daemon in daemons:
+            daemon.start()
+        if not all(await asyncio.gather(*[daemon.until_ready() for daemon in daemons])):
+            print("the daemons did not get ready")
             return 2
-        tasks.append(asyncio.create_task(platform.run()))
-        await asyncio.sleep(4)
-        until, lost, answered = time.monotonic() + 16, [], []
-        callers = [caller(daemon, record, until, lost, answered) for _ in range(USUAL)]
-        usual = asyncio.gather(*callers)
-        await asyncio.sleep(8)
-        if TROUBLE:
-            record(f"clients: {BURST} callers instead of {USUAL}")
-            more = [caller(daemon, record, until, lost, answered) for _ in range(BURST - USUAL)]
-            await asyncio.gather(*more)
-        await usual
-        ran = {request for worker in workers for request in worker.ran}
-        passed_on = [request for request in lost if request in ran]
-        text = (f"answered {len(answered)}, closed without an answer {len(lost)}, of which a worker "
-                f"ran {len(passed_on)}; kills for memory {platform.kills}, "
-                f"peak {platform.peak:.0f} MB")
-        record(text)
-        print(text)
-        if len(answered) < USUAL:
+        tasks.append(asyncio.create_task(traffic(daemons, record)))
+        until = time.monotonic() + 40
+        while len(reports(cloud)) < 4 and time.monotonic() < until:
+            await asyncio.sleep(0.01)
+        if len(reports(cloud)) < 4:
+            print("no usage was reported")
             return 2
-        return 1 if len(passed_on) > ALLOWED else 0
+        reported = time.monotonic()
+        holder = next(one for one in daemons if one.name == cloud.calls[-1]["holder"])
+        await asyncio.sleep(reported + KILL_S - time.monotonic())
+        holder.send(signal.SIGKILL)
+        holder.process.wait()
+        await asyncio.sleep(reported + DRILL_S - time.monotonic())
+        drill = asyncio.create_task(store.drill(AWAY_S, COPY_S)) if TROUBLE else None
+        await asyncio.sleep(reported + START_S - time.monotonic())
+        holder.start()
+        if drill:
+            await drill
+        await asyncio.sleep(12)
+        different = {window: counts for window, counts in reports(cloud).items() if len(counts) > 1}
+        for window, counts in different.items():
+            record(f"rule: window {window} was reported as {counts}")
+        print(f"windows reported {len(reports(cloud))}, with different counts {different}")
+        return 1 if different else 0
     finally:
         for task in tasks:
             task.cancel()
-        daemon.kill()
+        for daemon in daemons:
+            daemon.kill()
 
 
 if __name__ == "__main__":
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -137,6 +137,31 @@
         # Called with (ip, method, path) before each call; "drop": it gets no answer and is not done.
         self.fault = lambda ip, method, path: None
         self.on_txn = lambda ip, call, status: None
+        self.era, self.away, self.copies = 1, False, []
+
+    async def copy(self):
+        """Keeps copies of itself, five a second, until cancelled."""
+        while True:
+            state = (dict(self.items), list(self.log), self.revision)
+            self.copies = self.copies[-99:] + [(time.monotonic(), state)]
+            await asyncio.sleep(0.2)
+
+    async def drill(self, away_s, age_s):
+        """Is away for a moment and comes back from a copy of this age, without its leases."""
+        now = time.monotonic()
+        taken, (items, log, revision) = [row for row in self.copies if row[0] <= now - age_s][-1]
+        self.record(f"store: away for {away_s} s")
+        self.away = True
+        await asyncio.sleep(away_s)
+        self.items, self.log, self.revision, self.leases = dict(items), list(log), revision, {}
+        self.copies = []
+        leased = [key for key, item in self.items.items() if item["lease"]]
+        if leased:
+            self.revision += 1
+            for key in leased:
+                self._remove(key)
+        self.era, self.away = self.era + 1, False
+        self.record(f"store: back from a copy of {now - taken:.1f} s before, era {self.era}")
 
     def _put(self, key, value, lease=0):
         old = self.items.get(key)
@@ -191,8 +216,14 @@
         method, target, _ = line.split(" ")
         path, _, text = target.partition("?")
         query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
-        if self.fault(ip, method, path) == "drop":
+        if self.away or self.fault(ip, method, path) == "drop":
+            return None
+        era, out = self.era, await self._answer(method, path, query, body, ip)
+        if self.away or self.era != era:
             return None
+        return out.replace(b"\r\n", f"\r\nStore-Era: {era}\r\n".encode(), 1)
+
+    async def _answer(self, method, path, query, body, ip):
         await asyncio.sleep(0.004)
         name = path.removeprefix("/poplarvale/")
         if name == "kv-key":
@@ -212,6 +243,8 @@
         if name == "kv-watch":
             prefix, after = query.get("pathPrefix", ""), int(query["after"])
             until = time.monotonic() + int(query["waitMs"]) / 1000
+            if after > self.revision:
+                return as_json(410, {})
 
             def events():
                 return [e for e in self.log if e["revision"] > after and e["key"].startswith(prefix)]
@@ -378,10 +411,11 @@
                 "slots": slots, "state": state, "coldLeftMs": 0, "seq": self.count,
                 "born": self.born}
 
-    async def beat(self, store):
+    async def beat(self, store, zone="brno"):
         """Writes its entry again and again, until cancelled."""
         while True:
-            await store.put(f"servers/{self.name}", self.entry())
+            if not store.away:
+                await store.put(f"servers/{self.name}", self.entry(zone))
             await asyncio.sleep(1.2)
 
     async def handle(self, ip, line, fields, body):
@@ -399,12 +433,14 @@
                                         ("Poplarvale-Response-Seal", f"seal-{self.name}")])
 
 
-def config(timeout_ms=1500):
-    """A configuration with one route of a plain service whose requests may not be repeated."""
+def config(timeout_ms=1500, tenants=()):
+    """A configuration with one route of a plain service whose requests may not be repeated. Without
+    tenants the route is public; the key of a tenant is its name with `-key`."""
     return {"version": 1, "routes": [
         {"name": "booking", "host": "app.example", "pathPrefix": "/booking/", "kind": "unsafe",
          "timeoutMs": timeout_ms, "targetLatencyMs": 100, "priority": 2, "service": "app",
-         "maxAttempts": 1, "public": True}],
+         "maxAttempts": 1, "public": not tenants}],
+        "tenants": [{"name": name, "apiKeys": [f"{name}-key"]} for name in tenants],
         "services": [{"name": "app", "healthPath": "/health", "maxConns": 370}],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
                    "idleTimeoutMs": 15000}}
