--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""The daemon that reports usage is killed around a drill of the store."""
+"""The daemon that reports usage is stopped and started in turn, around a drill of the store."""
 
 import asyncio
 import os
@@ -17,8 +17,10 @@
 TENANTS = ["hule930", "fida11"]
 # Bookings a second at each daemon.
 RATE = 20
-# After a usage report: the daemon is killed, the store goes away, the daemon is started again.
-KILL_S, DRILL_S, START_S = 0.2, 2.8, 3.7
+# After a usage report: the daemon gets SIGTERM, and the store goes away.
+TERM_S, DRILL_S = 0.1, 2.2
+# Pause between the end of a process and its next start, and its grace.
+RESTART_S, GRACE_S = 0.5, 8.0
 # How long the store is away, and how old the copy is from which it comes back.
 AWAY_S, COPY_S = 1.2, 7.0
 
@@ -56,6 +58,17 @@
     return found
 
 
+async def start_again(daemon, record):
+    """Waits until a process has ended, for its grace at most, and starts it again."""
+    until = time.monotonic() + GRACE_S
+    while daemon.process.poll() is None and time.monotonic() < until:
+        await asyncio.sleep(0.02)
+    daemon.kill()
+    record(f"daemon {daemon.name}: has ended")
+    await asyncio.sleep(RESTART_S)
+    daemon.start()
+
+
 async def main(where):
     record = Record(HERE)
     record(f"disruption: {'a drill of the store' if TROUBLE else 'none'}")
@@ -81,13 +94,12 @@
             return 2
         reported = time.monotonic()
         holder = next(one for one in daemons if one.name == cloud.calls[-1]["holder"])
-        await asyncio.sleep(reported + KILL_S - time.monotonic())
-        holder.send(signal.SIGKILL)
-        holder.process.wait()
+        await asyncio.sleep(reported + TERM_S - time.monotonic())
+        holder.send(signal.SIGTERM)
+        restart = asyncio.create_task(start_again(holder, record))
         await asyncio.sleep(reported + DRILL_S - time.monotonic())
         drill = asyncio.create_task(store.drill(AWAY_S, COPY_S)) if TROUBLE else None
-        await asyncio.sleep(reported + START_S - time.monotonic())
-        holder.start()
+        await restart
         if drill:
             await drill
         await asyncio.sleep(12)
