--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -539,6 +539,9 @@
         code = asyncio.run(run(where))
     except asyncio.CancelledError:
         code = 2
+    except Exception as error:  # The case could not run; an exit with 1 says that a rule was broken.
+        print(f"the case could not run: {error!r}")
+        code = 2
     finally:
         if os.environ.get("KEEP"):
             print(where)
