duties: count no window again that may have been reported before a restore

Cause: a usage record that was read from the store was taken for the last one, whatever era it was written in. An era was compared only with one that the same process had seen, so a process that starts after a restore counted windows again from an older record. It also skipped the wait for the former holder's lease.

Ruled out: that one daemon's memory or the time for which it is told is too short. With all daemons killed after a report and started after a restore, nobody remembers it, and windows were counted again.

Change: the usage record tells its era, and the store keeps a record of the beginning of each era: when it was first seen, whether anybody has acquired the duties in it, and what the former holder reported if it lives. A window is counted only if no report of it can have been sent before: it was not due when the era was first seen, or the former holder told that it did not report it. What is left is omitted, with a log line and a metric. Without a restore nothing is omitted. Writes of a holder require the record of its era, which the next era's holder removes, so that a late write fails although the store assigns its revisions again. A process that starts waits for a lease's length unless the record says that the duties were acquired in this era.

The soak now restores the store from copies of 1 to 10 s, several in a row, and checks both sides of the rule and the fencing tokens.

--- a/daemon/src/relay/client.rs
+++ b/daemon/src/relay/client.rs
@@ -61,6 +61,8 @@
     Format(#[from] serde_json::Error),
     #[error("the record in the store was changed unexpectedly")]
     Conflict,
+    #[error("the store was restored from an older copy meanwhile")]
+    Restored,
 }
 
 /// Client of one of the platform's services. It keeps its connection for the next call.
--- a/daemon/src/relay/duties.rs
+++ b/daemon/src/relay/duties.rs
@@ -4,7 +4,8 @@
 //! checkpoints. It is the daemon that created the leader's key in the store, under a lease that it
 //! renews. Its writes to the store require that the key still has the revision at which it was
 //! created, and its calls to the cloud service carry this revision as a fencing token, so that both
-//! reject the calls of a former holder.
+//! reject the calls of a former holder. Writes also require the record of the store's era, which
+//! [`era_record`] describes.
 //!
 //! Only watchers learn what callers request of all daemons, so a holder that stops being a watcher
 //! orders nothing any more and gives up the duties.
@@ -15,22 +16,25 @@
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use poplarvale_lib::relay::duty::DutyLease;
+use poplarvale_lib::relay::era_start::Settled;
 use poplarvale_lib::relay::fleet::{Orders, Plan};
 use poplarvale_lib::relay::rollout::Status;
 use poplarvale_lib::relay::usage::WindowId;
-use poplarvale_lib::{Era, ServiceId, era_of};
+use poplarvale_lib::{Era, Revision, ServiceId, era_of};
 use poplarvale_platform::{
     Duty, Item, STATUS_PREFIX, Txn, get, grant_lease, read_item, read_lease, read_txn, renew_lease,
     status_value, txn,
 };
 use prost::Message as _;
 
+use self::era_record::{era_key, record_era};
 use self::orders::order_endpoints;
-use self::usage_report::{USAGE_KEY, last_report, read_record, report_usage};
+use self::usage_report::{USAGE_KEY, last_report, read_record, report_usage, resume};
 use super::checkpoint::{self, CHECKPOINT_KEY, CHECKPOINT_PERIOD};
 use super::client::{Client, WriteError};
 use super::state::State;
 
+pub(crate) mod era_record;
 mod orders;
 mod usage_report;
 
@@ -61,7 +65,11 @@
     let mut cloud = state.settings.cloud.map(Client::new);
     loop {
         tokio::time::sleep(acquire_delay(&state)).await;
-        if !has_duties(&state) || !is_vacant(&state) {
+        if !has_duties(&state) {
+            continue;
+        }
+        record_era(&state, &mut store).await;
+        if !is_vacant(&state) {
             continue;
         }
         match acquire(&state, &mut store).await {
@@ -116,14 +124,20 @@
     }
 }
 
-/// Creates the leader's key under a new lease; `None` if another daemon holds the key.
+/// Creates the leader's key under a new lease; `None` if another daemon holds the key. A restore
+/// meanwhile is an error, as the former holder may still rely on its lease.
 async fn acquire(state: &State, store: &mut Client) -> Result<Option<DutyLease>, WriteError> {
+    let recorded = era_record::read_or_write(state, store).await?;
+    if !is_vacant(state) {
+        return Ok(None);
+    }
+    let era = recorded.start.era;
     let since = Instant::now();
     let ttl = state.settings.bounds.lease;
     let id = read_lease(&store.call(&grant_lease(ttl), CALL_TIMEOUT).await?)?;
     let value = format_compact!("{} {}", state.settings.name, id);
     let call = txn(&Txn {
-        expect: vec![(LEADER_KEY.into(), 0)],
+        expect: vec![(LEADER_KEY.into(), 0), (era_key(era), recorded.revision)],
         puts: vec![(LEADER_KEY.into(), Bytes::from(value.to_string()), id)],
         removes: Vec::new(),
     })?;
@@ -142,15 +156,19 @@
                 .map(|item| item.revision)
         }
     };
-    Ok(token.map(|token| DutyLease::new(id, token, ttl, since)))
+    match token {
+        Some(token) if era_of(token) != era => Err(WriteError::Restored),
+        token => Ok(token.map(|token| DutyLease::new(id, token, ttl, since))),
+    }
 }
 
 /// State of the duty holder.
 #[derive(Debug)]
 struct Holder {
     lease: DutyLease,
-    /// Era of the store in which the duties were acquired.
+    /// Era of the store in which the duties were acquired, and the revision of its record.
     era: Era,
+    era_revision: Revision,
     /// Name and fencing token that are sent with calls to the cloud service.
     duty: Duty,
     /// Store revision of the usage record; 0 if there is none.
@@ -175,19 +193,37 @@
 async fn perform_duties(
     state: &State,
     store: &mut Client,
-    mut cloud: Option<&mut Client>,
+    cloud: Option<&mut Client>,
     lease: DutyLease,
 ) {
     let Some(mut holder) = load_holder(state, store, lease).await else {
         return;
     };
+    hold(state, store, cloud, &mut holder).await;
+    if state.eras.newest() != holder.era {
+        let now = Instant::now();
+        let settled = Settled {
+            next: holder.next_window,
+            report: state.usage.borrow().finalized().cloned(),
+        };
+        state.eras.settle(now + holder.lease.left(now), settled);
+    }
+}
+
+/// Does what is due as long as this daemon holds the duties.
+async fn hold(
+    state: &State,
+    store: &mut Client,
+    mut cloud: Option<&mut Client>,
+    holder: &mut Holder,
+) {
     loop {
         let now = Instant::now();
         // Renews also a lease that has expired by this daemon's clock: it may still exist in
         // the store, where leases can stop running while the store is unavailable. No other
         // daemon can hold the duties then, and waiting for the lease to expire left them
         // undone for three seconds after each outage.
-        if holder.lease.needs_renewal(now) && !renew(store, &mut holder).await {
+        if holder.lease.needs_renewal(now) && !renew(store, holder).await {
             return;
         }
         if state.eras.newest() != holder.era {
@@ -195,88 +231,126 @@
             return;
         }
         if !state.phase().is_serving() {
-            release(store, &holder).await;
+            release(store, holder).await;
             return;
         }
         let is_watcher = state.peers.borrow().is_watcher();
         if !is_watcher && now >= holder.release_after {
             log::info!("duty: this daemon is no watcher any more; giving up the duties.");
-            release(store, &holder).await;
+            release(store, holder).await;
             return;
         }
-        write_statuses(state, store, &holder).await;
+        write_statuses(state, store, holder).await;
         if now >= holder.next_save {
-            save_checkpoint(state, store, &mut holder).await;
+            save_checkpoint(state, store, holder).await;
         }
         if let Some(cloud) = cloud.as_deref_mut() {
             if state.settings.reports {
-                report_usage(state, store, cloud, &mut holder).await;
+                report_usage(state, store, cloud, holder).await;
             }
             if state.settings.orders && is_watcher {
-                order_endpoints(state, cloud, &mut holder).await;
+                order_endpoints(state, cloud, holder).await;
             }
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
-/// Reads the usage record and the checkpoint of the former duty holder; `None` if the lease
-/// expires first.
+/// Begins to perform the duties; `None` if the lease expires first or the store changes its era.
 async fn load_holder(state: &State, store: &mut Client, lease: DutyLease) -> Option<Holder> {
-    let duty = Duty {
-        holder: state.settings.name.clone(),
-        fence: lease.fencing_token,
-    };
-    loop {
-        if lease.is_expired(Instant::now()) {
-            return None;
-        }
-        let (record, saved) = match read_saved(store).await {
-            Ok(read) => read,
+    while !lease.is_expired(Instant::now()) {
+        match read_holder(state, store, lease).await {
+            Ok(holder) => return Some(holder),
+            Err(error @ (WriteError::Restored | WriteError::Conflict)) => {
+                log::info!("duty: giving up the duties, {error}.");
+                return None;
+            }
             Err(error) => {
                 log::info!(
                     "duty: records of the former duty holder not read, {error}; trying again."
                 );
                 tokio::time::sleep(POLL_INTERVAL).await;
-                continue;
             }
-        };
-        let (revision, record) = match record {
-            Some(item) => (item.revision, read_record(item.value)),
-            None => (0, None),
-        };
-        let last = last_report(state, record);
-        let mut orders = Orders::new(state.demand.borrow().first_request());
-        let saved = saved.and_then(|item| checkpoint::decode(&item.value));
-        if let Some(saved) = &saved {
-            checkpoint::restore_usage(state, saved);
-            checkpoint::restore_needs(state, &mut orders, saved);
         }
-        let counted = state.usage.borrow().since(0).map(|row| row.1).min();
-        let first = state.usage_window(state.started);
-        let first = counted.map_or(first, |counted| first.min(counted));
-        let next = last.as_ref().map_or(first, |last| last.window + 1);
-        return Some(Holder {
-            lease,
-            era: era_of(lease.fencing_token),
-            duty,
-            usage_revision: revision,
-            next_window: next,
-            unsent: last.map(|last| (last.window, last.counts)),
-            retry_at: Some(Instant::now() + REPORT_DELAY),
-            orders,
-            plans: Vec::new(),
-            release_after: Instant::now() + state.settings.bounds.lease,
-            next_save: Instant::now(),
-        });
     }
+    None
 }
 
-/// Reads the last usage record and the last checkpoint.
-async fn read_saved(store: &mut Client) -> Result<(Option<Item>, Option<Item>), WriteError> {
-    let record = read_item(&store.call(&get(USAGE_KEY), CALL_TIMEOUT).await?)?;
-    let saved = read_item(&store.call(&get(CHECKPOINT_KEY), CALL_TIMEOUT).await?)?;
-    Ok((record, saved))
+/// Records that the era has a duty holder, and reads the usage record and the checkpoint of the former
+/// one. Late writes of a former era fail from then on.
+async fn read_holder(
+    state: &State,
+    store: &mut Client,
+    lease: DutyLease,
+) -> Result<Holder, WriteError> {
+    let recorded = era_record::read_or_write(state, store).await?;
+    if recorded.start.era != era_of(lease.fencing_token) {
+        return Err(WriteError::Restored);
+    }
+    let start = recorded.start.clone();
+    let era_revision = era_record::open(store, recorded, lease.fencing_token).await?;
+    let (record, saved) = read_saved(store, start.era).await?;
+    let (usage_revision, record) = match record {
+        Some(item) => (item.revision, read_record(item.value)),
+        None => (0, None),
+    };
+    let last = last_report(state, record, &start);
+    let mut orders = Orders::new(state.demand.borrow().first_request());
+    let saved = saved.and_then(|item| checkpoint::decode(&item.value));
+    if let Some(saved) = &saved {
+        checkpoint::restore_usage(state, saved);
+        checkpoint::restore_needs(state, &mut orders, saved);
+    }
+    let next_window = resume(state, &start, last.as_ref());
+    Ok(Holder {
+        lease,
+        era: start.era,
+        era_revision,
+        duty: Duty {
+            holder: state.settings.name.clone(),
+            fence: lease.fencing_token,
+        },
+        usage_revision,
+        next_window,
+        unsent: last.map(|last| (last.window, last.counts)),
+        retry_at: Some(Instant::now() + REPORT_DELAY),
+        orders,
+        plans: Vec::new(),
+        release_after: Instant::now() + state.settings.bounds.lease,
+        next_save: Instant::now(),
+    })
+}
+
+/// Reads the last usage record and the last checkpoint in an era.
+async fn read_saved(
+    store: &mut Client,
+    era: Era,
+) -> Result<(Option<Item>, Option<Item>), WriteError> {
+    let record = store.call(&get(USAGE_KEY), CALL_TIMEOUT).await?;
+    let saved = store.call(&get(CHECKPOINT_KEY), CALL_TIMEOUT).await?;
+    if record.era != era || saved.era != era {
+        return Err(WriteError::Restored);
+    }
+    Ok((read_item(&record)?, read_item(&saved)?))
+}
+
+/// Writes to the store if this daemon is still the duty holder and the store still is in its era;
+/// returns the revision, `None` if a condition failed.
+async fn write(
+    store: &mut Client,
+    holder: &Holder,
+    mut writes: Txn,
+) -> Result<Option<Revision>, WriteError> {
+    let guards = [
+        (LEADER_KEY.into(), holder.duty.fence),
+        (era_key(holder.era), holder.era_revision),
+    ];
+    writes.expect.extend(guards);
+    let reply = store.call(&txn(&writes)?, CALL_TIMEOUT).await?;
+    if reply.era != holder.era {
+        return Err(WriteError::Restored);
+    }
+    Ok(read_txn(&reply)?)
 }
 
 /// Renews the lease; `false` if it no longer exists. Other failures are retried.
@@ -286,6 +360,8 @@
         .call(&renew_lease(holder.lease.id), CALL_TIMEOUT)
         .await
     {
+        // A lease of this id in another era is another daemon's.
+        Ok(reply) if reply.era != holder.era => true,
         Ok(reply) if reply.status == 200 => {
             holder.lease.renewed(since);
             true
@@ -310,23 +386,12 @@
 
 /// Removes the leader's key, so that another daemon can take over at once.
 async fn release(store: &mut Client, holder: &Holder) {
-    let removed = txn(&Txn {
-        expect: vec![(LEADER_KEY.into(), holder.duty.fence)],
-        puts: Vec::new(),
+    let removed = Txn {
         removes: vec![LEADER_KEY.into()],
-    });
-    match removed {
-        Ok(call) => {
-            if let Err(error) = store.call(&call, CALL_TIMEOUT).await {
-                log::info!(
-                    "duty: leader's key not removed, {error}; it stays until its lease expires."
-                );
-            }
-        }
-        Err(error) => log::warn!(
-            "duty: removal of the leader's key not encoded, {error}; it stays until its lease \
-             expires."
-        ),
+        ..Txn::default()
+    };
+    if let Err(error) = write(store, holder, removed).await {
+        log::info!("duty: leader's key not removed, {error}; it stays until its lease expires.");
     }
 }
 
@@ -341,26 +406,17 @@
     let unsent = holder.unsent.as_ref().map(|row| row.0);
     let first = unsent.unwrap_or(holder.next_window);
     let value = checkpoint::build(state, &holder.orders, first);
-    match write_checkpoint(store, holder, value.encode_to_vec().into()).await {
+    let saved = Txn {
+        puts: vec![(CHECKPOINT_KEY.into(), value.encode_to_vec().into(), 0)],
+        ..Txn::default()
+    };
+    match write(store, holder, saved).await {
         Ok(Some(_)) => {}
         Ok(None) => log::info!("checkpoint: not written, another daemon is the duty holder."),
         Err(error) => log::info!("checkpoint: not written, {error}; the next one replaces it."),
     }
 }
 
-async fn write_checkpoint(
-    store: &mut Client,
-    holder: &Holder,
-    value: Bytes,
-) -> Result<Option<u64>, WriteError> {
-    let call = txn(&Txn {
-        expect: vec![(LEADER_KEY.into(), holder.duty.fence)],
-        puts: vec![(CHECKPOINT_KEY.into(), value, 0)],
-        removes: Vec::new(),
-    })?;
-    Ok(read_txn(&store.call(&call, CALL_TIMEOUT).await?)?)
-}
-
 /// Writes the states of version moves that differ from those in the store.
 async fn write_statuses(state: &State, store: &mut Client, holder: &Holder) {
     let endpoints = |service: &str, target: &str| {
@@ -404,15 +460,14 @@
     store: &mut Client,
     holder: &Holder,
     status: &Status,
-) -> Result<Option<u64>, WriteError> {
+) -> Result<Option<Revision>, WriteError> {
     let value = status_value(&status.target, status.outcome)?;
     let key = format_compact!("{STATUS_PREFIX}{}", status.service);
-    let call = txn(&Txn {
-        expect: vec![(LEADER_KEY.into(), holder.duty.fence)],
+    let written = Txn {
         puts: vec![(key, value, 0)],
-        removes: Vec::new(),
-    })?;
-    Ok(read_txn(&store.call(&call, CALL_TIMEOUT).await?)?)
+        ..Txn::default()
+    };
+    write(store, holder, written).await
 }
 
 /// Timeout of a call to the cloud service, which must end before the lease does.
--- a/daemon/src/relay/duties/usage_report.rs
+++ b/daemon/src/relay/duties/usage_report.rs
@@ -5,19 +5,17 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use poplarvale_lib::protos::relay::UsageRecord;
+use poplarvale_lib::relay::era_start::{EraStart, Resume, SETTLE_TIME};
 use poplarvale_lib::relay::usage::{Counts, Report, WindowId};
-use poplarvale_platform::{Txn, get, read_item, read_txn, txn, usage_call};
+use poplarvale_platform::{Txn, get, read_item, usage_call};
 use prost::Message as _;
 
-use super::{CALL_TIMEOUT, Holder, LEADER_KEY, call_timeout};
+use super::{CALL_TIMEOUT, Holder, call_timeout, write};
 use crate::relay::client::{Client, WriteError};
 use crate::relay::state::State;
 
 /// Key of the last usage report.
 pub(super) const USAGE_KEY: &str = "poplarvale/usage";
-/// How long after the end of a window its usage is reported: first events that were in transit and
-/// the digests of other daemons must have arrived.
-const SETTLE_TIME: Duration = Duration::from_secs(2);
 /// Pause after a report that was not accepted.
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
 
@@ -46,11 +44,7 @@
     if holder.unsent.is_none() {
         let length = state.settings.bounds.usage_window.as_millis() as u64;
         let unix_now = state.unix_ms();
-        let deadline = state.settings.bounds.report_deadline.as_millis() as u64;
-        // Skips windows whose deadline has passed.
-        while (holder.next_window + 1) * length + deadline < unix_now {
-            holder.next_window += 1;
-        }
+        holder.next_window = holder.next_window.max(first_in_time(state));
         if (holder.next_window + 1) * length + SETTLE_TIME.as_millis() as u64 > unix_now {
             return;
         }
@@ -87,6 +81,34 @@
     }
 }
 
+/// First window whose deadline for a report has not passed.
+fn first_in_time(state: &State) -> WindowId {
+    let length = state.settings.bounds.usage_window.as_millis().max(1) as u64;
+    let deadline = state.settings.bounds.report_deadline.as_millis() as u64;
+    let oldest_end = state.unix_ms().saturating_sub(deadline);
+    oldest_end.div_ceil(length).saturating_sub(1)
+}
+
+/// Where this daemon goes on as the new duty holder in an era, after the last known report.
+pub(super) fn resume(state: &State, start: &EraStart, last: Option<&Report>) -> WindowId {
+    let counted = state.usage.borrow().since(0).map(|row| row.1).min();
+    let own = state.usage_window(state.started);
+    let first = counted.map_or(own, |counted| own.min(counted));
+    let Resume { next, omitted } = start.resume(last, first, state.settings.bounds.usage_window);
+    let missed = omitted.start.max(first_in_time(state))..omitted.end;
+    if !missed.is_empty() {
+        log::warn!(
+            "duty: the usage of windows {} to {} is not reported; a report of them may have been \
+             sent before the store was restored from an older copy.",
+            missed.start,
+            missed.end - 1
+        );
+        let count = missed.end - missed.start;
+        state.measure(|metrics| metrics.record_omitted_windows(count));
+    }
+    next
+}
+
 /// Writes the final counts of the next window to the store. Any daemon that reports the window
 /// sends exactly these bytes: two different counts for one window would charge customers wrongly.
 async fn finalize_window(
@@ -99,41 +121,42 @@
     let record = UsageRecord {
         number: window,
         counts: counts.to_string(),
+        era: holder.era,
     };
-    let call = txn(&Txn {
-        expect: vec![
-            (USAGE_KEY.into(), holder.usage_revision),
-            (LEADER_KEY.into(), holder.duty.fence),
-        ],
+    let written = Txn {
+        expect: vec![(USAGE_KEY.into(), holder.usage_revision)],
         puts: vec![(USAGE_KEY.into(), record.encode_to_vec().into(), 0)],
         removes: Vec::new(),
-    })?;
-    let written = match store.call(&call, CALL_TIMEOUT).await {
-        Ok(reply) => read_txn(&reply)?,
-        Err(error) => {
+    };
+    let written = match write(store, holder, written).await {
+        Ok(written) => written,
+        Err(WriteError::Call(error)) => {
             // The write may have been applied, or may still be. The read below, or that of the
             // next attempt, then finds the record, and reporting continues from it.
             log::info!("duty: no response to the record of window {window}, {error}; reading it.");
             None
         }
+        Err(error) => return Err(error),
     };
     if let Some(revision) = written {
-        record_finalized(state, window, &counts);
+        record_finalized(state, &record);
         holder.usage_revision = revision;
         holder.next_window = window + 1;
         holder.unsent = Some((window, counts));
         return Ok(());
     }
     let reply = store.call(&get(USAGE_KEY), CALL_TIMEOUT).await?;
+    if reply.era != holder.era {
+        return Err(WriteError::Restored);
+    }
     if let Some(item) = read_item(&reply)? {
         holder.usage_revision = item.revision;
         if let Some(record) = read_record(item.value)
             && record.number >= window
         {
-            let counts = CompactString::from(record.counts);
-            record_finalized(state, record.number, &counts);
+            record_finalized(state, &record);
             holder.next_window = record.number + 1;
-            holder.unsent = Some((record.number, counts));
+            holder.unsent = Some((record.number, record.counts.into()));
             return Ok(());
         }
     }
@@ -142,22 +165,31 @@
 
 /// Remembers a report that was written to the store, in case the store comes back from an
 /// older copy.
-fn record_finalized(state: &State, window: WindowId, counts: &CompactString) {
+fn record_finalized(state: &State, record: &UsageRecord) {
     let report = Report {
-        window,
-        counts: counts.clone(),
+        window: record.number,
+        counts: CompactString::from(&record.counts),
+        era: record.era,
     };
     state.usage.borrow_mut().finalize(report, Instant::now());
 }
 
-/// The last finalized report: the record in the store, or a newer one that is known to have been
-/// there.
-pub(super) fn last_report(state: &State, record: Option<UsageRecord>) -> Option<Report> {
+/// The last finalized report: the record in the store, one that the former duty holder told of, or a
+/// newer one that is known to have been there.
+pub(super) fn last_report(
+    state: &State,
+    record: Option<UsageRecord>,
+    start: &EraStart,
+) -> Option<Report> {
     let mut usage = state.usage.borrow_mut();
+    if let Some(told) = start.settled.as_ref().and_then(|row| row.report.clone()) {
+        usage.merge_finalized(told);
+    }
     if let Some(record) = record {
         let report = Report {
             window: record.number,
             counts: record.counts.into(),
+            era: record.era,
         };
         if !usage.merge_finalized(report.clone()) && usage.finalized() != Some(&report) {
             log::info!(
--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -34,6 +34,7 @@
     over_share: Counter<u64>,
     units: Counter<u64>,
     ignored_paces: Counter<u64>,
+    omitted_windows: Counter<u64>,
     endpoints: Gauge<f64>,
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
@@ -121,6 +122,10 @@
                 "poplarvale_relay_ignored_paces",
                 "Paces that endpoints announced and that cannot be true",
             ),
+            omitted_windows: counter(
+                "poplarvale_relay_omitted_windows",
+                "Usage windows not reported, as they may have been before the store was restored",
+            ),
             endpoints: meter
                 .f64_gauge("poplarvale_relay_endpoints")
                 .with_description(
@@ -213,6 +218,11 @@
         self.ignored_paces.add(1, &[]);
     }
 
+    /// Records that usage windows are not reported.
+    pub(crate) fn record_omitted_windows(&self, count: u64) {
+        self.omitted_windows.add(count, &[]);
+    }
+
     /// Records a number of endpoints of a service that orders follow.
     pub(crate) fn record_endpoints(&self, service: &ServiceId, count: &'static str, number: f64) {
         let labels = [
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -578,6 +578,7 @@
     let report = Report {
         window: record.number,
         counts: record.counts.into(),
+        era: record.era,
     };
     let mut usage = state.usage.borrow_mut();
     if state.peers.borrow().is_watcher() {
--- a/daemon/src/relay/peers/encode.rs
+++ b/daemon/src/relay/peers/encode.rs
@@ -113,6 +113,7 @@
     message.fixed = usage.advertised(now).map(|report| UsageRecord {
         number: report.window,
         counts: report.counts.to_string(),
+        era: report.era,
     });
 }
 
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -27,7 +27,7 @@
 use super::checkpoint::{self, CHECKPOINT_KEY};
 use super::client::{CallError, Client};
 use super::crash::{self, CRASH_PREFIX};
-use super::duties::{LEADER_KEY, OWN_PREFIX};
+use super::duties::{LEADER_KEY, OWN_PREFIX, era_record};
 use super::evacuation;
 use super::startup;
 use super::state::State;
@@ -268,6 +268,9 @@
 async fn read_own(state: &State, client: &mut Client) -> Result<(), WatchError> {
     let (items, _) = list(client, OWN_PREFIX).await?;
     set_duty_holder(state, items.iter().find(|item| item.key == LEADER_KEY));
+    items
+        .iter()
+        .for_each(|item| era_record::record_item(state, item));
     for item in items
         .iter()
         .filter(|item| item.key.starts_with(CRASH_PREFIX))
@@ -436,7 +439,8 @@
         Change::Put(item) if item.key.starts_with(CRASH_PREFIX) => {
             crash::restore(state, &item.value);
         }
-        Change::Put(_) | Change::Removed(..) => {}
+        Change::Put(item) => era_record::record_item(state, item),
+        Change::Removed(..) => {}
     }
     None
 }
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the daemon, built as one binary.
 
 mod relay_site;
+mod reports;
 mod site;
 mod soak;
 mod test_answer;
@@ -33,6 +34,7 @@
 mod test_relay_log;
 mod test_relay_partition;
 mod test_relay_quota;
+mod test_relay_restores;
 mod test_relay_rollout;
 mod test_relay_shutdown;
 mod test_relay_silence;
--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -24,12 +24,14 @@
 use tokio::sync::Notify;
 
 use crate::relay_site::{ROUTES, is_ready, until};
+use crate::reports;
 use crate::site::DAEMON;
 
 mod announced;
 mod cold;
 mod config;
 mod crash;
+mod restores;
 mod silence;
 mod trouble;
 mod versions;
@@ -53,6 +55,8 @@
 const EVENT_TIME: Duration = Duration::from_millis(15);
 /// Grace period from SIGTERM to SIGKILL in seconds.
 const GRACE_S: u64 = 6;
+/// Distinguishes the seed of the store's restores from that of the other faults.
+const RESTORES: u64 = 0x7265_7374;
 /// How long an endpoint is cold after its start, and the requests a second that it takes meanwhile.
 const COLD_TIME: Duration = Duration::from_millis(1500);
 const COLD_RATE: f64 = 6.0;
@@ -106,18 +110,20 @@
     born: Vec<Cell<u64>>,
     /// Daemon that gets all new connections, if one does.
     target: Cell<Option<usize>>,
+    /// When daemons went on that had been paused.
+    thawed: RefCell<Vec<Instant>>,
 }
 
-struct Daemon {
-    process: Process,
+pub(crate) struct Daemon {
+    pub(crate) process: Process,
     settings: std::path::PathBuf,
     log: std::path::PathBuf,
-    callers: SocketAddr,
-    ready: SocketAddr,
+    pub(crate) callers: SocketAddr,
+    pub(crate) ready: SocketAddr,
 }
 
 impl Daemon {
-    fn restart(&mut self) {
+    pub(crate) fn restart(&mut self) {
         self.process = start(&self.settings, &self.log);
     }
 }
@@ -256,6 +262,7 @@
 impl Soak {
     async fn start(folder: &Folder) -> Self {
         let store = Store::start().await;
+        store.keep_copies();
         let cloud = Cloud::start().await;
         let store_proxy = Proxy::start(store.address).await;
         store.put("op/config", configuration(1).as_bytes());
@@ -294,6 +301,7 @@
             last_endpoint: Cell::new(ENDPOINTS - 1),
             born: vec![Cell::new(1); ENDPOINTS],
             target: Cell::new(None),
+            thawed: RefCell::default(),
         }
     }
 
@@ -332,7 +340,7 @@
 }
 
 /// Starts a daemon. Each has its own loopback address, as all use the same ports.
-fn daemon(folder: &Folder, number: usize, text: &str, ports: [u16; 4]) -> Daemon {
+pub(crate) fn daemon(folder: &Folder, number: usize, text: &str, ports: [u16; 4]) -> Daemon {
     let ip = |number: usize| format!("127.0.0.{}", number + 10);
     let me = ip(number);
     let [callers, ready, status, peers] = ports;
@@ -396,8 +404,11 @@
     // Seeds that are kept go on to mean the same faults beside it.
     let trouble = trouble::inject(Rc::clone(&soak), Rng::with_seed(!seed), ENDPOINTS, time);
     let trouble = actix_web::rt::spawn(trouble);
+    let restores = restores::inject(Rc::clone(&soak), Rng::with_seed(seed ^ RESTORES), time);
+    let restores = actix_web::rt::spawn(restores);
     inject_faults(&soak, &mut random, time).await;
     trouble.await.expect("the faults end");
+    restores.await.expect("the restores end");
     end_faults(&soak);
     until_recovered(&soak).await;
     soak.no_faults.set(true);
@@ -516,6 +527,7 @@
     let soak = Rc::clone(soak);
     actix_web::rt::spawn(async move {
         tokio::time::sleep(duration).await;
+        soak.thawed.borrow_mut().push(Instant::now());
         signal_if_alive(&soak, daemon, "CONT");
     });
 }
@@ -788,15 +800,9 @@
     }
 }
 
-/// Checks that no usage window is reported with two different counts.
+/// Checks that no usage window is reported with two different counts, none left out without need, and
+/// no fencing token falls.
 fn check_reports(soak: &Soak) {
-    let mut reports: BTreeMap<String, String> = BTreeMap::new();
-    for call in soak.cloud.seen() {
-        let body = String::from_utf8_lossy(&call.body).into_owned();
-        let window = body.split(',').next().unwrap_or_default().to_owned();
-        let first = reports.entry(window).or_insert_with(|| body.clone());
-        if *first != body {
-            soak.violation(format!("two reports: {first} and {body}"));
-        }
-    }
+    let found = reports::violations(&soak.cloud, &soak.store, &soak.thawed.borrow());
+    soak.report.borrow_mut().violations.extend(found);
 }
--- a/daemon/tests/test_relay_era.rs
+++ b/daemon/tests/test_relay_era.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 
 use crate::relay_site::{ROUTES, Site, Zone, store_with, until};
+use crate::reports::window_and_counts;
 
 const SOON: Duration = Duration::from_secs(10);
 /// How long after its entry was removed an endpoint may still get requests.
@@ -90,6 +91,29 @@
     );
 }
 
+/// Guards against a daemon that starts after a restore, does not know of it, and takes the duties while
+/// the former holder still relies on its lease.
+#[actix_web::test]
+async fn a_daemon_that_starts_after_a_restore_waits_for_the_lost_lease() {
+    let one = endpoint("i-1").await;
+    let store = store_with(&[&one]).await;
+    store.save();
+    let site = Site::with_grace(store, 3).await;
+    let leader = || site.store.get("poplarvale/leader");
+    until(SOON, async || leader().is_some()).await;
+    site.store.restore();
+    let lost = Instant::now();
+    let cloud = Cloud::start().await;
+    let text = settings(site.store.address, cloud.address).replace("hanko-1", "hanko-2");
+    let _other = Site::with_settings(site.store.clone(), cloud, &text).await;
+    until(SOON, async || leader().is_some()).await;
+    assert!(
+        lost.elapsed() >= Duration::from_millis(900),
+        "{:?}",
+        lost.elapsed()
+    );
+}
+
 /// A window was reported, and the record of the report is lost with the restore. Counts that
 /// another daemon sends late must not change the report of that window when it is sent again.
 #[actix_web::test]
@@ -121,7 +145,7 @@
         .expect("the digest is sent");
     let before = site.cloud.seen().len();
     until(SOON, async || site.cloud.seen().len() >= before + 3).await;
-    let mut reports: Vec<(u64, String)> = site.cloud.seen().iter().map(report).collect();
+    let mut reports: Vec<(u64, String)> = site.cloud.seen().iter().map(window_and_counts).collect();
     reports.sort();
     reports.dedup();
     let windows = reports.iter().map(|report| report.0);
@@ -132,13 +156,6 @@
     assert_eq!(twice.count(), 0, "{reports:?}");
 }
 
-/// Window and counts of a usage report.
-fn report(call: &SeenRequest) -> (u64, String) {
-    let body: Value = serde_json::from_slice(&call.body).expect("the text is JSON");
-    let window = body["windowSeq"].as_u64().expect("the window is a number");
-    (window, body["counts"].to_string())
-}
-
 /// Runs that another daemon counted in the window of a report.
 fn late_window(call: &SeenRequest) -> digest::Window {
     let runs = digest::Count {
@@ -146,7 +163,7 @@
         runs: 7,
     };
     digest::Window {
-        number: report(call).0,
+        number: window_and_counts(call).0,
         counts: vec![runs],
     }
 }
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -816,6 +816,30 @@
     pub number: u64,
     #[prost(string, tag = "2")]
     pub counts: ::prost::alloc::string::String,
+    /// Era of the store in which it was written.
+    #[prost(uint32, tag = "3")]
+    pub era: u32,
+}
+/// What the store keeps about the beginning of one of its eras, under the era's
+/// number. It is written once the era is seen, and whoever takes the duties in
+/// the era reads it.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EraRecord {
+    /// When a daemon first saw an answer of the era, in milliseconds since 1970.
+    #[prost(uint64, tag = "1")]
+    pub seen_ms: u64,
+    /// Whether a daemon has taken the duties in this era.
+    #[prost(bool, tag = "2")]
+    pub open: bool,
+    /// First usage window that was not reported before the era, where the holder
+    /// of the duties tells it that held them until the era began.
+    #[prost(uint64, optional, tag = "3")]
+    pub next_window: ::core::option::Option<u64>,
+    /// The last report before the era, as far as that holder knows.
+    #[prost(message, optional, tag = "4")]
+    pub last: ::core::option::Option<UsageRecord>,
 }
 /// What the fleet would not know any more if all daemons were killed at once. The
 /// holder of the duties keeps it in the store; daemons read it when they start.
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -22,6 +22,7 @@
 pub mod duty;
 pub mod endpoint_table;
 pub mod engine;
+pub mod era_start;
 pub mod evacuation;
 pub mod fair_share;
 pub mod fleet;
--- a/lib/src/relay/usage.rs
+++ b/lib/src/relay/usage.rs
@@ -8,7 +8,7 @@
 
 use compact_str::CompactString;
 
-use crate::CustomerId;
+use crate::{CustomerId, Era};
 
 /// Number of a window; window k starts k window lengths after the start of 1970.
 pub type WindowId = u64;
@@ -32,6 +32,8 @@
     pub window: WindowId,
     /// The counts in the form in which they are sent.
     pub counts: CompactString,
+    /// Era of the store in which it was finalized.
+    pub era: Era,
 }
 
 /// Counts of one daemon in one window.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -35,6 +35,7 @@
 mod test_relay_division;
 mod test_relay_endpoint_table;
 mod test_relay_engine;
+mod test_relay_era_start;
 mod test_relay_evacuation;
 mod test_relay_fair_share;
 mod test_relay_fleet;
