rollout: an order that is written after a restore is a new move

What callers saw: after a restore of the store, operators ordered a version again that had been moved to before it. The order was answered at once with the former move's state, and a version that fails most requests got all of them.

Cause: an order for the same target in another era counted as the former one, read again, whenever it was written. That guards against a move that begins anew when a lost order is written again, and had no end.

Change: an order of a later revision than the record that a daemon has acquired the duties in the era is a new move. Daemons tell each other whether they know that, and whether they go on with a former move; one that is mistaken is corrected and not believed.

Why this works: the store orders both revisions, so all daemons decide alike, without clocks.

--- a/daemon/src/relay/era.rs
+++ b/daemon/src/relay/era.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use poplarvale_lib::relay::era_start::{EraStart, Settled};
-use poplarvale_lib::{Era, Revision};
+use poplarvale_lib::{Era, Revision, era_of};
 use poplarvale_platform::StoreError;
 
 /// The newest era of the store and how far this daemon has followed it.
@@ -60,6 +60,14 @@
         self.start.borrow().as_ref().map(|row| row.1.clone())
     }
 
+    /// Whether a key of this revision was written after a daemon had acquired the duties in its era. By
+    /// then all that was lost with a restore is written again.
+    pub(crate) fn is_after_opening(&self, revision: Revision) -> bool {
+        let start = self.start.borrow();
+        let open = start.as_ref().filter(|row| row.1.is_open);
+        open.is_some_and(|row| era_of(row.0) == era_of(revision) && row.0 < revision)
+    }
+
     /// Records what this daemon reported as the duty holder whose lease of a former era ends at
     /// `until`. Nobody else can have reported until then, so it says so in the store.
     pub(crate) fn settle(&self, until: Instant, settled: Settled) {
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -561,6 +561,8 @@
         outcome: reported,
         stored,
         comparisons: message.seen.into_iter().map(seen).collect(),
+        is_fresh: message.fresh,
+        is_carried: message.carried,
     }
 }
 
--- a/daemon/src/relay/peers/encode.rs
+++ b/daemon/src/relay/peers/encode.rs
@@ -352,6 +352,8 @@
         seen: report.comparisons.into_iter().map(seen).collect(),
         tried_ms: report.tried,
         doubted_ms: report.doubted,
+        fresh: report.is_fresh,
+        carried: report.is_carried,
     }
 }
 
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -557,7 +557,14 @@
         revision: item.revision,
     };
     let (service, target) = (order.service.clone(), order.target.clone());
-    if state.rollouts.borrow_mut().add_order(order, now, finish) {
+    let is_fresh = state.eras.is_after_opening(item.revision);
+    let mut rollouts = state.rollouts.borrow_mut();
+    let is_new = if is_fresh {
+        rollouts.add_fresh_order(order, now, finish)
+    } else {
+        rollouts.add_order(order, now, finish)
+    };
+    if is_new {
         log::info!("rollout: {service} is to move to version {target} within {limit:?}.");
     }
 }
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -445,6 +445,12 @@
         /// did not.
         #[prost(uint64, tag = "10")]
         pub doubted_ms: u64,
+        /// Whether the order cannot be one from a former era of the store.
+        #[prost(bool, tag = "11")]
+        pub fresh: bool,
+        /// Whether the sender goes on with a move of a former era.
+        #[prost(bool, tag = "12")]
+        pub carried: bool,
     }
     /// Requests of one route in one period of the move, at one endpoint of the new
     /// version or all endpoints of the old one.
--- a/lib/src/relay/rollout.rs
+++ b/lib/src/relay/rollout.rs
@@ -120,9 +120,9 @@
 }
 
 impl Order {
-    /// Whether the other order of this service is the same one, read again after the store came
-    /// back from an older copy and assigned revisions anew.
-    fn is_same_in_other_era(&self, other: &Self) -> bool {
+    /// Whether another order of this service may be the same one, read or written again after the
+    /// store came back from an older copy and assigned revisions anew.
+    fn may_be_same(&self, other: &Self) -> bool {
         self.target == other.target && era_of(self.revision) != era_of(other.revision)
     }
 }
@@ -219,12 +219,20 @@
     pub doubted: UnixMs,
     /// What the reporting daemon itself observed lately.
     pub comparisons: Vec<(Key, Comparison)>,
+    /// Whether the order cannot be one from a former era of the store.
+    pub is_fresh: bool,
+    /// Whether the reporting daemon goes on with a move of a former era.
+    pub is_carried: bool,
 }
 
 /// One move.
 #[derive(Clone, Debug)]
 struct Move {
     order: Order,
+    /// Whether the order cannot be one from a former era of the store.
+    is_fresh: bool,
+    /// Whether the move began in a former era, and its order was read again.
+    is_carried: bool,
     begin: UnixMs,
     finish: UnixMs,
     outcome: Outcome,
@@ -313,29 +321,54 @@
     /// Starts the move of an order that is due at `finish`, and returns whether it is new. An
     /// order that is known already, or older than the known one, changes nothing.
     pub fn add_order(&mut self, order: Order, now: UnixMs, finish: UnixMs) -> bool {
-        self.insert_order(order, now, (now, finish))
+        self.insert_order(order, false, now, (now, finish))
+    }
+
+    /// Like [`Rollouts::add_order`], for an order that cannot be one from a former era of the store: it
+    /// was written after a daemon had acquired the duties in this era.
+    pub fn add_fresh_order(&mut self, order: Order, now: UnixMs, finish: UnixMs) -> bool {
+        self.insert_order(order, true, now, (now, finish))
     }
 
     /// Inserts the move of an order that was found at `found`.
-    fn insert_order(&mut self, order: Order, found: UnixMs, span: (UnixMs, UnixMs)) -> bool {
-        match self.find(&order.service) {
-            Ok(at) if self.moves[at].order.revision >= order.revision => false,
-            Ok(at) if self.moves[at].order.is_same_in_other_era(&order) => {
-                let row = &mut self.moves[at];
-                row.order = order;
-                // The state may have been lost from the store, so it is written again.
-                row.stored = None;
-                false
-            }
-            Ok(at) => {
-                self.moves[at] = Move::new(order, found, span);
-                true
-            }
+    fn insert_order(
+        &mut self,
+        order: Order,
+        is_fresh: bool,
+        found: UnixMs,
+        span: (UnixMs, UnixMs),
+    ) -> bool {
+        let at = match self.find(&order.service) {
+            Ok(at) => at,
             Err(at) => {
-                self.moves.insert(at, Move::new(order, found, span));
-                true
+                self.moves
+                    .insert(at, Move::new(order, is_fresh, found, span));
+                return true;
+            }
+        };
+        let row = &mut self.moves[at];
+        if row.order.revision > order.revision {
+            return false;
+        }
+        if row.order.revision == order.revision {
+            // Another daemon knows better that it is not the order of the former move.
+            let is_mistaken = is_fresh && row.is_carried;
+            row.is_fresh |= is_fresh;
+            if is_mistaken {
+                *row = Move::new(order, is_fresh, found, span);
             }
+            return is_mistaken;
+        }
+        if !is_fresh && row.order.may_be_same(&order) {
+            row.order = order;
+            row.is_carried = true;
+            row.is_fresh = false;
+            // The state may have been lost from the store, so it is written again.
+            row.stored = None;
+            return false;
         }
+        *row = Move::new(order, is_fresh, found, span);
+        true
     }
 
     /// Applies the state of a move that the store holds, written at `revision`. A state that is
@@ -353,12 +386,12 @@
     /// Merges another daemon's report.
     pub fn merge(&mut self, name: &str, report: &MoveReport, now: UnixMs) -> MoveChange {
         let span = (report.begin, report.finish);
-        self.insert_order(report.order.clone(), now, span);
+        self.insert_order(report.order.clone(), report.is_fresh, now, span);
         let Ok(at) = self.find(&report.order.service) else {
             return MoveChange::None;
         };
         let row = &mut self.moves[at];
-        if row.order != report.order {
+        if row.order != report.order || (row.is_fresh && report.is_carried) {
             return MoveChange::None;
         }
         // A daemon that started later took the order for a new one.
@@ -395,6 +428,8 @@
             tried: row.tried,
             doubted: row.doubted_until(),
             comparisons: row.observations.report(now),
+            is_fresh: row.is_fresh,
+            is_carried: row.is_carried,
         })
     }
 
@@ -551,9 +586,11 @@
 }
 
 impl Move {
-    fn new(order: Order, found: UnixMs, (begin, finish): (UnixMs, UnixMs)) -> Self {
+    fn new(order: Order, is_fresh: bool, found: UnixMs, (begin, finish): (UnixMs, UnixMs)) -> Self {
         Self {
             order,
+            is_fresh,
+            is_carried: false,
             begin,
             finish,
             outcome: Outcome::Running,
--- a/lib/tests/test_relay_rollout.rs
+++ b/lib/tests/test_relay_rollout.rs
@@ -430,6 +430,47 @@
     assert!(rollouts.add_order(other, now, now + DURATION_MS));
 }
 
+/// An order of the former move's target that was written after the store had been restored.
+fn fresh_order() -> Order {
+    Order {
+        revision: revision_in(1, 50),
+        ..order()
+    }
+}
+
+/// Guards against an order for a version that was rolled back before a restore, written again by
+/// operators after it, that is answered with the state of the former move.
+#[test]
+fn an_order_that_is_written_after_a_restore_is_a_new_move() {
+    let mut rollouts = Rollouts::new(0.1);
+    rollouts.add_order(order(), BEGIN_MS, BEGIN_MS + DURATION_MS);
+    rollouts.apply_status("pool", "v2", Outcome::Completed, 8);
+    let now = BEGIN_MS + DURATION_MS * 3;
+    assert!(rollouts.add_fresh_order(fresh_order(), now, now + DURATION_MS));
+    let report = rollouts.reports(now).next().expect("a move was ordered");
+    assert_eq!((report.outcome, report.begin), (Outcome::Running, now));
+}
+
+/// Guards against a daemon that takes a new order for one from before a restore, and has the others end
+/// the move with the former one's state.
+#[test]
+fn a_daemon_that_takes_a_new_order_for_a_former_one_is_corrected() {
+    let now = BEGIN_MS + DURATION_MS * 3;
+    let mut mistaken = Rollouts::new(0.1);
+    mistaken.add_order(order(), BEGIN_MS, BEGIN_MS + DURATION_MS);
+    mistaken.apply_status("pool", "v2", Outcome::Completed, 8);
+    mistaken.add_order(fresh_order(), now, now + DURATION_MS);
+    let mut other = Rollouts::new(0.1);
+    other.add_fresh_order(fresh_order(), now, now + DURATION_MS);
+    let wrong = mistaken.reports(now).next().expect("a move was ordered");
+    other.merge("mistaken", &wrong, now);
+    let right = other.reports(now).next().expect("a move was ordered");
+    assert_eq!(right.outcome, Outcome::Running);
+    mistaken.merge("other", &right, now);
+    let corrected = mistaken.reports(now).next().expect("a move was ordered");
+    assert_eq!(corrected.outcome, Outcome::Running);
+}
+
 /// A daemon that gets the moves from another one must know what the store holds: a completed move
 /// whose old endpoints have stopped is never taken back, and an earlier state does not replace it.
 #[test]
