store: entries of other writers do not keep the fleet from starting

Cause: the key after which the next page begins was put into the query as it is. The `&` ended the parameter, so the store began the page with the same entry again. The list collected each page, unreadable values included, and did not notice that a page brought nothing new.

A page whose last key is not after the one that was asked for ends the list, with a log line. Items that cannot be read, or that a daemon does not read, are dropped page by page, in the lists of the registry and of the operators', the daemons' and the states' keys.

--- a/daemon/src/relay/duties/era_record.rs
+++ b/daemon/src/relay/duties/era_record.rs
@@ -38,6 +38,12 @@
     format_compact!("{OWN_PREFIX}{ERA_PART}{era}")
 }
 
+/// Whether a key is that of such a record.
+pub(crate) fn is_key(key: &str) -> bool {
+    let part = key.strip_prefix(OWN_PREFIX);
+    part.is_some_and(|part| part.starts_with(ERA_PART))
+}
+
 /// Records what an item of the store tells of the beginning of an era, if it is such a record.
 pub(crate) fn record_item(state: &State, item: &Item) {
     if let Some(start) = read_start(item) {
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -9,6 +9,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use compact_str::CompactString;
 use poplarvale_lib::relay::change_feed::{ChangeFeed, FeedAction, RegistryChange};
 use poplarvale_lib::relay::endpoint_table::Changed;
 use poplarvale_lib::relay::listing::Listing;
@@ -236,7 +238,10 @@
 /// Reads the configuration, the orders of version moves and evacuations, and their states.
 async fn read_operators(state: &State, client: &mut Client) -> Result<(), WatchError> {
     timeline::asked(state, Source::Store);
-    let listed = list(client, OPERATOR_PREFIX).await;
+    let listed = list(client, OPERATOR_PREFIX, |item| {
+        Some(read_operator_item(item))
+    })
+    .await;
     let (items, revision) = listed.inspect_err(|error| {
         timeline::failed(state, Source::Store, error);
     })?;
@@ -248,10 +253,11 @@
     evacuation::replace(state, evacuation::zones_of(&items));
     let moves = !state.rollouts.borrow().is_empty();
     if moves {
-        let (items, _) = list(client, STATUS_PREFIX).await?;
-        for item in &items {
-            apply_status(state, item);
-        }
+        list(client, STATUS_PREFIX, |item| {
+            apply_status(state, &item);
+            None::<Item>
+        })
+        .await?;
     }
     let mut progress = state.store_progress.borrow_mut();
     // Daemons that lack the newest of these learn of it from this one's digests.
@@ -264,9 +270,28 @@
     Ok(())
 }
 
+/// An item of the operators; its value is dropped if this daemon does not read it.
+fn read_operator_item(item: Item) -> Item {
+    let prefixes = [ROLLOUT_PREFIX, EVACUATION_PREFIX];
+    if item.key == CONFIG_KEY || prefixes.iter().any(|prefix| item.key.starts_with(prefix)) {
+        return item;
+    }
+    Item {
+        value: Bytes::new(),
+        ..item
+    }
+}
+
+/// Whether a key is one of those that daemons write and watchers read.
+fn is_own(key: &str) -> bool {
+    [LEADER_KEY, CHECKPOINT_KEY].contains(&key)
+        || key.starts_with(CRASH_PREFIX)
+        || era_record::is_key(key)
+}
+
 /// Reads the keys that daemons write.
 async fn read_own(state: &State, client: &mut Client) -> Result<(), WatchError> {
-    let (items, _) = list(client, OWN_PREFIX).await?;
+    let (items, _) = list(client, OWN_PREFIX, |item| is_own(&item.key).then_some(item)).await?;
     set_duty_holder(state, items.iter().find(|item| item.key == LEADER_KEY));
     items
         .iter()
@@ -292,7 +317,8 @@
 
 /// Reads everything: the configuration, the keys of the daemons and the whole registry.
 async fn read_all(state: &State, client: &mut Client) -> Result<(), WatchError> {
-    let (items, revision) = list(client, REGISTRY_PREFIX).await?;
+    let read = |item: Item| Some((item.revision, read_entry(&item)?));
+    let (entries, revision) = list(client, REGISTRY_PREFIX, read).await?;
     // After the registry, as the next watch goes on from the registry's revision.
     read_operators(state, client).await?;
     if era_of(revision) != state.eras.newest() {
@@ -306,10 +332,6 @@
         return read_own_again(state, client).await;
     }
     let restored = state.eras.record_read(era_of(revision));
-    let entries = items
-        .iter()
-        .filter_map(|item| Some((item.revision, read_entry(item)?)));
-    let entries: Vec<(Revision, Listing)> = entries.collect();
     let listings = entries.iter().map(|row| row.1.clone()).collect();
     let changes = {
         let mut table = state.endpoints.borrow_mut();
@@ -355,22 +377,36 @@
     result
 }
 
-/// Reads all pages of a list; returns its items and the revision of the first page.
-async fn list(client: &mut Client, prefix: &str) -> Result<(Vec<Item>, u64), WatchError> {
-    let mut all: Vec<Item> = Vec::new();
+/// Reads all pages of a list; returns what `read` makes of its items and the revision of the first
+/// page. Items that cannot be read are not kept, as other writers may write any number of them.
+async fn list<T>(
+    client: &mut Client,
+    prefix: &str,
+    read: impl Fn(Item) -> Option<T>,
+) -> Result<(Vec<T>, Revision), WatchError> {
+    let mut all = Vec::new();
     let mut first = None;
+    let mut after = CompactString::default();
     loop {
-        let after = all.last().map(|item| item.key.clone()).unwrap_or_default();
         let reply = client
             .call(&range(prefix, &after, false), READ_TIMEOUT)
             .await?;
         let (items, more, revision) = read_range(&reply)?;
         let first = *first.get_or_insert(revision);
-        let empty = items.is_empty();
-        all.extend(items);
-        if !more || empty {
+        let Some(last) = items.last().map(|item| item.key.clone()) else {
+            return Ok((all, first));
+        };
+        if last <= after {
+            log::warn!(
+                "store: a page of {prefix} after {after:?} brings nothing new; the list ends there."
+            );
+            return Ok((all, first));
+        }
+        all.extend(items.into_iter().filter_map(&read));
+        if !more {
             return Ok((all, first));
         }
+        after = last;
     }
 }
 
--- a/daemon/tests/test_relay_store.rs
+++ b/daemon/tests/test_relay_store.rs
@@ -5,11 +5,12 @@
 
 use futures::future::join_all;
 use poplarvale_lib::protos::relay::Checkpoint;
+use poplarvale_lib::store::MAX_VALUE_BYTES;
 use poplarvale_standin::{Endpoint, Mode, Store, ask, config, plain, request};
 use prost::Message as _;
 use tokio::time::Instant;
 
-use crate::relay_site::{ROUTES, Site, until};
+use crate::relay_site::{ROUTES, Site, store_with, until};
 
 const SOON: Duration = Duration::from_secs(6);
 
@@ -290,3 +291,34 @@
     let windows = read.counters.iter().flat_map(|row| &row.windows);
     windows.flat_map(|window| &window.runs).sum()
 }
+
+/// Guards against a start that never ends because the keys of other writers break the query that asks for
+/// the next page, and against memory that grows by what cannot be read.
+#[actix_web::test]
+async fn entries_of_other_writers_do_not_keep_a_daemon_from_starting() {
+    let one = Endpoint::start("z-1", |seen| vec![plain(seen, 200, "done")]).await;
+    let store = store_with(&[&one]).await;
+    let unreadable = vec![b'x'; MAX_VALUE_BYTES];
+    for key in [
+        "R&D-lab", "a b", "c#d", "e%26f", "g+h", "i=j", "k?l", "m\u{e9}n",
+    ] {
+        store.put(&format!("servers/{key}"), &unreadable);
+        store.put(&format!("poplarvale/{key}"), &unreadable);
+        store.put(&format!("op/{key}"), &unreadable);
+        store.put(&format!("status/rollout/{key}"), &unreadable);
+    }
+    let site = Site::without_duties_on(store).await;
+    let answer = ask(site.address(), &request("GET", "/safe/a", "r1", "")).await;
+    assert_eq!(answer.map(|answer| answer.status).ok(), Some(200));
+}
+
+/// Guards against a list that is read without end because each page brings the same items.
+#[actix_web::test]
+async fn a_list_whose_pages_bring_nothing_new_ends() {
+    let one = Endpoint::start("i-1", |seen| vec![plain(seen, 200, "done")]).await;
+    let store = store_with(&[&one]).await;
+    store.set(Mode::RepeatsPages);
+    let site = Site::without_duties_on(store).await;
+    let answer = ask(site.address(), &request("GET", "/safe/a", "r1", "")).await;
+    assert_eq!(answer.map(|answer| answer.status).ok(), Some(200));
+}
