caller: bodies of all requests take bounded memory

Cause: each body was bounded by the configuration, their sum by nothing. Each took its memory up to three times, in a buffer that grew by doubling and in a copy behind the head for as long as an endpoint ran the request.

A request whose length is known is rejected before its body is read, with the new code 2015 and Retry-After; the rest of its body is read and dropped, so that the rejection arrives. Another daemon's request is answered 421 and goes elsewhere. Bodies are read into a buffer of their length and sent without a copy.

Test: long_bodies_of_a_burst_are_rejected_before_the_memory_is_used_up, 17 of 60 served and the others rejected, 108 MB at most. Before the change it fails earlier: 48 of 60 are held until their deadline and answered 504.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -29,7 +29,9 @@
 
 use super::buffered_stream::BufferedStream;
 use super::crash::{LazyFingerprint, check_crash, check_refusal, clear, record_served};
-use super::exchange::{EndpointResponse, ExchangeError, OK, SERVER_ERROR, exchange, read_body};
+use super::exchange::{
+    EndpointResponse, ExchangeError, OK, Outgoing, SERVER_ERROR, exchange, read_body,
+};
 use super::metrics::Metrics;
 use super::reach;
 use super::startup;
@@ -550,9 +552,9 @@
 }
 
 /// Head and body of the request as they are sent to the endpoint.
-fn encode_request(job: &Job<'_>, choice: &Choice, at: Forwarded) -> Bytes {
+fn encode_request(job: &Job<'_>, choice: &Choice, at: Forwarded) -> Outgoing {
     let left = job.deadline.saturating_duration_since(Instant::now());
-    let mut bytes = request_head(
+    let head = request_head(
         job.request,
         &Outbound {
             endpoint: &choice.id,
@@ -563,8 +565,7 @@
             body_len: job.body.len(),
         },
     );
-    bytes.extend_from_slice(job.body);
-    bytes.freeze()
+    Outgoing::new(head, job.body)
 }
 
 /// Reads the body of a response that is not a stream.
--- a/daemon/src/relay/caller.rs
+++ b/daemon/src/relay/caller.rs
@@ -17,6 +17,7 @@
 
 use super::buffered_stream::fill;
 use super::catalog::source::{TARGET as CONFIG_TARGET, serve_config};
+use super::held::Held;
 use super::serve::{Connection, RETRY_SOON, Received, serve};
 use super::state::{ActiveRequest, State};
 
@@ -24,6 +25,8 @@
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
 /// How long reading a body may take, in addition to the timeout for the head.
 const BODY_TIME: Duration = Duration::from_secs(10);
+/// How long the body of a rejected request is still read.
+const DISCARD_TIME: Duration = Duration::from_secs(5);
 /// How long a connection is still read after its last answer, before it is closed.
 const LINGER_TIME: Duration = Duration::from_millis(300);
 
@@ -92,12 +95,13 @@
     origin: Origin,
 ) -> Option<Connection> {
     let limits = limits(state);
+    let mut held = state.bodies.begin();
     let request = match read_head(state, read, buffer, &limits).await? {
         Ok(request) => request,
         Err(code) => return Some(reject(write, code, None).await),
     };
     if origin == Origin::Daemon && &*request.target == CONFIG_TARGET {
-        let body = read_body(read, buffer, request.framing, &limits)
+        let body = read_body(read, buffer, request.framing, &limits, &mut held)
             .await?
             .ok()?;
         let is_sent = serve_config(state, &body, write).await;
@@ -111,6 +115,14 @@
             return Some(reject(write, Code::BadBody, None).await);
         }
     };
+    if let Framing::Length(length) = request.framing
+        && length <= limits.body_bytes as u64
+        && held.set(length as usize).is_err()
+    {
+        let connection = reject(write, no_memory(origin), Some(&head.id)).await;
+        discard_body(state, read, buffer, request.framing).await;
+        return Some(connection);
+    }
     if request.fields.contains_token("expect", "100-continue") {
         write
             .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -119,11 +131,14 @@
     }
     let body = tokio::select! {
         biased;
-        body = read_body(read, buffer, request.framing, &limits) => body?,
+        body = read_body(read, buffer, request.framing, &limits, &mut held) => body?,
         () = state.until_closing() => Err(Code::Draining),
     };
     let body = match body {
         Ok(body) => body,
+        Err(Code::NoMemory) => {
+            return Some(reject(write, no_memory(origin), Some(&head.id)).await);
+        }
         Err(code) => return Some(reject(write, code, Some(&head.id)).await),
     };
     let received = Received {
@@ -179,21 +194,34 @@
     }
 }
 
-/// Reads the whole body of a request. `None` if the connection ends.
+/// Code for a request whose body there is no memory for; a daemon forwards it elsewhere.
+fn no_memory(origin: Origin) -> Code {
+    match origin {
+        Origin::Caller => Code::NoMemory,
+        Origin::Daemon => Code::NotTaken,
+    }
+}
+
+/// Reads the whole body of a request, whose memory `held` counts. `None` if the connection ends.
 async fn read_body(
     read: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
     framing: Framing,
     limits: &CallerLimits,
+    held: &mut Held,
 ) -> Option<Result<Bytes, Code>> {
-    if let Framing::Length(length) = framing
-        && length > limits.body_bytes as u64
-    {
-        return Some(Err(Code::LargeBody));
-    }
+    // The whole body takes its memory once: a buffer that grows would have up to twice as much.
+    let mut bytes = match framing {
+        Framing::Length(length) if length > limits.body_bytes as u64 => {
+            return Some(Err(Code::LargeBody));
+        }
+        Framing::Length(length) if length > buffer.len() as u64 => {
+            BytesMut::with_capacity(length as usize)
+        }
+        _ => BytesMut::new(),
+    };
     let until = Instant::now() + limits.header_timeout + BODY_TIME;
     let mut body = Body::new(framing);
-    let mut bytes = BytesMut::new();
     loop {
         loop {
             match body.take(buffer) {
@@ -205,6 +233,9 @@
             if bytes.len() > limits.body_bytes {
                 return Some(Err(Code::LargeBody));
             }
+            if held.grow(bytes.capacity()).is_err() {
+                return Some(Err(Code::NoMemory));
+            }
         }
         if body.is_done() {
             return Some(Ok(bytes.freeze()));
@@ -217,6 +248,28 @@
     }
 }
 
+/// Reads and drops a body that was rejected. If the connection were closed before its caller has sent
+/// all, the rejection might be lost.
+async fn discard_body(
+    state: &State,
+    read: &mut ReadHalf<'_>,
+    buffer: &mut BytesMut,
+    framing: Framing,
+) {
+    let until = Instant::now() + DISCARD_TIME;
+    let mut body = Body::new(framing);
+    while !body.is_done() {
+        while let Ok(Some(_dropped)) = body.take(buffer) {}
+        let more = tokio::select! {
+            more = timeout_at(until, fill(read, buffer)) => more,
+            () = state.until_closing() => return,
+        };
+        if !matches!(more, Ok(Ok(len)) if len > 0) {
+            return;
+        }
+    }
+}
+
 /// Waits until the caller closes its connection. Bytes that it sends meanwhile stay in the buffer
 /// for its next request; once the buffer is full, a disconnect is not noticed any more.
 async fn until_disconnected(read: &mut ReadHalf<'_>, buffer: &mut BytesMut) {
@@ -232,7 +285,8 @@
 /// Rejects a request that is invalid or not read to its end, and has the connection closed, as
 /// the start of the next request on it is not known.
 async fn reject(write: &mut WriteHalf<'_>, code: Code, id: Option<&str>) -> Connection {
-    let retry_after = (code == Code::Draining).then_some(RETRY_SOON);
+    let may_retry = [Code::Draining, Code::NoMemory].contains(&code);
+    let retry_after = may_retry.then_some(RETRY_SOON);
     let out = rejection_response(code, Ran::No, id, retry_after, false);
     if let Err(error) = write.write_all(&out).await {
         log::debug!("caller: sending a rejection failed, {error}; closing the connection.");
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -13,6 +13,9 @@
 const MAX_STRAY_RESPONSES: usize = 3;
 /// Bytes of a response to an earlier request that are skipped.
 const MAX_SKIPPED_BYTES: usize = 256 * 1024;
+/// Longest body that is copied behind its head. Longer ones are sent from where they lie, so that each
+/// takes its memory once.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
 /// Informational responses that are skipped before the connection is abandoned.
 const MAX_INTERIM_RESPONSES: usize = 8;
 
@@ -73,6 +76,41 @@
     }
 }
 
+/// A request as it is sent.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    /// Head, with a short body behind it.
+    head: Bytes,
+    /// Long body.
+    body: Bytes,
+}
+
+impl Outgoing {
+    /// Joins a head and a body.
+    pub(crate) fn new(mut head: BytesMut, body: &Bytes) -> Self {
+        let is_short = body.len() <= MAX_COPIED_BYTES;
+        if is_short {
+            head.extend_from_slice(body);
+        }
+        Self {
+            head: head.freeze(),
+            body: if is_short { Bytes::new() } else { body.clone() },
+        }
+    }
+
+    fn len(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+
+    /// What is to be sent next once so many bytes were written.
+    fn rest(&self, written: usize) -> &[u8] {
+        match written.checked_sub(self.head.len()) {
+            Some(written) => &self.body[written..],
+            None => &self.head[written..],
+        }
+    }
+}
+
 /// Sends a request and reads the head of its response.
 ///
 /// An endpoint may respond before it has read all of a long request, so writing and reading go
@@ -80,7 +118,7 @@
 /// id and skipped.
 pub(crate) async fn exchange(
     conn: &mut BufferedStream,
-    request: &Bytes,
+    request: &Outgoing,
     id: &str,
 ) -> Result<EndpointResponse, ExchangeError> {
     let (mut read, mut write) = conn.stream.split();
@@ -112,7 +150,7 @@
             skip_body(&mut read, buffer, &head).await?;
         }
         tokio::select! {
-            more = write.write(&request[written..]), if written < request.len() => match more {
+            more = write.write(request.rest(written)), if written < request.len() => match more {
                 Ok(len) if len > 0 => written += len,
                 _ if written == 0 => return Err(ExchangeError::NotSent),
                 _ => return Err(ExchangeError::Broken),
--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -19,7 +19,7 @@
 
 use super::attempt::{Begun, Job};
 use super::buffered_stream::BufferedStream;
-use super::exchange::{EndpointResponse, ExchangeError, OK, exchange, read_body};
+use super::exchange::{EndpointResponse, ExchangeError, OK, Outgoing, exchange, read_body};
 use super::state::State;
 use super::stream::{Forwarded, OpenStream};
 
@@ -105,7 +105,7 @@
         Ok((conn, _)) => conn,
         Err(error) => return not_taken(AttemptEnd::NotConnected, &error),
     };
-    let mut bytes = onward_head(
+    let head = onward_head(
         job.request,
         &Onward {
             time_left: job.deadline.saturating_duration_since(Instant::now()),
@@ -114,8 +114,8 @@
             body_len: job.body.len(),
         },
     );
-    bytes.extend_from_slice(job.body);
-    let response = match exchange(&mut conn, &bytes.freeze(), &job.head.id).await {
+    let request = Outgoing::new(head, job.body);
+    let response = match exchange(&mut conn, &request, &job.head.id).await {
         Ok(response) => response,
         Err(ExchangeError::NotSent) => {
             return not_taken(AttemptEnd::NotConnected, &ExchangeError::NotSent);
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -92,6 +92,8 @@
     pub(crate) upstreams: Upstreams,
     /// Bytes that are held of responses, over all attempts.
     pub(crate) held: Rc<HeldBytes>,
+    /// Bytes that are held of the bodies of requests.
+    pub(crate) bodies: Rc<HeldBytes>,
     pub(crate) reach: RefCell<Reachability>,
     pub(crate) links: RefCell<Links>,
     /// Notified when a check whether a service is reached may be due.
@@ -139,6 +141,7 @@
             started,
         );
         let exposure = settings.bounds.exposure;
+        let bodies = HeldBytes::of_requests(settings.memory);
         let rollouts = Rollouts::new(exposure.share).with_slack(exposure.units, Self::wall_ms());
         Rc::new(Self {
             catalog: RefCell::new(None),
@@ -176,7 +179,8 @@
             settings,
             listed: Cell::new(false),
             upstreams: Upstreams::default(),
-            held: Rc::default(),
+            held: HeldBytes::of_responses(),
+            bodies,
             reach: RefCell::default(),
             links: RefCell::default(),
             check_due: Notify::new(),
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -18,6 +18,7 @@
 mod test_probe;
 mod test_relay_announced;
 mod test_relay_answers;
+mod test_relay_bodies;
 mod test_relay_brittle;
 mod test_relay_callers;
 mod test_relay_closing;
--- a/daemon/tests/test_relay_log.rs
+++ b/daemon/tests/test_relay_log.rs
@@ -30,8 +30,13 @@
 
 impl LoggedDaemon {
     pub(crate) async fn start(endpoints: &[&Endpoint]) -> Self {
+        Self::start_with(endpoints, &config(1, &ROUTES, 0)).await
+    }
+
+    /// Like [`LoggedDaemon::start`], with a configuration.
+    pub(crate) async fn start_with(endpoints: &[&Endpoint], configuration: &str) -> Self {
         let (store, cloud) = (Store::start().await, Cloud::start().await);
-        store.put("op/config", config(1, &ROUTES, 0).as_bytes());
+        store.put("op/config", configuration.as_bytes());
         for endpoint in endpoints {
             let key = format!("servers/{}", endpoint.id);
             store.put(&key, endpoint.entry("app", "ready").as_bytes());
--- a/lib/src/code.rs
+++ b/lib/src/code.rs
@@ -105,6 +105,8 @@
     Evacuated = 2013, 503, "All zones with endpoints of this service are evacuated.";
     /// The daemon that got a forwarded request cannot serve it, but others may.
     NotTaken = 2014, 421, "This daemon does not take the forwarded request.";
+    /// Bodies of other requests take the memory that there is for them.
+    NoMemory = 2015, 503, "Too many long requests are in progress.";
     /// Deadline passed while the request waited.
     Expired = 3001, 504, "The deadline passed before the request was sent.";
     /// Endpoint failed after the request was sent.
