--- a/daemon/src/relay/caller.rs
+++ b/daemon/src/relay/caller.rs
@@ -95,13 +95,13 @@
     origin: Origin,
 ) -> Option<Connection> {
     let limits = limits(state);
-    let mut held = state.bodies.begin();
+    let mut memory = state.bodies.begin();
     let request = match read_head(state, read, buffer, &limits).await? {
         Ok(request) => request,
         Err(code) => return Some(reject(write, code, None).await),
     };
     if origin == Origin::Daemon && &*request.target == CONFIG_TARGET {
-        let body = read_body(read, buffer, request.framing, &limits, &mut held)
+        let body = read_body(read, buffer, request.framing, &limits, &mut memory)
             .await?
             .ok()?;
         let is_sent = serve_config(state, &body, write).await;
@@ -117,7 +117,7 @@
     };
     if let Framing::Length(length) = request.framing
         && length <= limits.body_bytes as u64
-        && held.set(length as usize).is_err()
+        && memory.set(length as usize).is_err()
     {
         let connection = reject(write, no_memory(origin), Some(&head.id)).await;
         discard_body(state, read, buffer, request.framing).await;
@@ -131,7 +131,7 @@
     }
     let body = tokio::select! {
         biased;
-        body = read_body(read, buffer, request.framing, &limits, &mut held) => body?,
+        body = read_body(read, buffer, request.framing, &limits, &mut memory) => body?,
         () = state.until_closing() => Err(Code::Draining),
     };
     let body = match body {
@@ -202,13 +202,13 @@
     }
 }
 
-/// Reads the whole body of a request, whose memory `held` counts. `None` if the connection ends.
+/// Reads the whole body of a request, whose bytes `memory` counts. `None` if the connection ends.
 async fn read_body(
     read: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
     framing: Framing,
     limits: &CallerLimits,
-    held: &mut Held,
+    memory: &mut Held,
 ) -> Option<Result<Bytes, Code>> {
     // The whole body takes its memory once: a buffer that grows would have up to twice as much.
     let mut bytes = match framing {
@@ -233,7 +233,7 @@
             if bytes.len() > limits.body_bytes {
                 return Some(Err(Code::LargeBody));
             }
-            if held.grow(bytes.capacity()).is_err() {
+            if memory.grow(bytes.capacity()).is_err() {
                 return Some(Err(Code::NoMemory));
             }
         }
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -293,9 +293,9 @@
 async fn read_own(state: &State, client: &mut Client) -> Result<(), WatchError> {
     let (items, _) = list(client, OWN_PREFIX, |item| is_own(&item.key).then_some(item)).await?;
     set_duty_holder(state, items.iter().find(|item| item.key == LEADER_KEY));
-    items
-        .iter()
-        .for_each(|item| era_record::record_item(state, item));
+    for item in &items {
+        era_record::record_item(state, item);
+    }
     for item in items
         .iter()
         .filter(|item| item.key.starts_with(CRASH_PREFIX))
--- a/lib/tests/test_relay_era_start.rs
+++ b/lib/tests/test_relay_era_start.rs
@@ -208,7 +208,7 @@
         let last = known.into_iter().flatten().max_by_key(|row| row.window);
         let resume = start.resume(last.as_ref(), FIRST, LENGTH);
         if let Some(last) = &last {
-            self.accept(last.clone());
+            self.accept(last);
         }
         self.holder = Some(Holder {
             era: self.era,
@@ -241,7 +241,7 @@
         self.kept.record = Some(report.clone());
         let end = self.random.u32(..20);
         if end > 0 {
-            self.accept(report.clone());
+            self.accept(&report);
         }
         if end > 3 {
             self.told = Some(report);
@@ -250,7 +250,7 @@
         }
     }
 
-    fn accept(&mut self, report: Report) {
+    fn accept(&mut self, report: &Report) {
         let texts = self.accepted.entry(report.window).or_default();
         let text = report.counts.to_string();
         if !texts.contains(&text) {
