usage: count a window that ended before the daemons started and was not due

What callers saw: after all daemons were killed around a restore, one window was missing that no report can have been sent of.

Cause, by reading, as no logs were kept: where the copy has no report at all, a new holder began with the window in which its process had started. A window that ended between the kill and the start was neither in doubt nor counted. With a known report the next window follows it, so only this case is open.

Change: without a known report it begins with the first window that was not due when the era was first seen, if that is earlier. At a first start this is at most the window before, with no runs.

Test: windows_that_were_not_due_are_counted_without_any_known_report.

--- a/lib/src/relay/era_start.rs
+++ b/lib/src/relay/era_start.rs
@@ -53,14 +53,16 @@
 
 impl EraStart {
     /// Where a holder that acquired the duties in this era goes on after the last known report.
-    /// Without one it would begin with the window `first`; `length` is that of a window.
+    /// Without one it begins with the first window that has counts, `first`, or with one before it
+    /// whose counts may be lost but that was not reported; `length` is that of a window.
     pub fn resume(&self, last: Option<&Report>, first: WindowId, length: Duration) -> Resume {
-        let follow = last.map_or(first, |last| last.window + 1);
+        let certain = self.first_certain(length);
+        let follow = last.map_or(first.min(certain), |last| last.window + 1);
         let in_era = last.is_some_and(|last| last.era == self.era);
         let next = match &self.settled {
             _ if in_era => follow,
             Some(settled) => return Resume::without_doubt(follow.max(settled.next)),
-            None => follow.max(self.first_certain(length)),
+            None => follow.max(certain),
         };
         Resume {
             next,
--- a/lib/tests/test_relay_era_start.rs
+++ b/lib/tests/test_relay_era_start.rs
@@ -64,6 +64,15 @@
     assert_eq!((resume.next, resume.omitted.is_empty()), (FIRST, true));
 }
 
+/// Guards against a window that is left out because the copy has no report at all and the daemons that
+/// counted it have ended: it ended shortly before the others started.
+#[test]
+fn windows_that_were_not_due_are_counted_without_any_known_report() {
+    let start = seen_after(LENGTH);
+    let resume = start.resume(None, FIRST + 1, LENGTH);
+    assert_eq!((resume.next, resume.omitted.is_empty()), (FIRST, true));
+}
+
 /// Guards against windows that are left out though the last duty holder says that it did not report
 /// them.
 #[test]
