usage: report windows before the start only where daemons ran before

Change: only where the store has a checkpoint, so that daemons ran before, a holder without a known report begins with the first window that was not due. A first start begins with the window of its start as before.

Open: counts are kept for five windows; with shorter windows than a fifth of the time in which reports are taken, a backlog loses some.

--- a/lib/src/relay/era_start.rs
+++ b/lib/src/relay/era_start.rs
@@ -53,16 +53,14 @@
 
 impl EraStart {
     /// Where a holder that acquired the duties in this era goes on after the last known report.
-    /// Without one it begins with the first window that has counts, `first`, or with one before it
-    /// whose counts may be lost but that was not reported; `length` is that of a window.
+    /// Without one it begins with the window `first`; `length` is that of a window.
     pub fn resume(&self, last: Option<&Report>, first: WindowId, length: Duration) -> Resume {
-        let certain = self.first_certain(length);
-        let follow = last.map_or(first.min(certain), |last| last.window + 1);
+        let follow = last.map_or(first, |last| last.window + 1);
         let in_era = last.is_some_and(|last| last.era == self.era);
         let next = match &self.settled {
             _ if in_era => follow,
             Some(settled) => return Resume::without_doubt(follow.max(settled.next)),
-            None => follow.max(certain),
+            None => follow.max(self.first_certain(length)),
         };
         Resume {
             next,
@@ -71,7 +69,7 @@
     }
 
     /// First window that cannot have been reported before the era.
-    fn first_certain(&self, length: Duration) -> WindowId {
+    pub fn first_certain(&self, length: Duration) -> WindowId {
         let length = length.as_millis().max(1) as u64;
         let wait = SETTLE_TIME.saturating_sub(CLOCK_TOLERANCE);
         self.seen_ms.saturating_sub(wait.as_millis() as u64) / length
