relay: send nothing to endpoints that are silent until they are heard

Callers' requests arrived at endpoints more often than the retry budget allows (BUDGET): trials of a stopped endpoint, and first attempts whose retries were answered elsewhere, waited in its sockets and arrived together when its process went on. What is granted was bounded, what arrives was not.

An endpoint that has sent nothing since two requests were sent to it gets no further one until anything is received from it; it gets health checks meanwhile. The checkpoint tells a daemon that starts which endpoints were silent.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -29,6 +29,7 @@
 mod reach;
 mod run;
 mod serve;
+mod silence;
 mod startup;
 mod state;
 mod status;
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -34,6 +34,7 @@
 };
 use super::metrics::Metrics;
 use super::reach;
+use super::silence;
 use super::startup;
 use super::state::State;
 use super::stream::{Forwarded, OpenStream};
@@ -131,6 +132,7 @@
         Err(error) => return sent.fail(state, job, error),
     };
     reach::record_answer(state, &job.service.name);
+    silence::record_heard(state, &choice.id);
     record_limit(state, &endpoint, &response, sent.at);
     record_brittle(state, &endpoint, &response, sent.at);
     record_leaving(state, &endpoint, &response);
@@ -220,6 +222,7 @@
     /// Records that more of it was received. Once it has run for [`SAFE_AFTER`], its endpoint does not
     /// crash from it.
     pub(crate) fn record_received(&mut self, state: &State, job: &Job<'_>) {
+        silence::record_heard(state, &self.sent.guard.endpoint);
         if !self.is_safe && self.first_event.elapsed() >= SAFE_AFTER {
             self.is_safe = true;
             clear(state, &job.fingerprint);
--- a/daemon/src/relay/catalog/codec.rs
+++ b/daemon/src/relay/catalog/codec.rs
@@ -211,6 +211,7 @@
     };
     wire::Service {
         name: service.name.to_string(),
+        health: service.health.to_string(),
         connections: service.connections,
         engine: service.engine.as_ref().map(engine),
         scaling: service.scaling.as_ref().map(scaling),
@@ -240,6 +241,7 @@
     };
     Service {
         name: message.name.into(),
+        health: message.health.into(),
         connections: message.connections,
         engine: message.engine.map(engine),
         scaling: message.scaling.map(scaling),
--- a/daemon/src/relay/checkpoint.rs
+++ b/daemon/src/relay/checkpoint.rs
@@ -57,6 +57,7 @@
         endpoints: state.endpoints.borrow().rows().len() as u32,
         entries: entries(state),
         roster: Some(roster),
+        silent: state.endpoints.borrow().silent(),
         ..Checkpoint::default()
     };
     for ((name, incarnation), number, counts) in state.usage.borrow().since(first) {
@@ -150,6 +151,19 @@
     }
 }
 
+/// Restores which endpoints were silent. The age of the checkpoint does not count, as one that is heard
+/// again answers its check at once.
+pub(crate) fn restore_silent(state: &State, saved: &Checkpoint) {
+    if !saved.silent.is_empty() {
+        log::info!(
+            "checkpoint: {} endpoints were silent and are checked first.",
+            saved.silent.len()
+        );
+        let mut table = state.endpoints.borrow_mut();
+        table.restore_silent(saved.silent.clone());
+    }
+}
+
 /// Restores runs counted by daemons that may no longer exist.
 pub(crate) fn restore_usage(state: &State, saved: &Checkpoint) {
     let mut usage = state.usage.borrow_mut();
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -44,6 +44,7 @@
 use super::serve::{
     Connection, RETRY_SOON, Rejection, connection, forward_response, record_demand, refund, reject,
 };
+use super::silence;
 use super::startup;
 use super::state::State;
 use super::stream::{Forwarded, OpenStream};
@@ -463,6 +464,16 @@
         self.has_credit.take() || try_retry(self.state, self.job)
     }
 
+    /// Records that nothing was received from the endpoint of an attempt until it was given up.
+    fn record_unheard(&self, row: AttemptIndex) {
+        let attempts = self.progress().attempts();
+        let (endpoint, sent) = (EndpointId::from(attempts.target(row)), attempts.began(row));
+        drop(attempts);
+        if sent.elapsed() >= MIN_PATIENCE {
+            silence::record_silence(self.state, &endpoint, sent);
+        }
+    }
+
     /// Applies the result of an attempt; `Some` if it is the answer of the request.
     fn settle(
         &self,
@@ -499,6 +510,7 @@
         drop(attempts);
         let service = &self.job.service.name;
         reach::record_result(self.state, service, &endpoint, sent, false);
+        silence::record_silence(self.state, &endpoint, sent);
     }
 
     /// Ends those of these attempts that are in progress and have no answer, because another one
@@ -507,12 +519,15 @@
         let ended = self.progress().update(|all| {
             let now = Std::now();
             let rows = rows.iter().copied();
-            let ended = rows.filter_map(|row| all.end_pending(row, end, now));
+            let ended = rows.filter_map(|row| Some((row, all.end_pending(row, end, now)?)));
             ended.collect::<Vec<_>>()
         });
-        for (via, target) in ended {
+        for (row, (via, target)) in ended {
             match via {
-                Via::Endpoint => attempt::record_silent(self.state, self.job, &target),
+                Via::Endpoint => {
+                    attempt::record_silent(self.state, self.job, &target);
+                    self.record_unheard(row);
+                }
                 Via::Daemon => forward::record_silent(self.state, self.job, &target),
             }
         }
--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use poplarvale_lib::{CustomerId, ServiceId};
 use prometheus::{Encoder as _, Registry, TextEncoder};
@@ -35,6 +35,7 @@
     units: Counter<u64>,
     ignored_paces: Counter<u64>,
     omitted_windows: Counter<u64>,
+    silences: Counter<u64>,
     endpoints: Gauge<f64>,
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
@@ -43,6 +44,12 @@
     _provider: SdkMeterProvider,
 }
 
+fn endpoint_gauge(meter: &Meter) -> Gauge<f64> {
+    let gauge = meter.f64_gauge("poplarvale_relay_endpoints");
+    let text = "Endpoints of a service as the duty holder sees them, by kind of count";
+    gauge.with_description(text).build()
+}
+
 impl Metrics {
     /// Creates instruments that count from zero; `None`, with a log line, if the exporter rejects
     /// its registry.
@@ -126,12 +133,11 @@
                 "poplarvale_relay_omitted_windows",
                 "Usage windows not reported, as they may have been before the store was restored",
             ),
-            endpoints: meter
-                .f64_gauge("poplarvale_relay_endpoints")
-                .with_description(
-                    "Endpoints of a service as the duty holder sees them, by kind of count",
-                )
-                .build(),
+            silences: counter(
+                "poplarvale_relay_silences",
+                "Silences of endpoints that got no request meanwhile, begun and ended",
+            ),
+            endpoints: endpoint_gauge(&meter),
             first_event: histogram(
                 "poplarvale_relay_first",
                 "Time from a request's head to its first event or answer",
@@ -223,6 +229,11 @@
         self.omitted_windows.add(count, &[]);
     }
 
+    /// Records that an endpoint is silent, or is heard again.
+    pub(crate) fn record_silence(&self, step: &'static str) {
+        self.silences.add(1, &[KeyValue::new("step", step)]);
+    }
+
     /// Records a number of endpoints of a service that orders follow.
     pub(crate) fn record_endpoints(&self, service: &ServiceId, count: &'static str, number: f64) {
         let labels = [
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -21,6 +21,7 @@
 use super::probe::serve_probe;
 use super::progress::log_unfinished;
 use super::reach::{self, check_services};
+use super::silence;
 use super::state::State;
 use super::status::serve_status;
 use super::watch::watch_store;
@@ -252,6 +253,7 @@
         state.quota.borrow_mut().expire(now);
         state.demand.borrow_mut().expire(now);
         reach::expire(&state, now);
+        silence::start_checks(&state);
         state.crashes.borrow_mut().expire(now);
         let current = state.usage_window(now);
         state.usage.borrow_mut().expire(current);
--- a/daemon/src/relay/status.rs
+++ b/daemon/src/relay/status.rs
@@ -122,6 +122,7 @@
         "address": row.listing.address.to_string(),
         "standing": state,
         "fit": row.breaker.allows_request(now),
+        "silent": row.silence.is_silent(),
         "requests": row.in_flight.len(),
         "others": row.remote_load.requests,
         "backlog_tokens": row.backlog() as u64,
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -309,6 +309,7 @@
         if let Some(saved) = saved {
             startup::decide(state, &saved);
             checkpoint::restore_quota(state, &saved);
+            checkpoint::restore_silent(state, &saved);
         }
     }
     state.read_own.set(true);
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -682,6 +682,9 @@
         pub scaling: ::core::option::Option<Scaling>,
         #[prost(message, optional, tag = "5")]
         pub cold: ::core::option::Option<Cold>,
+        /// Path of the health check of its endpoints.
+        #[prost(string, tag = "6")]
+        pub health: ::prost::alloc::string::String,
     }
     #[derive(serde::Serialize, serde::Deserialize)]
     #[serde(default)]
@@ -877,6 +880,9 @@
     /// The daemons that rank first in the writer's zone, and the watchers of all zones.
     #[prost(message, optional, tag = "12")]
     pub roster: ::core::option::Option<digest::Roster>,
+    /// Hashes of the endpoints that are silent.
+    #[prost(fixed32, repeated, tag = "13")]
+    pub silent: ::prost::alloc::vec::Vec<u32>,
 }
 /// Nested message and enum types in `Checkpoint`.
 pub mod checkpoint {
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -45,6 +45,7 @@
 pub mod settings;
 pub mod sharers;
 pub mod shutdown;
+pub mod silence;
 pub mod slow_start;
 pub mod sse;
 pub mod startup;
--- a/lib/src/relay/catalog.rs
+++ b/lib/src/relay/catalog.rs
@@ -108,6 +108,8 @@
 pub struct Service {
     /// Name.
     pub name: ServiceId,
+    /// Path of the health check of its endpoints.
+    pub health: CompactString,
     /// Connections that one endpoint accepts from all daemons together; `None` for no limit.
     pub connections: Option<u32>,
     /// Capacity of its model engines; `None` for a service without engines.
--- a/lib/src/relay/endpoint_table.rs
+++ b/lib/src/relay/endpoint_table.rs
@@ -28,6 +28,7 @@
 use super::quota::name_hash;
 use super::rests::Rests;
 use super::sharers::Sharers;
+use super::silence::Silence;
 use super::slow_start::{ColdEndpoint, SlowStart};
 use super::tombstones::Tombstones;
 use crate::{EndpointId, ServiceId, ZoneHash, ZoneId};
@@ -119,6 +120,8 @@
     pub concurrency: Option<ConcurrencyLimit>,
     /// What shows whether this daemon reaches it.
     pub link: LinkEvidence,
+    /// What shows whether it reads what it is sent.
+    pub silence: Silence,
 }
 
 /// What shows whether this daemon reaches an endpoint.
@@ -204,6 +207,8 @@
     departures: Departures,
     /// Rests that endpoints asked for.
     rests: Rests,
+    /// Sorted hashes of endpoints that were silent when this daemon started and have no row yet.
+    silent: Vec<u32>,
 }
 
 /// Effect of a registry change on an endpoint.
@@ -259,6 +264,32 @@
             .collect()
     }
 
+    /// Hashes of the endpoints that are silent.
+    pub fn silent(&self) -> Vec<u32> {
+        let rows = self.rows.iter().filter(|row| row.silence.is_silent());
+        rows.map(|row| row.hash).collect()
+    }
+
+    /// Restores which endpoints were silent before this daemon started.
+    pub fn restore_silent(&mut self, mut hashes: Vec<u32>) {
+        hashes.sort_unstable();
+        for row in &mut self.rows {
+            if hashes.binary_search(&row.hash).is_ok() {
+                row.silence = Silence::restored();
+            }
+        }
+        hashes.retain(|hash| self.rows.iter().all(|row| row.hash != *hash));
+        self.silent = hashes;
+    }
+
+    /// Begins the checks of silent endpoints that are due.
+    pub fn begin_silence_checks(&mut self, now: Instant) -> Vec<EndpointId> {
+        let rows = self.rows.iter_mut();
+        let rows = rows.filter(|row| row.is_running(now));
+        let due = rows.filter_map(|row| row.silence.begin_check().then_some(row));
+        due.map(|row| row.listing.id.clone()).collect()
+    }
+
     /// Addresses of all endpoints of a service.
     pub fn addresses(&self, service: &str) -> Vec<SocketAddr> {
         let rows = self
@@ -520,6 +551,11 @@
             rest_until: self.rests.until(incarnation_hash(&listing)),
             concurrency: None,
             link: LinkEvidence::default(),
+            silence: if self.silent.binary_search(&hash).is_ok() {
+                Silence::restored()
+            } else {
+                Silence::default()
+            },
             listing,
         };
         if let (Some(cold), Some(limit)) = (cold, self.slow_start(&row.listing.service)) {
@@ -1022,7 +1058,7 @@
 
     /// Whether it may get requests, whatever its load.
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.is_running(now) && self.breaker.allows_request(now)
+        self.is_running(now) && !self.silence.is_silent() && self.breaker.allows_request(now)
     }
 
     /// Whether it may get requests, whatever failed there and whatever its load.
--- a/lib/src/relay/selection.rs
+++ b/lib/src/relay/selection.rs
@@ -156,6 +156,7 @@
     let rows = table.rows().iter().filter(|row| {
         row.listing.service == criteria.service.name
             && row.is_running(criteria.now)
+            && !row.silence.is_silent()
             && !row.link.is_sound(since)
             && criteria.versions.allow(&row.listing.version)
             && criteria.is_home(&row.listing.zone)
--- a/lib/tests/test_relay_fleet.rs
+++ b/lib/tests/test_relay_fleet.rs
@@ -16,6 +16,7 @@
     let price = |zone: &str, price| (zone.into(), price);
     Service {
         name: "pool".into(),
+        health: "/health".into(),
         connections: None,
         engine: Some(Engine {
             slots: 64,
--- a/lib/tests/test_relay_reserve.rs
+++ b/lib/tests/test_relay_reserve.rs
@@ -19,6 +19,7 @@
 fn service() -> Service {
     Service {
         name: "pool".into(),
+        health: "/health".into(),
         connections: None,
         engine: Some(Engine {
             slots: 12,
