relay: log and count responses that belong to no request

A response that was skipped left no line, and a forwarded request none of the configuration that chose to forward it, so logs could not tell the hypotheses of the incident apart. The lines wire: and the metric poplarvale_relay_strays tell skipped responses, the lines forward: name the configuration.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -126,7 +126,7 @@
         at: Std::now(),
         guard,
     };
-    let response = match exchange(&mut conn, &bytes, &job.head.id).await {
+    let response = match exchange(state, &mut conn, &bytes, &job.head.id).await {
         Ok(response) => response,
         Err(ExchangeError::NotSent) => return Err(AttemptEnd::NotConnected),
         Err(error) => return sent.fail(state, job, error),
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -8,6 +8,7 @@
 
 use super::buffered_stream::{BufferedStream, fill};
 use super::held::Held;
+use super::state::State;
 
 /// Responses to earlier requests that are skipped before the connection is abandoned.
 const MAX_STRAY_RESPONSES: usize = 3;
@@ -117,6 +118,7 @@
 /// on at the same time. Late second responses to earlier requests are recognized by their request
 /// id and skipped.
 pub(crate) async fn exchange(
+    state: &State,
     conn: &mut BufferedStream,
     request: &Outgoing,
     id: &str,
@@ -143,6 +145,7 @@
                     request_sent,
                 });
             }
+            record_stray(state, id, &head, &meta);
             stray_responses += 1;
             if stray_responses > MAX_STRAY_RESPONSES {
                 return Err(ExchangeError::Invalid);
@@ -164,6 +167,16 @@
     }
 }
 
+/// Records that a response was skipped that does not belong to the request with this id.
+fn record_stray(state: &State, id: &str, head: &Response, meta: &ResponseMeta) {
+    let kind = if meta.has_id { "other id" } else { "no id" };
+    state.measure(|metrics| metrics.record_stray(kind));
+    log::info!(
+        request = id, status = head.status, not_run = meta.not_run, sealed = meta.sealed;
+        "wire: skipped a response to no request in progress, with {kind}."
+    );
+}
+
 /// Reads and discards the rest of a response to an earlier request.
 async fn skip_body(
     read: &mut tokio::net::tcp::ReadHalf<'_>,
--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -115,7 +115,7 @@
         },
     );
     let request = Outgoing::new(head, job.body);
-    let response = match exchange(&mut conn, &request, &job.head.id).await {
+    let response = match exchange(state, &mut conn, &request, &job.head.id).await {
         Ok(response) => response,
         Err(ExchangeError::NotSent) => {
             return not_taken(AttemptEnd::NotConnected, &ExchangeError::NotSent);
@@ -227,7 +227,7 @@
     state.measure(|metrics| metrics.record_forwarded("answered"));
     if state.sampler.allows(Std::now()) {
         log::info!(
-            request = job.head.id.as_str(), route = job.route.name.as_str(),
+            request = job.head.id.as_str(), route = job.route.name.as_str(), catalog = job.version,
             took_ms = job.arrived.elapsed().as_millis() as u64;
             "forward: answered by the daemon at {daemon}."
         );
@@ -243,7 +243,8 @@
 ) {
     state.measure(|metrics| metrics.record_forwarded(outcome));
     log::info!(
-        request = job.head.id.as_str(), after_ms = job.arrived.elapsed().as_millis() as u64;
+        request = job.head.id.as_str(), catalog = job.version,
+        after_ms = job.arrived.elapsed().as_millis() as u64;
         "forward: {outcome} by the daemon at {daemon}, {why}."
     );
 }
--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -36,6 +36,7 @@
     ignored_paces: Counter<u64>,
     omitted_windows: Counter<u64>,
     silences: Counter<u64>,
+    strays: Counter<u64>,
     endpoints: Gauge<f64>,
     first_event: Histogram<f64>,
     duration: Histogram<f64>,
@@ -137,6 +138,10 @@
                 "poplarvale_relay_silences",
                 "Silences of endpoints that got no request meanwhile, begun and ended",
             ),
+            strays: counter(
+                "poplarvale_relay_strays",
+                "Responses that belong to no request in progress, by whether they name a request",
+            ),
             endpoints: endpoint_gauge(&meter),
             first_event: histogram(
                 "poplarvale_relay_first",
@@ -234,6 +239,11 @@
         self.silences.add(1, &[KeyValue::new("step", step)]);
     }
 
+    /// Records that a response was skipped that belongs to no request in progress.
+    pub(crate) fn record_stray(&self, kind: &'static str) {
+        self.strays.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Records a number of endpoints of a service that orders follow.
     pub(crate) fn record_endpoints(&self, service: &ServiceId, count: &'static str, number: f64) {
         let labels = [
