wire: take no response without a request id for that of a request

Callers of unsafe requests were told that these had not run while they ran (REFUSED), or a second endpoint ran them as well (TWICE). Each of the latter took a retry from the budget.

Cause: a response without an id was attributed to the request in progress if it stated that a request was not run. An extra rejection that arrives on a kept connection after the next request was sent names none. The class: a conclusion that something did not run without proof that the statement is about it.

We send an id with each request and endpoints echo it, so a response without one is an answer to none of ours. It is skipped, also on a new connection, and its connection is not kept. The response of the endpoint itself is passed on when it comes. Daemons echo the id in all rejections of forwarded requests whose heads they could read, so nothing changes for these.

--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -68,12 +68,15 @@
     /// Whether the whole request was sent by then. If not, the connection cannot be reused: the
     /// endpoint would parse the rest of this request as a new one.
     pub(crate) request_sent: bool,
+    /// Whether all responses before it named their requests. If one did not, further ones like it may
+    /// follow.
+    pub(crate) all_named: bool,
 }
 
 impl EndpointResponse {
     /// Whether its connection can serve a further request, once the body was read.
     pub(crate) fn is_reusable(&self, conn: &BufferedStream) -> bool {
-        self.head.keep_alive && self.request_sent && conn.buffer.is_empty()
+        self.head.keep_alive && self.request_sent && self.all_named && conn.buffer.is_empty()
     }
 }
 
@@ -116,7 +119,8 @@
 ///
 /// An endpoint may respond before it has read all of a long request, so writing and reading go
 /// on at the same time. Late second responses to earlier requests are recognized by their request
-/// id and skipped.
+/// id and skipped, and so are responses without one: nothing shows which request they belong to, so
+/// none may be concluded to have been rejected.
 pub(crate) async fn exchange(
     state: &State,
     conn: &mut BufferedStream,
@@ -127,6 +131,7 @@
     let buffer = &mut conn.buffer;
     let mut written = 0;
     let (mut stray_responses, mut interim_responses) = (0, 0);
+    let mut all_named = true;
     loop {
         while let Some(head) = Response::take(buffer).map_err(|_error| ExchangeError::Invalid)? {
             if (100..200).contains(&head.status) {
@@ -143,9 +148,11 @@
                     head,
                     meta,
                     request_sent,
+                    all_named,
                 });
             }
             record_stray(state, id, &head, &meta);
+            all_named &= meta.has_id;
             stray_responses += 1;
             if stray_responses > MAX_STRAY_RESPONSES {
                 return Err(ExchangeError::Invalid);
--- a/daemon/tests/test_relay_handover.rs
+++ b/daemon/tests/test_relay_handover.rs
@@ -6,7 +6,7 @@
 use futures::future::join_all;
 use poplarvale_standin::{
     Answer, Caller, Cloud, Endpoint, Fault, Proxy, SeenRequest, Step, Store, ask, config, plain,
-    request, settings,
+    request, settings, with_routes,
 };
 use serde_json::{Value, json};
 use testutils::folder::Folder;
@@ -21,6 +21,8 @@
 const SOON: Duration = Duration::from_secs(5);
 /// Requests of each kind that arrive while a daemon is behind.
 const REPEATS: usize = 8;
+/// Further routes of a configuration.
+const ROUTE_COUNT: u32 = 4300;
 /// Path of requests whose endpoints are silent.
 const SILENT: &str = "/safe/silent";
 
@@ -60,7 +62,8 @@
     .await;
 }
 
-/// Configuration 2: one route and one key are new, and one route leads to another service.
+/// Configuration 2: one route and one key are new, and one route leads to another service. Many further
+/// routes make a daemon take a while to get it.
 fn second_config() -> String {
     let text = config(2, &ROUTES, 0);
     let mut config: Value = serde_json::from_str(&text).expect("the configuration is JSON");
@@ -75,7 +78,7 @@
     let services = config["services"].as_array_mut().expect("the services");
     services.push(service);
     config["tenants"][0]["apiKeys"] = json!(["k1", "k2"]);
-    config.to_string()
+    with_routes(&config.to_string(), ROUTE_COUNT)
 }
 
 /// Two daemons, each a process with a store of its own. The first does not reach the endpoints.
@@ -94,10 +97,15 @@
             Endpoint::start("i-1", respond).await,
             Endpoint::start("i-2", respond).await,
         ];
-        let (behind, proxies) = proxied_store(&[&endpoints[0]]).await;
+        let (behind, proxies) = proxied_store(&[&endpoints[0], &endpoints[1]]).await;
         let direct = store_with(&[&endpoints[0]]).await;
         let other = endpoints[1].entry("other", "ready");
         direct.put("servers/i-2", other.as_bytes());
+        let other = other.replace(
+            &endpoints[1].address.to_string(),
+            &proxies[1].address.to_string(),
+        );
+        behind.put("servers/i-2", other.as_bytes());
         let cloud = Cloud::start().await;
         let ports = free_ports();
         let start = |number: usize, store: &Store| {
