relay: pass on no status that promises what its endpoint has not stated

Callers take 408, 421, 429 and 503 for a promise that the request did not run and will not run. An endpoint that answers an unsafe request so, without the field that states it, may have run it; its status was passed on.

Such a response to a request that must not run twice is now reported as an unknown outcome, 502, sealed or not. Responses to requests that may be repeated are passed on as before: their callers retry in any case.

Evidence: test_relay_strays::a_status_of_an_endpoint_that_may_have_run_the_request_promises_nothing failed before for all six cases (the first, 408 and sealed, is where it stopped).

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -43,6 +43,8 @@
 /// every few milliseconds.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
+/// Statuses that tell a caller that its request did not run and will not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// Status with which an endpoint rejects a request for want of room.
 const UNAVAILABLE: u16 = 503;
 
@@ -149,7 +151,7 @@
             Err(error) => sent.fail(state, job, error),
         };
     }
-    let body = read_response(state, &mut conn, &response).await;
+    let body = read_response(state, job, &mut conn, &response).await;
     // A stream begins to run with its first event; an error in its place is no run.
     if !job.route.retry_policy.is_stream() {
         state.count_run(job.team.map(|team| &team.name), sent.at);
@@ -571,13 +573,17 @@
     Outgoing::new(head, job.body)
 }
 
-/// Reads the body of a response that is not a stream.
+/// Reads the body of a response that is not a stream and does not state that the request was not run.
 async fn read_response(
     state: &State,
+    job: &Job<'_>,
     conn: &mut BufferedStream,
     response: &EndpointResponse,
 ) -> Result<Bytes, ExchangeError> {
     let body = read_body(conn, &response.head, state.held.begin()).await?;
+    if !job.route.retry_policy.allows_retry() && PROMISES.contains(&response.head.status) {
+        return Err(ExchangeError::Unproven);
+    }
     if response.head.status >= 300 || response.meta.sealed {
         Ok(body)
     } else {
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -42,6 +42,9 @@
     /// What was received is malformed or not a response to this request.
     #[error("the response is malformed or does not belong to this request")]
     Invalid,
+    /// The status tells callers that the request did not run, but the endpoint does not state so.
+    #[error("its status would promise that the request did not run, which it does not state")]
+    Unproven,
     /// More was received than can be held.
     #[error("the response is longer than allowed")]
     TooLong,
@@ -54,7 +57,7 @@
             Self::NotSent => AttemptEnd::NotConnected,
             Self::Broken => AttemptEnd::Broken,
             Self::TimedOut => AttemptEnd::TimedOut,
-            Self::Invalid | Self::TooLong => AttemptEnd::Invalid,
+            Self::Invalid | Self::Unproven | Self::TooLong => AttemptEnd::Invalid,
         }
     }
 }
