callers: begin no request whose caller has left

A daemon that goes on after it was stopped reads all that arrived meanwhile, and sent it to endpoints also where the caller, or the daemon that forwarded it, had given up seconds before. What others had retried in time arrived again then, together, in one window of the retry budget (BUDGET); the rest was work for nobody.

The socket is now checked for its end before a request is served; waiting for the disconnect beside serving it came too late where a connection to an endpoint is kept.

--- a/daemon/src/relay/caller.rs
+++ b/daemon/src/relay/caller.rs
@@ -1,6 +1,8 @@
 //! Connections from callers: reads requests, has each served, and notices when the caller
 //! disconnects.
 
+use std::io;
+use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,6 +12,7 @@
 use poplarvale_lib::relay::request::Origin;
 use poplarvale_lib::{Code, Ran};
 use poplarvale_platform::{read_request_head, rejection_response};
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -141,6 +144,10 @@
         }
         Err(code) => return Some(reject(write, code, Some(&head.id)).await),
     };
+    // After a pause of this process, callers of requests that it reads may have left.
+    if has_disconnected(read) {
+        return None;
+    }
     let received = Received {
         request: &request,
         body: &body,
@@ -150,9 +157,9 @@
     };
     tokio::select! {
         biased;
-        connection = serve(state, &received, write) => Some(connection),
         // Its request is dropped, with all that was sent for it.
         () = until_disconnected(read, buffer) => None,
+        connection = serve(state, &received, write) => Some(connection),
     }
 }
 
@@ -270,6 +277,15 @@
     }
 }
 
+/// Whether the caller has closed its connection and sent nothing more before.
+fn has_disconnected(read: &ReadHalf<'_>) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    match SockRef::from(read.as_ref()).peek(&mut byte) {
+        Ok(len) => len == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
 /// Waits until the caller closes its connection. Bytes that it sends meanwhile stay in the buffer
 /// for its next request; once the buffer is full, a disconnect is not noticed any more.
 async fn until_disconnected(read: &mut ReadHalf<'_>, buffer: &mut BytesMut) {
