attempts: count the runs that other daemons are granted

Cause: the daemon that is asked may use all runs of the route, and counted as one run when the next one was asked. The class: a bound on a sum that is given whole to each part.

An attempt at another daemon now counts as all runs that it is granted, as that daemon may end or fall silent without telling how many it used. Of several runs one is kept for a second daemon, and an error of the first is no answer for the caller while that one may be asked.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -30,7 +30,7 @@
 use super::buffered_stream::BufferedStream;
 use super::crash::{LazyFingerprint, check_crash, check_refusal, clear, record_served};
 use super::exchange::{
-    EndpointResponse, ExchangeError, OK, Outgoing, SERVER_ERROR, exchange, read_body,
+    EndpointResponse, ExchangeError, OK, Outgoing, SERVER_ERROR, UNAVAILABLE, exchange, read_body,
 };
 use super::metrics::Metrics;
 use super::reach;
@@ -45,8 +45,6 @@
 
 /// Statuses that tell a caller that its request did not run and will not run.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
-/// Status with which an endpoint rejects a request for want of room.
-const UNAVAILABLE: u16 = 503;
 
 /// An admitted request that is being served.
 #[derive(Debug)]
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -37,7 +37,7 @@
 
 use super::attempt::{self, Begun, EndpointStream, Job};
 use super::crash::{is_in_doubt, is_quarantined};
-use super::exchange::{ExchangeError, OK, SERVER_ERROR, TOO_MANY_REQUESTS};
+use super::exchange::{ExchangeError, OK, SERVER_ERROR, TOO_MANY_REQUESTS, UNAVAILABLE};
 use super::forward::{self, DaemonStream, MAX_DAEMONS};
 use super::progress::{Loss, Progress, Tracker};
 use super::reach::{self, ServiceReach, service_reach};
@@ -179,9 +179,7 @@
     let dispatch = Dispatch::new(state, job, Scope::Daemons);
     match dispatch.run(write, keep).await {
         Ok(connection) => Some(connection),
-        Err(stop) if dispatch.progress().attempts().is_unknown() => {
-            Some(dispatch.reject(stop, write, keep).await)
-        }
+        Err(stop) if dispatch.may_have_run() => Some(dispatch.reject(stop, write, keep).await),
         Err(_) => {
             dispatch.tracker.end();
             None
@@ -225,6 +223,11 @@
         self.tracker.progress()
     }
 
+    /// Whether the request ran, or may have.
+    fn may_have_run(&self) -> bool {
+        self.failure.borrow().is_some() || self.progress().attempts().is_unknown()
+    }
+
     /// Serves the request.
     ///
     /// # Errors
@@ -432,12 +435,12 @@
             return Err(Stop::Budget);
         }
         self.daemons.borrow_mut().push(daemon);
-        let runs_left = self.progress().attempts().runs_left();
         let row = self
             .progress()
             .begin(&daemon.to_compact_string(), Via::Daemon);
+        let granted = self.progress().attempts().granted(row);
         let attempt = async move {
-            let started = forward::begin(state, job, (daemon, runs_left), at).await;
+            let started = forward::begin(state, job, (daemon, granted), at).await;
             let is_offered = !matches!(
                 started,
                 Err(AttemptEnd::NotConnected | AttemptEnd::NotTaken)
@@ -484,13 +487,15 @@
         let (answer, end) = match result {
             Ok(Answer::Stream(source)) => return Some(Answer::Stream(source)),
             Ok(Answer::Complete(head, body)) => {
-                let is_error = head.status >= SERVER_ERROR;
-                let is_endpoint = self.progress().attempts().via(row) == Via::Endpoint;
+                // A rejection by another daemon is its answer for all endpoints that it knows.
+                let is_error = head.status >= SERVER_ERROR
+                    && (head.status != UNAVAILABLE
+                        || self.progress().attempts().via(row) == Via::Endpoint);
                 let is_repeatable = self.job.route.retry_policy.allows_retry();
                 if at.head_sent {
                     // It is no part of the stream that the caller has begun to receive.
                     (None, AttemptEnd::Error)
-                } else if is_error && is_endpoint && is_repeatable {
+                } else if is_error && is_repeatable {
                     self.failure.replace(Some((head, body)));
                     (None, AttemptEnd::Error)
                 } else {
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -24,6 +24,8 @@
 pub(crate) const OK: u16 = 200;
 /// Status with which a daemon rejects a request by the allowance of its team.
 pub(crate) const TOO_MANY_REQUESTS: u16 = 429;
+/// Status with which an endpoint or a daemon rejects a request for want of room.
+pub(crate) const UNAVAILABLE: u16 = 503;
 /// Lowest status of a response that counts as a failure of the endpoint.
 pub(crate) const SERVER_ERROR: u16 = 500;
 
--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -89,12 +89,12 @@
     choose(&others).or_else(|| choose(&zones))
 }
 
-/// Sends a request to a daemon and waits until that has begun to answer. `runs_left` is how often the
-/// request may still run.
+/// Sends a request to a daemon and waits until that has begun to answer. `granted` is how often the
+/// daemon may have it run.
 pub(crate) async fn begin(
     state: &Rc<State>,
     job: &Job<'_>,
-    (daemon, runs_left): (Ipv4Addr, u32),
+    (daemon, granted): (Ipv4Addr, u32),
     at: Forwarded,
 ) -> Result<Begun<DaemonStream>, AttemptEnd> {
     let not_taken = |end, why: &dyn Display| {
@@ -111,7 +111,7 @@
         &Onward {
             time_left: job.deadline.saturating_duration_since(Instant::now()),
             resume: at.resume(),
-            runs_left,
+            runs_left: granted,
             handling: handling(job.route, job.team),
             body_len: job.body.len(),
         },
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -3,7 +3,9 @@
 //! A request may be sent to several endpoints: because one did not run it, because one failed, or
 //! because one is silent and another may answer sooner. Each attempt beyond the first costs the
 //! endpoints work, and a non-idempotent request may run only once, so both are bounded here.
-//! An attempt that was ended before the request began to run does not count as a run.
+//! An attempt that was ended before the request began to run does not count as a run. Another daemon
+//! may run the request several times; it counts as all the runs that it was granted, as it may end or
+//! fall silent without telling how many it has used.
 //!
 //! The attempts also tell afterwards why a caller did not get its whole answer: how each ended,
 //! and why no further one was made.
@@ -18,9 +20,11 @@
 
 /// Maximum number of endpoints that a request is sent to, including those that did not run it.
 pub const MAX_ENDPOINTS: usize = 3;
-/// Maximum number of attempts at other daemons that may have run the request. Such a daemon may
-/// have used all attempts of the route.
-const MAX_DAEMON_RUNS: usize = 2;
+/// Maximum number of attempts at other daemons that may have run the request.
+const MAX_DAEMON_ATTEMPTS: usize = 2;
+/// Runs that are not granted to the first daemon, if it is left one: so another one can be asked if that
+/// one ends or falls silent, when nothing tells which of its runs it has used.
+const RESERVED_RUNS: usize = 1;
 
 /// Position of an attempt among those of its request.
 pub type AttemptIndex = usize;
@@ -144,6 +148,8 @@
     /// Name of the endpoint, or address of the daemon.
     target: CompactString,
     via: Via,
+    /// How often its target may run the request.
+    granted: usize,
     began: Instant,
     /// Complete events received.
     events: u64,
@@ -156,11 +162,19 @@
     fn was_sent(&self) -> bool {
         match self.end {
             Some((_, AttemptEnd::NotConnected | AttemptEnd::NotTaken)) => false,
-            Some((_, AttemptEnd::NotRun)) => self.via == Via::Endpoint,
             _ => true,
         }
     }
 
+    /// How often the request ran there, or may have.
+    fn runs(&self, is_stream: bool) -> usize {
+        if self.may_have_run(is_stream) {
+            self.granted
+        } else {
+            0
+        }
+    }
+
     /// Whether the request ran there, or may have. A stream begins to run with its first event.
     fn may_have_run(&self, is_stream: bool) -> bool {
         match self.end {
@@ -212,6 +226,7 @@
         self.rows.push(Attempt {
             target: target.into(),
             via,
+            granted: self.grant(via),
             began: now,
             events: 0,
             end: None,
@@ -255,11 +270,31 @@
         ended.into_iter().map(|(_, target)| target).collect()
     }
 
-    /// How often the request may still run at endpoints, if another daemon has it served.
-    pub fn runs_left(&self) -> u32 {
-        let rows = self.rows.iter();
-        let runs = rows.filter(|row| row.may_have_run(self.is_stream));
-        self.max_runs.saturating_sub(runs.count()).max(1) as u32
+    /// How often the target of a further attempt may run the request.
+    fn grant(&self, via: Via) -> usize {
+        let left = self.max_runs.saturating_sub(self.runs()).max(1);
+        match via {
+            Via::Endpoint => 1,
+            Via::Daemon if self.daemon_attempts() == 0 => left.saturating_sub(RESERVED_RUNS).max(1),
+            Via::Daemon => left,
+        }
+    }
+
+    /// How often the target of an attempt may run the request.
+    pub fn granted(&self, at: AttemptIndex) -> u32 {
+        u32::try_from(self.rows[at].granted).unwrap_or(u32::MAX)
+    }
+
+    /// How often the request ran, or may have.
+    fn runs(&self) -> usize {
+        let runs = self.rows.iter().map(|row| row.runs(self.is_stream));
+        runs.sum()
+    }
+
+    /// Number of attempts at daemons that may have run the request.
+    fn daemon_attempts(&self) -> usize {
+        let rows = self.rows.iter().filter(|row| row.via == Via::Daemon);
+        rows.filter(|row| row.may_have_run(self.is_stream)).count()
     }
 
     /// Whether the request may be sent to a further target of this kind now.
@@ -267,20 +302,15 @@
     /// # Errors
     /// Why it may not.
     pub fn check_next(&self, via: Via) -> Result<(), Stop> {
-        let runs = |via: Via| {
-            let rows = self.rows.iter().filter(|row| row.via == via);
-            rows.filter(|row| row.may_have_run(self.is_stream)).count()
-        };
-        let (endpoint_runs, daemon_runs) = (runs(Via::Endpoint), runs(Via::Daemon));
-        if !self.is_repeatable && endpoint_runs + daemon_runs > 0 {
+        let runs = self.runs();
+        if !self.is_repeatable && runs > 0 {
             return Err(Stop::NotRepeatable);
         }
-        let is_used_up = endpoint_runs + daemon_runs >= self.max_runs.max(1);
+        if runs >= self.max_runs.max(1) {
+            return Err(Stop::Runs);
+        }
         match via {
-            Via::Daemon if daemon_runs >= MAX_DAEMON_RUNS => Err(Stop::Runs),
-            // A daemon that ended with the request counts as one run, which did not come to its end.
-            Via::Daemon if endpoint_runs > 0 && is_used_up => Err(Stop::Runs),
-            Via::Endpoint if is_used_up => Err(Stop::Runs),
+            Via::Daemon if self.daemon_attempts() >= MAX_DAEMON_ATTEMPTS => Err(Stop::Runs),
             Via::Endpoint if self.sent() >= MAX_ENDPOINTS => Err(Stop::Endpoints),
             Via::Daemon | Via::Endpoint => Ok(()),
         }
--- a/lib/tests/test_relay_attempts.rs
+++ b/lib/tests/test_relay_attempts.rs
@@ -65,6 +65,41 @@
     assert_eq!(attempts.check_next(Via::Endpoint), Err(Stop::Runs));
 }
 
+/// Guards against two daemons that each run a request as often as its route allows.
+#[test]
+fn daemons_are_granted_no_more_runs_than_the_route_allows() {
+    let now = Instant::now();
+    for (max_runs, first_grant, second_grant) in [(1, 1, None), (2, 1, Some(1)), (3, 2, Some(1))] {
+        let mut attempts = Attempts::new(max_runs, true, false, now);
+        let first = attempts.begin("10.0.0.7", Via::Daemon, now);
+        assert_eq!(attempts.granted(first), first_grant);
+        attempts.end(first, AttemptEnd::Broken, now);
+        assert_eq!(
+            attempts.check_next(Via::Daemon).is_ok(),
+            second_grant.is_some()
+        );
+        if let Some(granted) = second_grant {
+            let second = attempts.begin("10.0.0.8", Via::Daemon, now);
+            assert_eq!(attempts.granted(second), granted);
+            assert_eq!(attempts.check_next(Via::Daemon), Err(Stop::Runs));
+            assert_eq!(attempts.check_next(Via::Endpoint), Err(Stop::Runs));
+        }
+    }
+}
+
+/// Guards against a first attempt here that costs nothing, after a daemon has tried endpoints.
+#[test]
+fn a_rejection_by_a_daemon_counts_as_sent() {
+    let now = Instant::now();
+    let mut attempts = Attempts::new(2, true, false, now);
+    let first = attempts.begin("10.0.0.7", Via::Daemon, now);
+    attempts.end(first, AttemptEnd::NotRun, now);
+    assert_eq!(attempts.sent(), 1);
+    let second = attempts.begin("10.0.0.8", Via::Daemon, now);
+    attempts.end(second, AttemptEnd::NotTaken, now);
+    assert_eq!(attempts.sent(), 1);
+}
+
 /// The attempts of a lost answer do not tell how each ended.
 #[test]
 fn the_attempts_are_told_in_one_line() {
@@ -111,4 +146,31 @@
         let allowed = if repeatable { max_runs } else { 1 };
         prop_assert!(runs <= allowed);
     }
+
+    /// Whatever ends the attempts at endpoints and daemons, the runs that they were granted and may have
+    /// used are no more than the route allows.
+    #[test]
+    fn granted_runs_are_bounded(
+        max_runs in 1_u32..5,
+        steps in prop::collection::vec((0_usize..ENDS.len(), any::<bool>(), any::<bool>()), 1..12),
+    ) {
+        let now = Instant::now();
+        let mut attempts = Attempts::new(max_runs, true, false, now);
+        let mut granted = 0;
+        for (number, (end, is_daemon, stays_open)) in steps.into_iter().enumerate() {
+            let via = if is_daemon { Via::Daemon } else { Via::Endpoint };
+            if attempts.check_next(via).is_err() {
+                continue;
+            }
+            let at = attempts.begin(&format!("t-{number}"), via, now);
+            if !stays_open {
+                attempts.end(at, ENDS[end], now);
+            }
+            let is_unused = matches!(ENDS[end], AttemptEnd::NotConnected | AttemptEnd::NotRun);
+            if stays_open || !is_unused {
+                granted += attempts.granted(at);
+            }
+        }
+        prop_assert!(granted <= max_runs);
+    }
 }
