soak: check retries, versions and attempts from callers and endpoints

Endpoints now send rejections that name no request after some answers. Retries are counted where they arrive, in windows, and endpoints per request. Each version of the configuration adds a route, and probes of each daemon check that none goes back. A further run has one daemon lose its links to the endpoints, beside daemons that stand still, end or get the configuration late.

--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -11,16 +11,17 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fastrand::Rng;
 use poplarvale_platform::SETTINGS_VARIABLE;
 use poplarvale_standin::{
     Answer, Caller, Cloud, Endpoint, Fault, Mode, Proxy, SeenRequest, Step, Store, announcing,
-    cold_config, plain, rejection_with, request, settings, without_length,
+    cold_config, plain, rejection_with, rejection_without_id, request, settings, without_length,
 };
 use testutils::folder::Folder;
 use testutils::process::Process;
+use testutils::retry_bound::{Ms, RetryBound};
 use tokio::sync::Notify;
 
 use crate::relay_site::{ROUTES, is_ready, until};
@@ -31,6 +32,8 @@
 mod cold;
 mod config;
 mod crash;
+mod forwarding;
+mod probes;
 mod restores;
 mod silence;
 mod trouble;
@@ -60,6 +63,20 @@
 /// How long an endpoint is cold after its start, and the requests a second that it takes meanwhile.
 const COLD_TIME: Duration = Duration::from_millis(1500);
 const COLD_RATE: f64 = 6.0;
+/// Share of the requests after which an endpoint sends a rejection that names none, in percent.
+const STRAY_SHARE: u64 = 6;
+/// Time from the answer to that rejection; the next request is often sent meanwhile.
+const STRAY_DELAY: Duration = Duration::from_millis(15);
+/// Distinguishes the requests with such a rejection from those with other faults.
+const STRAYS: usize = 100;
+/// Bound on retries, as in the settings of the daemons.
+const RETRIES: RetryBound = RetryBound {
+    ratio: 0.2,
+    slack: 40.0,
+    window: 10_000,
+};
+/// Most requests that may run at more endpoints than their route allows.
+const MOST_OVER_ATTEMPTS: usize = 3;
 /// Header line by which an endpoint asks for a rest.
 const REST_FIELD: &str = "Retry-After: 0.5\r\n";
 /// Timeout of a caller; equals the deadline of its requests.
@@ -82,6 +99,7 @@
 #[derive(Debug)]
 struct Sent {
     id: String,
+    at: Ms,
     non_idempotent: bool,
     /// Whether the caller was told that it did not run and will not run.
     told_not_run: bool,
@@ -112,6 +130,8 @@
     target: Cell<Option<usize>>,
     /// When daemons went on that had been paused.
     thawed: RefCell<Vec<Instant>>,
+    /// Links of the first daemon only, if it has some.
+    links: Option<forwarding::Links>,
 }
 
 pub(crate) struct Daemon {
@@ -135,8 +155,10 @@
 /// State that the endpoints share.
 #[derive(Clone, Default)]
 struct Work {
-    /// How often each request ran.
-    runs: Rc<RefCell<BTreeMap<String, usize>>>,
+    /// Numbers of the endpoints at which each request ran.
+    runs: Rc<RefCell<BTreeMap<String, Vec<usize>>>>,
+    /// When requests arrived, also those that were rejected.
+    arrivals: Rc<RefCell<Vec<(Ms, String)>>>,
     /// Whether they answer without faults.
     faultless: Rc<Cell<bool>>,
     /// Numbers of those that announce in their answers that they leave.
@@ -160,6 +182,7 @@
 /// An endpoint that fails on some requests, chosen by their ids.
 async fn endpoint(number: usize, work: Work) -> Endpoint {
     Endpoint::start(&format!("i-{number}"), move |seen| {
+        work.arrivals.borrow_mut().push((unix_ms(), seen.id()));
         let roll = if work.faultless.get() {
             99
         } else {
@@ -180,7 +203,9 @@
             return rejected;
         }
         let fields = announced::fields(&work, number);
-        *work.runs.borrow_mut().entry(seen.id()).or_default() += 1;
+        let mut runs = work.runs.borrow_mut();
+        runs.entry(seen.id()).or_default().push(number);
+        drop(runs);
         if let Some(failed) = work.trouble.fail(number, seen) {
             return failed;
         }
@@ -196,15 +221,29 @@
                 let body = format!("answer to {}", seen.id());
                 vec![without_length(seen, &body), Step::Close]
             }
-            _ => vec![
-                Step::Wait(Duration::from_millis(roll % 20)),
-                answer(seen, &fields),
-            ],
+            _ => {
+                let pause = Step::Wait(Duration::from_millis(roll % 20));
+                let mut steps = vec![pause, answer(seen, &fields)];
+                if !work.faultless.get() && is_followed_by_stray(seen) {
+                    steps.extend([Step::Wait(STRAY_DELAY), rejection_without_id(503)]);
+                }
+                steps
+            }
         }
     })
     .await
 }
 
+/// Whether a rejection that names no request follows the answer to one.
+fn is_followed_by_stray(seen: &SeenRequest) -> bool {
+    self::roll(&seen.id(), STRAYS) < STRAY_SHARE
+}
+
+fn unix_ms() -> Ms {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.expect("the clock is after 1970").as_millis() as Ms
+}
+
 fn roll(id: &str, number: usize) -> u64 {
     let sum = id.bytes().fold(number as u64, |sum, byte| {
         sum.wrapping_mul(131).wrapping_add(u64::from(byte))
@@ -261,6 +300,11 @@
 
 impl Soak {
     async fn start(folder: &Folder) -> Self {
+        Self::start_with(folder, false).await
+    }
+
+    /// Starts all; `has_links` tells whether the first daemon has links of its own.
+    async fn start_with(folder: &Folder, has_links: bool) -> Self {
         let store = Store::start().await;
         store.keep_copies();
         let cloud = Cloud::start().await;
@@ -279,9 +323,16 @@
             endpoints.push(endpoint);
             proxies.push(proxy);
         }
+        let links = if has_links {
+            Some(start_links(&store, &proxies).await)
+        } else {
+            None
+        };
         let ports = free_ports();
         let daemons = (0..DAEMONS).map(|number| {
-            let text = settings(store_proxy.address, cloud.address);
+            let own = links.as_ref().filter(|_| number == 0);
+            let store = own.map_or(store_proxy.address, |links| links.store.address);
+            let text = settings(store, cloud.address);
             RefCell::new(daemon(folder, number, &text, ports))
         });
         Self {
@@ -302,9 +353,20 @@
             born: vec![Cell::new(1); ENDPOINTS],
             target: Cell::new(None),
             thawed: RefCell::default(),
+            links,
         }
     }
 
+    /// Records a request that was sent at a time.
+    fn record_sent(&self, id: &str, at: Ms, prefix: &str, told_not_run: bool) {
+        self.sent.borrow_mut().push(Sent {
+            id: id.into(),
+            at,
+            non_idempotent: prefix == "/once/" || prefix == "/stream/",
+            told_not_run,
+        });
+    }
+
     /// Number of a further endpoint.
     fn next_endpoint(&self) -> usize {
         self.last_endpoint.set(self.last_endpoint.get() + 1);
@@ -323,8 +385,26 @@
     }
 }
 
+/// Starts the links of the first daemon, which sees the endpoints behind them.
+async fn start_links(store: &Store, proxies: &[Proxy]) -> forwarding::Links {
+    let mut endpoints = Vec::new();
+    for proxy in proxies {
+        endpoints.push(Proxy::start(proxy.address).await);
+    }
+    let behind = proxies.iter().zip(&endpoints);
+    let replaced: Vec<_> = behind
+        .map(|(proxy, own)| (proxy.address, own.address))
+        .collect();
+    let view = store.view(&replaced).await;
+    forwarding::Links {
+        endpoints,
+        store: Proxy::start(view).await,
+    }
+}
+
 fn configuration(version: u64) -> String {
-    cold_config(version, &ROUTES, COLD_TIME.as_secs_f64(), COLD_RATE)
+    let config = cold_config(version, &ROUTES, COLD_TIME.as_secs_f64(), COLD_RATE);
+    probes::with_version_routes(&config, version)
 }
 
 /// Zone of an endpoint, by its number.
@@ -401,6 +481,7 @@
         let caller = call(Rc::clone(&soak), random, prefixes);
         tasks.push(actix_web::rt::spawn(caller));
     }
+    tasks.extend(probes::start(&soak));
     // Seeds that are kept go on to mean the same faults beside it.
     let trouble = trouble::inject(Rc::clone(&soak), Rng::with_seed(!seed), ENDPOINTS, time);
     let trouble = actix_web::rt::spawn(trouble);
@@ -423,7 +504,13 @@
         task.await.expect("the caller task does not panic");
     }
     check_runs(&soak);
+    check_retries(&soak);
     check_reports(&soak);
+    finish(&soak)
+}
+
+/// The report; prints the logs of the daemons if a guarantee was violated.
+fn finish(soak: &Soak) -> Report {
     let report = std::mem::take(&mut *soak.report.borrow_mut());
     if !report.violations.is_empty() {
         for daemon in &soak.daemons {
@@ -434,6 +521,32 @@
     report
 }
 
+/// Runs one seed in which the first daemon forwards requests now and then, beside daemons that stand still,
+/// end or get the configuration late.
+pub(crate) async fn run_forwarding_seed(seed: u64, time: Duration) -> Report {
+    let folder = Folder::new();
+    let soak = Rc::new(Soak::start_with(&folder, true).await);
+    soak.until_ready().await;
+    let mut random = Rng::with_seed(seed);
+    let mut tasks: Vec<_> = (0..CALLERS)
+        .map(|_| {
+            let caller = call(Rc::clone(&soak), random.fork(), &SHORT_REQUESTS);
+            actix_web::rt::spawn(caller)
+        })
+        .collect();
+    tasks.extend(probes::start(&soak));
+    forwarding::inject(&soak, &mut random, time).await;
+    end_faults(&soak);
+    until_recovered(&soak).await;
+    soak.stopped.set(true);
+    for task in tasks {
+        task.await.expect("the task does not panic");
+    }
+    check_runs(&soak);
+    check_retries(&soak);
+    finish(&soak)
+}
+
 /// Runs one seed in which requests crash endpoints by a part of their prompts, after a version move
 /// that leaves half of the endpoints in use.
 pub(crate) async fn run_crash_seed(seed: u64) -> Report {
@@ -629,6 +742,7 @@
     soak.store.set(Mode::Healthy);
     cold::restore(soak);
     announced::restore(soak);
+    forwarding::restore(soak);
     silence::restore(soak);
     for daemon in 0..DAEMONS {
         signal_if_alive(soak, daemon, "CONT");
@@ -713,10 +827,11 @@
         let method = if prefix == "/once/" { "POST" } else { "GET" };
         let text = request(method, &format!("{prefix}{id}"), &id, "");
         let no_faults = soak.no_faults.get();
+        let sent = unix_ms();
         let asked = tokio::time::timeout(CLIENT_TIMEOUT, caller.exchange(&text)).await;
         let answer = asked.ok().and_then(Result::ok);
         let whole = answer.as_ref().is_some_and(|answer| answer.complete);
-        record_answer(&soak, &id, prefix, answer.as_ref(), no_faults);
+        record_answer(&soak, (&id, sent), prefix, answer.as_ref(), no_faults);
         if whole && answer.is_some_and(|answer| answer.head.keep_alive) {
             kept = Some((at, caller));
         }
@@ -742,14 +857,16 @@
 }
 
 /// Checks an answer and records the result of the request.
-fn record_answer(soak: &Soak, id: &str, prefix: &str, answer: Option<&Answer>, no_faults: bool) {
+fn record_answer(
+    soak: &Soak,
+    (id, at): (&str, Ms),
+    prefix: &str,
+    answer: Option<&Answer>,
+    no_faults: bool,
+) {
     let status = answer.map_or(0, |answer| answer.status);
     let told_not_run = matches!(status, 408 | 421 | 429 | 503);
-    soak.sent.borrow_mut().push(Sent {
-        id: id.into(),
-        non_idempotent: prefix == "/once/" || prefix == "/stream/",
-        told_not_run,
-    });
+    soak.record_sent(id, at, prefix, told_not_run);
     let Some(answer) = answer.filter(|answer| answer.complete) else {
         soak.report.borrow_mut().failed += 1;
         if no_faults {
@@ -787,7 +904,7 @@
 fn check_runs(soak: &Soak) {
     let runs = soak.work.runs.borrow();
     for sent in soak.sent.borrow().iter() {
-        let runs = runs.get(&sent.id).copied().unwrap_or(0);
+        let runs = runs.get(&sent.id).map_or(0, Vec::len);
         if sent.non_idempotent && runs > 1 {
             soak.violation(format!("{} ran {runs} times", sent.id));
         }
@@ -800,6 +917,37 @@
     }
 }
 
+/// Checks that retries stay in their budget where they arrive, and requests at as many endpoints as their
+/// routes allow.
+fn check_retries(soak: &Soak) {
+    let all = soak.sent.borrow();
+    let mut ids: Vec<&str> = all.iter().map(|sent| sent.id.as_str()).collect();
+    ids.sort_unstable();
+    let mut arrivals = soak.work.arrivals.borrow().clone();
+    arrivals.retain(|row| ids.binary_search(&row.1.as_str()).is_ok());
+    let times: Vec<Ms> = all.iter().map(|sent| sent.at).collect();
+    let worst = RETRIES.worst(&times, &arrivals);
+    println!(
+        "worst window of retries {worst:?}, {:.2} of what is allowed",
+        worst.share()
+    );
+    if worst.share() > 1.0 {
+        soak.violation(format!("retries beyond the budget, {worst:?}"));
+    }
+    let allowed = ROUTES[0].attempts as usize;
+    let runs = soak.work.runs.borrow();
+    let over = runs.iter().filter(|(_, endpoints)| {
+        let mut endpoints = (*endpoints).clone();
+        endpoints.sort_unstable();
+        endpoints.dedup();
+        endpoints.len() > allowed
+    });
+    let over: Vec<&str> = over.map(|row| row.0.as_str()).collect();
+    if over.len() > MOST_OVER_ATTEMPTS {
+        soak.violation(format!("{over:?} ran at more than {allowed} endpoints"));
+    }
+}
+
 /// Checks that no usage window is reported with two different counts, none left out without need, and
 /// no fencing token falls.
 fn check_reports(soak: &Soak) {
--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -5,16 +5,21 @@
 
 use std::time::Duration;
 
-use crate::soak::{run_crash_seed, run_seed, seeds};
+use crate::soak::{run_crash_seed, run_forwarding_seed, run_seed, seeds};
 
 /// Seeds that revealed a fault once: in two, a stand-in ended a stream without length in order where
 /// it was to be reset; in the last, sound requests were never tried after others had crashed endpoints.
 const KEPT_SEEDS: [u64; 3] = [1, 1013, 3028];
 /// Seeds in which no sound request was served beside such requests.
 const CRASH_SEEDS: [u64; 2] = [1, 4006];
+/// Seeds of the run in which a daemon forwards.
+const FORWARDING_SEEDS: [u64; 1] = [1];
+/// Time during which faults are injected in such a run, longer than a window of the retry budget.
+const FORWARDING_TIME: Duration = Duration::from_secs(14);
 /// Time during which faults are injected in a run.
 const FAULT_TIME: Duration = Duration::from_secs(4);
 const SEEDS_VARIABLE: &str = "POPLARVALE_SOAK";
+const FORWARDING_VARIABLE: &str = "POPLARVALE_FORWARDING_SOAK";
 
 /// Daemons are killed, paused and terminated, connections to the store and the
 /// endpoints hang, break or lose answers, and the configuration changes, all
@@ -49,3 +54,21 @@
     }
     assert!(violations.is_empty(), "{violations:?}");
 }
+
+/// A daemon loses its links to the endpoints and forwards, while others stand still, end or get the
+/// configuration late, endpoints hold requests back and send rejections that belong to no request. No
+/// non-idempotent request runs twice or after a promise that it did not, retries stay in their budget where
+/// they arrive, and no daemon goes back to an older configuration.
+#[actix_web::test]
+async fn promises_hold_while_a_daemon_forwards() {
+    let mut violations = Vec::new();
+    for seed in seeds(FORWARDING_VARIABLE, &FORWARDING_SEEDS) {
+        let report = run_forwarding_seed(seed, FORWARDING_TIME).await;
+        println!(
+            "seed {seed}: {} answered, {} rejected, {} failed, {:?}",
+            report.answered, report.rejected, report.failed, report.violations
+        );
+        violations.extend(report.violations.into_iter().map(|what| (seed, what)));
+    }
+    assert!(violations.is_empty(), "{violations:?}");
+}
