--- a/daemon/tests/soak/probes.rs
+++ b/daemon/tests/soak/probes.rs
@@ -58,7 +58,7 @@
             (daemon.process.id(), daemon.callers)
         };
         shown = shown.filter(|shown| shown.process == process);
-        // Now and then the newest one that the daemon has shown, which may be older.
+        // Every other request is for the newest one that the daemon has shown.
         let newest = soak.version.get();
         let version = match shown {
             Some(shown) if number % 2 == 0 => shown.version,
