--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -160,10 +160,10 @@
 impl Attempt {
     /// Whether its target received the request, or may have.
     fn was_sent(&self) -> bool {
-        match self.end {
-            Some((_, AttemptEnd::NotConnected | AttemptEnd::NotTaken)) => false,
-            _ => true,
-        }
+        !matches!(
+            self.end,
+            Some((_, AttemptEnd::NotConnected | AttemptEnd::NotTaken))
+        )
     }
 
     /// How often the request ran there, or may have.
