--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use poplarvale_lib::http1::{Body, Response};
 use poplarvale_lib::relay::attempts::AttemptEnd;
-use poplarvale_platform::{ResponseMeta, read_response_meta};
+use poplarvale_platform::{Named, ResponseMeta, read_response_meta};
 use tokio::io::AsyncWriteExt as _;
 
 use super::buffered_stream::{BufferedStream, fill};
@@ -147,7 +147,7 @@
                 continue;
             }
             let meta = read_response_meta(&head, id);
-            if meta.matches_id {
+            if meta.named == Named::Expected {
                 let request_sent = written == request.len();
                 return Ok(EndpointResponse {
                     head,
@@ -157,7 +157,7 @@
                 });
             }
             record_stray(state, id, &head, &meta);
-            all_named &= meta.has_id;
+            all_named &= meta.named != Named::Nothing;
             stray_responses += 1;
             if stray_responses > MAX_STRAY_RESPONSES {
                 return Err(ExchangeError::Invalid);
@@ -181,7 +181,10 @@
 
 /// Records that a response was skipped that does not belong to the request with this id.
 fn record_stray(state: &State, id: &str, head: &Response, meta: &ResponseMeta) {
-    let kind = if meta.has_id { "other id" } else { "no id" };
+    let kind = match meta.named {
+        Named::Nothing => "no id",
+        Named::Expected | Named::Other => "other id",
+    };
     state.measure(|metrics| metrics.record_stray(kind));
     log::info!(
         request = id, status = head.status, not_run = meta.not_run, sealed = meta.sealed;
--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -51,6 +51,12 @@
     gauge.with_description(text).build()
 }
 
+fn stray_counter(meter: &Meter) -> Counter<u64> {
+    let counter = meter.u64_counter("poplarvale_relay_strays");
+    let text = "Responses that belong to no request in progress, by whether they name a request";
+    counter.with_description(text).build()
+}
+
 impl Metrics {
     /// Creates instruments that count from zero; `None`, with a log line, if the exporter rejects
     /// its registry.
@@ -138,10 +144,7 @@
                 "poplarvale_relay_silences",
                 "Silences of endpoints that got no request meanwhile, begun and ended",
             ),
-            strays: counter(
-                "poplarvale_relay_strays",
-                "Responses that belong to no request in progress, by whether they name a request",
-            ),
+            strays: stray_counter(&meter),
             endpoints: endpoint_gauge(&meter),
             first_event: histogram(
                 "poplarvale_relay_first",
--- a/daemon/tests/test_relay_odd_entries.rs
+++ b/daemon/tests/test_relay_odd_entries.rs
@@ -90,7 +90,7 @@
     ];
     for row in &mut fields {
         if row.0 == field {
-            row.1 = value.to_owned();
+            value.clone_into(&mut row.1);
         }
     }
     let fields: Vec<String> = fields
--- a/lib/tests/test_relay_handling.rs
+++ b/lib/tests/test_relay_handling.rs
@@ -47,9 +47,9 @@
         |route| route.regions.clear(),
     ];
     for change in changes {
-        let mut changed = route();
-        change(&mut changed);
-        assert_ne!(handling(&changed, Some(&team())), known, "{changed:?}");
+        let mut other = route();
+        change(&mut other);
+        assert_ne!(handling(&other, Some(&team())), known, "{other:?}");
     }
     let changes: [fn(&mut Team); 5] = [
         |team| team.name = "other".into(),
@@ -59,9 +59,9 @@
         |team| team.regions.push("se".into()),
     ];
     for change in changes {
-        let mut changed = team();
-        change(&mut changed);
-        assert_ne!(handling(&route(), Some(&changed)), known, "{changed:?}");
+        let mut other = team();
+        change(&mut other);
+        assert_ne!(handling(&route(), Some(&other)), known, "{other:?}");
     }
     assert_ne!(handling(&route(), None), known);
 }
