relay: log what stood before and in a rejection of an endpoint

The line of a request that an endpoint did not run named neither the past of its connection nor what else stood in its head, so a rejection that is read from two responses could not be told from a true one. It now says whether the connection was used before, how many responses were skipped, whether the head bears the endpoint's seal, and whether a second status line stands in it. No decision changes.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -139,7 +139,7 @@
     record_rest(state, &endpoint, &response);
     record_pace(state, &endpoint, &response);
     if response.meta.not_run {
-        record_not_run(state, job, choice, sent.at, &response);
+        record_not_run(state, job, choice, &sent, &response);
         drain_rejection(state, sent.address, conn, &response).await;
         return Err(AttemptEnd::NotRun);
     }
@@ -395,7 +395,7 @@
     state: &State,
     job: &Job<'_>,
     choice: &Choice,
-    sent: Std,
+    sent: &Sent,
     response: &EndpointResponse,
 ) {
     let now = Std::now();
@@ -409,11 +409,13 @@
     }
     drop(table);
     state.measure(|metrics| metrics.record_attempt("not run"));
-    reach::record_result(state, &job.service.name, &choice.id, sent, false);
+    reach::record_result(state, &job.service.name, &choice.id, sent.at, false);
     let rest = response.meta.rest.value();
     log::info!(
         request = job.head.id.as_str(), endpoint = choice.id.as_str(), status,
-        rest_ms = rest.map(|rest| rest.as_millis() as u64);
+        rest_ms = rest.map(|rest| rest.as_millis() as u64), kept = sent.reused,
+        skipped = response.skipped, sealed = response.meta.sealed,
+        second_status = response.has_second_status;
         "send: the endpoint did not run the request."
     );
 }
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -1,7 +1,7 @@
 //! Sends a request to an endpoint and reads the head of its response.
 
 use bytes::{Bytes, BytesMut};
-use poplarvale_lib::http1::{Body, Response};
+use poplarvale_lib::http1::{Body, Response, find_status_line};
 use poplarvale_lib::relay::attempts::AttemptEnd;
 use poplarvale_platform::{Named, ResponseMeta, read_response_meta};
 use tokio::io::AsyncWriteExt as _;
@@ -76,6 +76,10 @@
     /// Whether all responses before it named their requests. If one did not, further ones like it may
     /// follow.
     pub(crate) all_named: bool,
+    /// How many responses were skipped before it.
+    pub(crate) skipped: usize,
+    /// Whether a second status line stands in its head, so that it may consist of two.
+    pub(crate) has_second_status: bool,
 }
 
 impl EndpointResponse {
@@ -138,7 +142,14 @@
     let (mut stray_responses, mut interim_responses) = (0, 0);
     let mut all_named = true;
     loop {
-        while let Some(head) = Response::take(buffer).map_err(|_error| ExchangeError::Invalid)? {
+        loop {
+            let second_status = find_status_line(buffer, 1);
+            let before = buffer.len();
+            let taken = Response::take(buffer).map_err(|_error| ExchangeError::Invalid)?;
+            let Some(head) = taken else {
+                break;
+            };
+            let has_second_status = second_status.is_some_and(|at| at < before - buffer.len());
             if (100..200).contains(&head.status) {
                 interim_responses += 1;
                 if interim_responses > MAX_INTERIM_RESPONSES {
@@ -154,6 +165,8 @@
                     meta,
                     request_sent,
                     all_named,
+                    skipped: stray_responses,
+                    has_second_status,
                 });
             }
             record_stray(state, id, &head, &meta);
--- a/lib/src/http1.rs
+++ b/lib/src/http1.rs
@@ -10,7 +10,9 @@
 mod body;
 mod fields;
 mod head;
+mod status_line;
 
 pub use body::{Body, BodyError};
 pub use fields::{Field, Fields};
 pub use head::{Framing, HeadError, Request, Response};
+pub use status_line::find_status_line;
