tests: show promises and successes read from two responses

An endpoint sends the beginning of a response that belongs to no request and breaks off; its own response follows on the open connection.

--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -17,7 +17,7 @@
 use poplarvale_platform::SETTINGS_VARIABLE;
 use poplarvale_standin::{
     Answer, Caller, Cloud, Endpoint, Fault, Mode, Proxy, SeenRequest, Step, Store, announcing,
-    cold_config, plain, rejection_with, rejection_without_id, request, settings, without_length,
+    cold_config, plain, rejection_with, request, settings, without_length,
 };
 use testutils::folder::Folder;
 use testutils::process::Process;
@@ -36,6 +36,7 @@
 mod probes;
 mod restores;
 mod silence;
+mod strays;
 mod trouble;
 mod versions;
 
@@ -63,12 +64,8 @@
 /// How long an endpoint is cold after its start, and the requests a second that it takes meanwhile.
 const COLD_TIME: Duration = Duration::from_millis(1500);
 const COLD_RATE: f64 = 6.0;
-/// Share of the requests after which an endpoint sends a rejection that names none, in percent.
-const STRAY_SHARE: u64 = 6;
-/// Time from the answer to that rejection; the next request is often sent meanwhile.
-const STRAY_DELAY: Duration = Duration::from_millis(15);
-/// Distinguishes the requests with such a rejection from those with other faults.
-const STRAYS: usize = 100;
+/// Names a program that is run in place of the daemon of this build.
+const DAEMON_VARIABLE: &str = "POPLARVALE_DAEMON";
 /// Bound on retries, as in the settings of the daemons.
 const RETRIES: RetryBound = RetryBound {
     ratio: 0.2,
@@ -77,6 +74,8 @@
 };
 /// Most requests that may run at more endpoints than their route allows.
 const MOST_OVER_ATTEMPTS: usize = 3;
+/// Numbers of requests below those that tell their seed.
+const SEED_BITS: u32 = 24;
 /// Header line by which an endpoint asks for a rest.
 const REST_FIELD: &str = "Retry-After: 0.5\r\n";
 /// Timeout of a caller; equals the deadline of its requests.
@@ -149,7 +148,9 @@
 }
 
 fn start(settings: &Path, log: &Path) -> Process {
-    Process::start_logged(Path::new(DAEMON), (SETTINGS_VARIABLE, settings), log)
+    let other = std::env::var(DAEMON_VARIABLE);
+    let program = other.as_deref().unwrap_or(DAEMON);
+    Process::start_logged(Path::new(program), (SETTINGS_VARIABLE, settings), log)
 }
 
 /// State that the endpoints share.
@@ -177,6 +178,8 @@
     crashed: Rc<Notify>,
     /// How they fail, if they do.
     trouble: trouble::Trouble,
+    /// What they send beyond their responses.
+    strays: strays::Strays,
 }
 
 /// An endpoint that fails on some requests, chosen by their ids.
@@ -212,6 +215,9 @@
         if let Some(failed) = versions::fail(&work, number, seen) {
             return failed;
         }
+        if let Some(failed) = work.strays.fail(seen) {
+            return failed;
+        }
         match roll {
             _ if is_stream => events(&work, seen, roll),
             4..6 => vec![Step::Close],
@@ -224,8 +230,8 @@
             _ => {
                 let pause = Step::Wait(Duration::from_millis(roll % 20));
                 let mut steps = vec![pause, answer(seen, &fields)];
-                if !work.faultless.get() && is_followed_by_stray(seen) {
-                    steps.extend([Step::Wait(STRAY_DELAY), rejection_without_id(503)]);
+                if !work.faultless.get() {
+                    steps.extend(work.strays.after(seen));
                 }
                 steps
             }
@@ -234,11 +240,6 @@
     .await
 }
 
-/// Whether a rejection that names no request follows the answer to one.
-fn is_followed_by_stray(seen: &SeenRequest) -> bool {
-    self::roll(&seen.id(), STRAYS) < STRAY_SHARE
-}
-
 fn unix_ms() -> Ms {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     now.expect("the clock is after 1970").as_millis() as Ms
@@ -283,7 +284,11 @@
         steps.push(Step::Close);
         return steps;
     }
-    silence::events(work, seen, first, end)
+    let mut steps = silence::events(work, seen, first, end);
+    if !work.faultless.get() && !ends_with_connection(seen) {
+        steps.extend(work.strays.after(seen));
+    }
+    steps
 }
 
 /// Different ports that are free now at all loopback addresses; daemons of other runs listen at
@@ -547,6 +552,35 @@
     finish(&soak)
 }
 
+/// Runs one seed in which endpoints send much beyond their responses, first beside no other fault, then beside
+/// those of [`run_forwarding_seed`].
+pub(crate) async fn run_strays_seed(seed: u64, time: Duration) -> Report {
+    let folder = Folder::new();
+    let soak = Rc::new(Soak::start_with(&folder, true).await);
+    soak.until_ready().await;
+    soak.work.strays.raise();
+    let mut random = Rng::with_seed(seed);
+    // Requests of each seed have ids of their own, which choose what endpoints do with them.
+    soak.last_number.set(seed << SEED_BITS);
+    let tasks: Vec<_> = (0..CALLERS)
+        .map(|_| {
+            let caller = call(Rc::clone(&soak), random.fork(), &SHORT_REQUESTS);
+            actix_web::rt::spawn(caller)
+        })
+        .collect();
+    tokio::time::sleep(time).await;
+    forwarding::inject(&soak, &mut random, time).await;
+    end_faults(&soak);
+    tokio::time::sleep(CLIENT_TIMEOUT).await;
+    soak.stopped.set(true);
+    for task in tasks {
+        task.await.expect("the task does not panic");
+    }
+    check_runs(&soak);
+    check_retries(&soak);
+    finish(&soak)
+}
+
 /// Runs one seed in which requests crash endpoints by a part of their prompts, after a version move
 /// that leaves half of the endpoints in use.
 pub(crate) async fn run_crash_seed(seed: u64) -> Report {
@@ -880,6 +914,7 @@
         200 => {
             soak.report.borrow_mut().answered += 1;
             check_body(soak, id, prefix, &answer.body);
+            strays::check_success(soak, id);
         }
         503 | 429 => soak.report.borrow_mut().rejected += 1,
         500 | 502 | 504 => soak.report.borrow_mut().failed += 1,
--- a/daemon/tests/test_relay_strays.rs
+++ b/daemon/tests/test_relay_strays.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
-use poplarvale_standin::{Endpoint, SeenRequest, Step, ask, plain, rejection_without_id, request};
+use poplarvale_standin::{
+    Endpoint, SeenRequest, Step, ask, plain, rejection_text, rejection_without_id, request,
+};
 
 use crate::relay_site::Site;
 
 /// Time from a stray response to the endpoint's own one.
 const RUN_TIME: Duration = Duration::from_millis(40);
+/// The same where a response breaks off.
+const CUT_TIME: Duration = Duration::from_millis(3);
 
 /// Sends a stray response without an id where the response to any request but the first is due.
 fn with_stray(seen: &SeenRequest, stray: Step) -> Vec<Step> {
@@ -74,3 +78,69 @@
         }
     }
 }
+
+/// Endpoint that sends the beginning of a response that belongs to no request where its own one is due.
+async fn broken_endpoint(id: &str, broken: &str, status: u16) -> Endpoint {
+    let broken = Step::Send(broken.to_owned());
+    Endpoint::start(id, move |seen| {
+        let own = plain(seen, status, "done");
+        vec![broken.clone(), Step::Wait(CUT_TIME), own]
+    })
+    .await
+}
+
+/// Status of a request that one such endpoint runs.
+async fn status_beside(broken: &str, own: u16) -> u16 {
+    let endpoint = broken_endpoint("i-1", broken, own).await;
+    let site = Site::start(&[&endpoint]).await;
+    let answer = ask(site.address(), &request("POST", "/once/a", "r1", "")).await;
+    assert_eq!(endpoint.seen().len(), 1);
+    answer.expect("an answer").status
+}
+
+/// Guards against a rejection that breaks off and is read as one with the response behind it: its caller is told
+/// that its request did not run, while it runs.
+#[actix_web::test]
+async fn a_rejection_that_breaks_off_rejects_no_request() {
+    let stray = rejection_text("i-1", "");
+    let mut rejected = Vec::new();
+    for len in 1..stray.len() {
+        let status = status_beside(&stray[..len], 200).await;
+        if !matches!(status, 200 | 502) {
+            rejected.push((len, status));
+        }
+    }
+    assert!(rejected.is_empty(), "bytes and status: {rejected:?}");
+}
+
+/// Guards against such a rejection having the request sent to a second endpoint while it runs.
+#[actix_web::test]
+async fn a_rejection_that_breaks_off_repeats_no_request() {
+    let stray = rejection_text("i-1", "");
+    let mut repeated = Vec::new();
+    for len in 1..stray.len() {
+        let one = broken_endpoint("i-1", &stray[..len], 200).await;
+        let other = broken_endpoint("i-2", &stray[..len], 200).await;
+        let site = Site::start(&[&one, &other]).await;
+        let answer = ask(site.address(), &request("POST", "/once/a", "r1", "")).await;
+        answer.expect("an answer");
+        if one.seen().len() + other.seen().len() > 1 {
+            repeated.push(len);
+        }
+    }
+    assert!(repeated.is_empty(), "bytes: {repeated:?}");
+}
+
+/// Guards against the beginning of a success that gives the failure behind it its status.
+#[actix_web::test]
+async fn a_success_that_breaks_off_hides_no_failure() {
+    let stray = "HTTP/1.1 200 OK\r\nServer: w\r\nContent-Type: text/plain\r\n";
+    let mut hidden = Vec::new();
+    for len in 1..=stray.len() {
+        let status = status_beside(&stray[..len], 500).await;
+        if !matches!(status, 500 | 502) {
+            hidden.push((len, status));
+        }
+    }
+    assert!(hidden.is_empty(), "bytes and status: {hidden:?}");
+}
--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -1,11 +1,12 @@
 //! Soak test with random faults on a fleet of daemons; see [`crate::soak`].
 //!
 //! A range of seeds in the environment runs more of them, one after the other:
-//! `POPLARVALE_SOAK=100..150 cargo test -p poplarvaled --test runner soak`.
+//! `POPLARVALE_SOAK=100..150 cargo test -p poplarvaled --test runner soak`. `POPLARVALE_DAEMON` names a program to
+//! run in place of the daemon of this build.
 
 use std::time::Duration;
 
-use crate::soak::{run_crash_seed, run_forwarding_seed, run_seed, seeds};
+use crate::soak::{run_crash_seed, run_forwarding_seed, run_seed, run_strays_seed, seeds};
 
 /// Seeds that revealed a fault once: in two, a stand-in ended a stream without length in order where
 /// it was to be reset; in the last, sound requests were never tried after others had crashed endpoints.
@@ -16,10 +17,15 @@
 const FORWARDING_SEEDS: [u64; 1] = [1];
 /// Time during which faults are injected in such a run, longer than a window of the retry budget.
 const FORWARDING_TIME: Duration = Duration::from_secs(14);
+/// Seeds of the run in which endpoints send more than their responses.
+const STRAYS_SEEDS: [u64; 1] = [1];
+/// Time during which they do so beside no other fault, and beside others.
+const STRAYS_TIME: Duration = Duration::from_secs(10);
 /// Time during which faults are injected in a run.
 const FAULT_TIME: Duration = Duration::from_secs(4);
 const SEEDS_VARIABLE: &str = "POPLARVALE_SOAK";
 const FORWARDING_VARIABLE: &str = "POPLARVALE_FORWARDING_SOAK";
+const STRAYS_VARIABLE: &str = "POPLARVALE_STRAYS_SOAK";
 
 /// Daemons are killed, paused and terminated, connections to the store and the
 /// endpoints hang, break or lose answers, and the configuration changes, all
@@ -72,3 +78,20 @@
     }
     assert!(violations.is_empty(), "{violations:?}");
 }
+
+/// Endpoints send responses that belong to no request, whole ones and ones that break off at any byte, and other
+/// bytes, after answers and streams, also to a daemon that forwards. No non-idempotent request runs twice or after a
+/// promise that it did not, and no failure becomes a success.
+#[actix_web::test]
+async fn promises_hold_while_endpoints_send_more_than_their_responses() {
+    let mut violations = Vec::new();
+    for seed in seeds(STRAYS_VARIABLE, &STRAYS_SEEDS) {
+        let report = run_strays_seed(seed, STRAYS_TIME).await;
+        println!(
+            "seed {seed}: {} answered, {} rejected, {} failed, {:?}",
+            report.answered, report.rejected, report.failed, report.violations
+        );
+        violations.extend(report.violations.into_iter().map(|what| (seed, what)));
+    }
+    assert!(violations.is_empty(), "{violations:?}");
+}
