wire: prove of a response that it is one before anything is concluded

Callers saw requests that ran although 503 told them that they did not (REFUSED), requests that must run once and ran twice (TWICE), and successes in place of failures.

Cause: an endpoint sends the beginning of a response that belongs to no request, and its own response follows on the open connection. HTTP/1.1 delimits a head only by an empty line, so both were read as one: `Retry-After: 0.HTTP/1.1 200 OK` is a valid field. The head had the status and the statements of the first response and the request id of the second.

The three tests that cut a rejection and a success at each byte fail before.

`ResponseReader` finds the response to a request among the bytes of a connection. Every response begins with its status line, so a head that was joined contains the status lines of all but the first, and the reader takes the last one for the response that the end of the head belongs to, if the line in which it stands cannot be a line of a head. Otherwise (a reason phrase, a field of any text) nothing is concluded. An answer behind bytes that break off reaches its caller; a statement there that the request did not run proves nothing.

`NotRun` and `NotSent` can only be made of what proves them, and the ends of attempts after which a request may be sent again carry them. A rejection with the endpoint's seal, or in which a statement stands twice, makes none. What arrives before the first byte of a request was sent is no response to it; the connection is given up as unused.

Tests: a property cuts, joins, delays and doubles responses over four requests of a connection, at every byte and in every order, 20,000 cases. Without both checks of status lines it fails, and the single tests fail when the doubt about fields of any text, the proof behind fragments, or the search in skipped bodies is taken out.

--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -101,11 +101,11 @@
 /// reports a connection that broke later as `Connect`.
 fn connection_outcome(error: &SendRequestError) -> Outcome {
     match error {
-        SendRequestError::Connect(ConnectError::Timeout) => Outcome::Unsent(NotSent),
+        SendRequestError::Connect(ConnectError::Timeout) => Outcome::Unsent(NotSent::unconnected()),
         SendRequestError::Connect(ConnectError::Io(error))
             if error.kind() == io::ErrorKind::ConnectionRefused =>
         {
-            Outcome::Unsent(NotSent)
+            Outcome::Unsent(NotSent::unconnected())
         }
         _ => Outcome::Failed { code: Code::Broken },
     }
--- a/daemon/src/attempt/plain.rs
+++ b/daemon/src/attempt/plain.rs
@@ -50,7 +50,7 @@
 pub(super) async fn run(job: &Job, send: &Send, call: Call<'_>) -> Outcome {
     let Ok(request) = request(job, send, &call) else {
         // hyper rejected a header that the server's library accepted; nothing was sent.
-        return Outcome::Unsent(NotSent);
+        return Outcome::Unsent(NotSent::unconnected());
     };
     let mut connection = match connect(send.address).await {
         Ok(connection) => connection,
@@ -64,10 +64,10 @@
 
 async fn connect(address: SocketAddr) -> Result<Connection, NotSent> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = stream.map_err(|_late| NotSent)?;
-    let stream = stream.map_err(|_refused| NotSent)?;
+    let stream = stream.map_err(|_late| NotSent::unconnected())?;
+    let stream = stream.map_err(|_refused| NotSent::unconnected())?;
     let made = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = made.map_err(|_broken| NotSent)?;
+    let (sender, connection) = made.map_err(|_broken| NotSent::unconnected())?;
     let task = actix::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("attempt: connection to {address} failed: {error}.");
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -23,7 +23,7 @@
 use poplarvale_lib::relay::rollout::evidence::Sample;
 use poplarvale_lib::relay::rollout::{MoveChange, Versions};
 use poplarvale_lib::relay::selection::{self, Choice, Criteria};
-use poplarvale_lib::{EndpointId, ZoneId};
+use poplarvale_lib::{EndpointId, NotSent, ZoneId};
 use poplarvale_platform::{Announced, Availability, Outbound, request_head};
 use tokio::time::{Instant, timeout_at};
 
@@ -43,9 +43,6 @@
 /// every few milliseconds.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
-/// Statuses that tell a caller that its request did not run and will not run.
-const PROMISES: [u16; 4] = [408, 421, 429, 503];
-
 /// An admitted request that is being served.
 #[derive(Debug)]
 pub(crate) struct Job<'r> {
@@ -116,7 +113,7 @@
 ) -> Result<Begun<EndpointStream>, AttemptEnd> {
     let guard = add_in_flight(state, job, choice);
     let Some((endpoint, mut conn, reused)) = connect(state, job, choice).await else {
-        return Err(AttemptEnd::NotConnected);
+        return Err(AttemptEnd::NotConnected(NotSent::unconnected()));
     };
     log_doubtful(state, job, choice);
     let bytes = encode_request(job, choice, at);
@@ -128,7 +125,7 @@
     };
     let response = match exchange(state, &mut conn, &bytes, &job.head.id).await {
         Ok(response) => response,
-        Err(ExchangeError::NotSent) => return Err(AttemptEnd::NotConnected),
+        Err(error @ ExchangeError::NotSent(_)) => return Err(error.end()),
         Err(error) => return sent.fail(state, job, error),
     };
     reach::record_answer(state, &job.service.name);
@@ -138,10 +135,10 @@
     record_leaving(state, &endpoint, &response);
     record_rest(state, &endpoint, &response);
     record_pace(state, &endpoint, &response);
-    if response.meta.not_run {
+    if let Some(proof) = response.meta.not_run {
         record_not_run(state, job, choice, &sent, &response);
         drain_rejection(state, sent.address, conn, &response).await;
-        return Err(AttemptEnd::NotRun);
+        return Err(AttemptEnd::NotRun(proof));
     }
     if job.route.retry_policy.is_stream() && response.head.status == OK && response.meta.sealed {
         return match OpenStream::open(conn, response, at.last, state.held.begin()).await {
@@ -352,7 +349,7 @@
 
 /// Records that an endpoint rejected a request and asked for a rest.
 fn record_rest(state: &State, endpoint: &Listing, response: &EndpointResponse) {
-    if response.head.status != UNAVAILABLE && !response.meta.not_run {
+    if response.head.status != UNAVAILABLE && response.meta.not_run.is_none() {
         return;
     }
     match response.meta.rest {
@@ -414,8 +411,7 @@
     log::info!(
         request = job.head.id.as_str(), endpoint = choice.id.as_str(), status,
         rest_ms = rest.map(|rest| rest.as_millis() as u64), kept = sent.reused,
-        skipped = response.skipped, sealed = response.meta.sealed,
-        second_status = response.has_second_status;
+        skipped = response.skipped;
         "send: the endpoint did not run the request."
     );
 }
@@ -581,7 +577,7 @@
     response: &EndpointResponse,
 ) -> Result<Bytes, ExchangeError> {
     let body = read_body(conn, &response.head, state.held.begin()).await?;
-    if !job.route.retry_policy.allows_retry() && PROMISES.contains(&response.head.status) {
+    if !job.route.retry_policy.allows_retry() && response.is_promise() {
         return Err(ExchangeError::Unproven);
     }
     if response.head.status >= 300 || response.meta.sealed {
--- a/daemon/src/relay/caller.rs
+++ b/daemon/src/relay/caller.rs
@@ -185,7 +185,9 @@
             Ok(Some(request)) => return Some(Ok(request)),
             Ok(None) => {}
             Err(HeadError::TooLarge) => return Some(Err(Code::LargeHead)),
-            Err(HeadError::Malformed | HeadError::Framing) => return Some(Err(Code::BadBody)),
+            Err(HeadError::Malformed | HeadError::Framing | HeadError::Joined) => {
+                return Some(Err(Code::BadBody));
+            }
         }
         let until = state.phase().read_deadline(slow.into_std());
         tokio::select! {
--- a/daemon/src/relay/dispatch.rs
+++ b/daemon/src/relay/dispatch.rs
@@ -443,12 +443,12 @@
             let started = forward::begin(state, job, (daemon, granted), at).await;
             let is_offered = !matches!(
                 started,
-                Err(AttemptEnd::NotConnected | AttemptEnd::NotTaken)
+                Err(AttemptEnd::NotConnected(_) | AttemptEnd::NotTaken(_))
             );
             if sent > 0 && !is_offered {
                 self.has_credit.set(true);
             }
-            let is_taken = is_offered && !matches!(started, Err(AttemptEnd::NotRun));
+            let is_taken = is_offered && !matches!(started, Err(AttemptEnd::NotRun(_)));
             if is_taken && !may_have_run && self.scope == Scope::Any {
                 // The daemon that took it counts it against the allowance of its team, too.
                 self.refund();
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -1,24 +1,22 @@
 //! Sends a request to an endpoint and reads the head of its response.
 
 use bytes::{Bytes, BytesMut};
-use poplarvale_lib::http1::{Body, Response, find_status_line};
+use poplarvale_lib::NotSent;
+use poplarvale_lib::http1::{Body, Named, ReadError, Response, ResponsePart, ResponseReader};
 use poplarvale_lib::relay::attempts::AttemptEnd;
-use poplarvale_platform::{Named, ResponseMeta, read_response_meta};
+use poplarvale_platform::{ResponseMeta, ResponsesTo, read_response_meta, states_not_run};
 use tokio::io::AsyncWriteExt as _;
 
 use super::buffered_stream::{BufferedStream, fill};
 use super::held::Held;
 use super::state::State;
 
-/// Responses to earlier requests that are skipped before the connection is abandoned.
-const MAX_STRAY_RESPONSES: usize = 3;
-/// Bytes of a response to an earlier request that are skipped.
-const MAX_SKIPPED_BYTES: usize = 256 * 1024;
 /// Longest body that is copied behind its head. Longer ones are sent from where they lie, so that each
 /// takes its memory once.
 const MAX_COPIED_BYTES: usize = 16 * 1024;
-/// Informational responses that are skipped before the connection is abandoned.
-const MAX_INTERIM_RESPONSES: usize = 8;
+
+/// Statuses that tell a caller that its request did not run and will not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
 /// Status of a response whose body is a stream.
 pub(crate) const OK: u16 = 200;
@@ -34,7 +32,7 @@
 pub(crate) enum ExchangeError {
     /// No byte was sent to the endpoint.
     #[error("nothing was sent")]
-    NotSent,
+    NotSent(NotSent),
     /// The connection broke after a part of the request was sent.
     #[error("the connection broke")]
     Broken,
@@ -56,7 +54,7 @@
     /// How the attempt ended.
     pub(crate) fn end(self) -> AttemptEnd {
         match self {
-            Self::NotSent => AttemptEnd::NotConnected,
+            Self::NotSent(proof) => AttemptEnd::NotConnected(proof),
             Self::Broken => AttemptEnd::Broken,
             Self::TimedOut => AttemptEnd::TimedOut,
             Self::Invalid | Self::Unproven | Self::TooLong => AttemptEnd::Invalid,
@@ -73,16 +71,21 @@
     /// Whether the whole request was sent by then. If not, the connection cannot be reused: the
     /// endpoint would parse the rest of this request as a new one.
     pub(crate) request_sent: bool,
-    /// Whether all responses before it named their requests. If one did not, further ones like it may
-    /// follow.
-    pub(crate) all_named: bool,
-    /// How many responses were skipped before it.
+    /// Whether all that was received before it were whole responses that name their requests. If not, more of that
+    /// may follow.
+    all_named: bool,
+    /// Whether all that was received before it were whole responses, so that it is one.
+    pub(crate) is_intact: bool,
+    /// How many responses and parts of responses were skipped before it.
     pub(crate) skipped: usize,
-    /// Whether a second status line stands in its head, so that it may consist of two.
-    pub(crate) has_second_status: bool,
 }
 
 impl EndpointResponse {
+    /// Whether its status tells a caller that its request did not run and will not run.
+    pub(crate) fn is_promise(&self) -> bool {
+        PROMISES.contains(&self.head.status)
+    }
+
     /// Whether its connection can serve a further request, once the body was read.
     pub(crate) fn is_reusable(&self, conn: &BufferedStream) -> bool {
         self.head.keep_alive && self.request_sent && self.all_named && conn.buffer.is_empty()
@@ -127,9 +130,8 @@
 /// Sends a request and reads the head of its response.
 ///
 /// An endpoint may respond before it has read all of a long request, so writing and reading go
-/// on at the same time. Late second responses to earlier requests are recognized by their request
-/// id and skipped, and so are responses without one: nothing shows which request they belong to, so
-/// none may be concluded to have been rejected.
+/// on at the same time. What belongs to no request in progress is skipped: late second responses to earlier
+/// requests, recognized by their request id, responses without one, and bytes that are no whole response.
 pub(crate) async fn exchange(
     state: &State,
     conn: &mut BufferedStream,
@@ -139,95 +141,79 @@
     let (mut read, mut write) = conn.stream.split();
     let buffer = &mut conn.buffer;
     let mut written = 0;
-    let (mut stray_responses, mut interim_responses) = (0, 0);
+    let mut skipped = 0;
     let mut all_named = true;
+    let mut reader = ResponseReader::default();
     loop {
         loop {
-            let second_status = find_status_line(buffer, 1);
-            let before = buffer.len();
-            let taken = Response::take(buffer).map_err(|_error| ExchangeError::Invalid)?;
-            let Some(head) = taken else {
-                break;
-            };
-            let has_second_status = second_status.is_some_and(|at| at < before - buffer.len());
-            if (100..200).contains(&head.status) {
-                interim_responses += 1;
-                if interim_responses > MAX_INTERIM_RESPONSES {
-                    return Err(ExchangeError::Invalid);
+            let part = reader.next(buffer, &ResponsesTo(id));
+            match part.map_err(|error| invalid(state, id, error))? {
+                None => break,
+                Some(ResponsePart::Own(response)) => {
+                    return Ok(EndpointResponse {
+                        meta: read_response_meta(&response),
+                        is_intact: response.is_intact(),
+                        head: response.into_head(),
+                        request_sent: written == request.len(),
+                        all_named,
+                        skipped,
+                    });
+                }
+                Some(ResponsePart::Stray(head, named)) => {
+                    record_stray(state, id, &head, named);
+                    all_named &= named != Named::Nothing;
+                }
+                Some(ResponsePart::Fragment(bytes)) => {
+                    record_fragment(state, id, bytes);
+                    all_named = false;
                 }
-                continue;
-            }
-            let meta = read_response_meta(&head, id);
-            if meta.named == Named::Expected {
-                let request_sent = written == request.len();
-                return Ok(EndpointResponse {
-                    head,
-                    meta,
-                    request_sent,
-                    all_named,
-                    skipped: stray_responses,
-                    has_second_status,
-                });
-            }
-            record_stray(state, id, &head, &meta);
-            all_named &= meta.named != Named::Nothing;
-            stray_responses += 1;
-            if stray_responses > MAX_STRAY_RESPONSES {
-                return Err(ExchangeError::Invalid);
             }
-            skip_body(&mut read, buffer, &head).await?;
+            skipped += 1;
         }
         tokio::select! {
+            // What is received before the first byte was sent is no response to it.
+            biased;
             more = write.write(request.rest(written)), if written < request.len() => match more {
                 Ok(len) if len > 0 => written += len,
-                _ if written == 0 => return Err(ExchangeError::NotSent),
-                _ => return Err(ExchangeError::Broken),
+                _ => return Err(broken(written)),
             },
             more = fill(&mut read, buffer) => match more {
-                Ok(len) if len > 0 => {}
-                _ if written == 0 => return Err(ExchangeError::NotSent),
-                _ => return Err(ExchangeError::Broken),
+                Ok(len) if len > 0 && written > 0 => {}
+                _ => return Err(broken(written)),
             },
         }
     }
 }
 
+/// Why an exchange ended whose connection cannot be used after so many bytes of the request were written.
+fn broken(written: usize) -> ExchangeError {
+    NotSent::after(written).map_or(ExchangeError::Broken, ExchangeError::NotSent)
+}
+
 /// Records that a response was skipped that does not belong to the request with this id.
-fn record_stray(state: &State, id: &str, head: &Response, meta: &ResponseMeta) {
-    let kind = match meta.named {
+fn record_stray(state: &State, id: &str, head: &Response, named: Named) {
+    let kind = match named {
         Named::Nothing => "no id",
         Named::Expected | Named::Other => "other id",
     };
     state.measure(|metrics| metrics.record_stray(kind));
     log::info!(
-        request = id, status = head.status, not_run = meta.not_run, sealed = meta.sealed;
+        request = id, status = head.status, not_run = states_not_run(head);
         "wire: skipped a response to no request in progress, with {kind}."
     );
 }
 
-/// Reads and discards the rest of a response to an earlier request.
-async fn skip_body(
-    read: &mut tokio::net::tcp::ReadHalf<'_>,
-    buffer: &mut BytesMut,
-    head: &Response,
-) -> Result<(), ExchangeError> {
-    let mut body = Body::new(head.framing);
-    let mut skipped = 0;
-    loop {
-        while let Some(part) = body.take(buffer).map_err(|_error| ExchangeError::Invalid)? {
-            skipped += part.len();
-        }
-        if skipped > MAX_SKIPPED_BYTES {
-            return Err(ExchangeError::Invalid);
-        }
-        if body.is_done() {
-            return Ok(());
-        }
-        match fill(read, buffer).await {
-            Ok(len) if len > 0 => {}
-            _ => return Err(ExchangeError::Broken),
-        }
-    }
+/// Records that bytes were skipped that are no whole response.
+fn record_fragment(state: &State, id: &str, bytes: usize) {
+    state.measure(|metrics| metrics.record_stray("broken off"));
+    log::info!(request = id, bytes; "wire: skipped a response that breaks off.");
+}
+
+/// Records that the response to a request cannot be told from what else was received.
+fn invalid(state: &State, id: &str, error: ReadError) -> ExchangeError {
+    state.measure(|metrics| metrics.record_stray("not told apart"));
+    log::info!(request = id; "wire: found no response, {error}.");
+    ExchangeError::Invalid
 }
 
 /// Reads a complete body; `memory` bounds its length.
--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -14,7 +14,7 @@
 use poplarvale_lib::relay::attempts::AttemptEnd;
 use poplarvale_lib::relay::handling::handling;
 use poplarvale_lib::relay::quota::name_hash;
-use poplarvale_lib::{ZoneHash, ZoneId};
+use poplarvale_lib::{NotSent, ZoneHash, ZoneId};
 use poplarvale_platform::{Announced, Onward, onward_head};
 use tokio::time::Instant;
 
@@ -104,7 +104,10 @@
     let address = peer_address(state, daemon);
     let mut conn = match state.upstreams.get(address).await {
         Ok((conn, _)) => conn,
-        Err(error) => return not_taken(AttemptEnd::NotConnected, &error),
+        Err(error) => {
+            let end = AttemptEnd::NotConnected(NotSent::unconnected());
+            return not_taken(end, &error);
+        }
     };
     let head = onward_head(
         job.request,
@@ -119,16 +122,14 @@
     let request = Outgoing::new(head, job.body);
     let response = match exchange(state, &mut conn, &request, &job.head.id).await {
         Ok(response) => response,
-        Err(ExchangeError::NotSent) => {
-            return not_taken(AttemptEnd::NotConnected, &ExchangeError::NotSent);
-        }
+        Err(error @ ExchangeError::NotSent(_)) => return not_taken(error.end(), &error),
         Err(error) => return failed(state, job, daemon, error),
     };
-    if response.meta.not_run {
+    if let Some(proof) = response.meta.not_run {
         let end = if response.head.status == MISDIRECTED {
-            AttemptEnd::NotTaken
+            AttemptEnd::NotTaken(proof)
         } else {
-            AttemptEnd::NotRun
+            AttemptEnd::NotRun(proof)
         };
         let why = record_not_taken(state, job, daemon, &response);
         if read_body(&mut conn, &response.head, state.held.begin())
@@ -145,6 +146,10 @@
             Err(error) => failed(state, job, daemon, error),
         };
     }
+    let is_unproven = response.is_promise() && !response.is_intact;
+    if is_unproven && !job.route.retry_policy.allows_retry() {
+        return failed(state, job, daemon, ExchangeError::Unproven);
+    }
     match read_body(&mut conn, &response.head, state.held.begin()).await {
         Ok(body) => {
             log_done(state, job, daemon);
--- a/lib/src/http1.rs
+++ b/lib/src/http1.rs
@@ -10,9 +10,10 @@
 mod body;
 mod fields;
 mod head;
+mod reader;
 mod status_line;
 
 pub use body::{Body, BodyError};
 pub use fields::{Field, Fields};
 pub use head::{Framing, HeadError, Request, Response};
-pub use status_line::find_status_line;
+pub use reader::{Attributed, Named, ReadError, ResponsePart, ResponseReader, ResponseRules};
--- a/lib/src/http1/head.rs
+++ b/lib/src/http1/head.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 use super::Fields;
+use super::status_line::last_status_line;
 
 /// Maximum number of header fields in a message.
 const MAX_FIELDS: usize = 96;
@@ -21,6 +22,9 @@
     /// The end of the body is ambiguous.
     #[error("the framing of the message body is contradictory")]
     Framing,
+    /// A further status line stands in the head of a response.
+    #[error("the message head consists of two")]
+    Joined,
 }
 
 /// How the end of a body is determined.
@@ -105,13 +109,16 @@
     /// Takes a complete head off the buffer; `None` if more bytes are needed.
     ///
     /// # Errors
-    /// If the bytes are not a head with unambiguous framing.
+    /// If the bytes are not one head with unambiguous framing.
     pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>, HeadError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut parsed = httparse::Response::new(&mut headers);
         let Some(len) = complete_len(parsed.parse(buffer), buffer.len(), MAX_RESPONSE_HEAD)? else {
             return Ok(None);
         };
+        if last_status_line(&buffer[..len]).is_some() {
+            return Err(HeadError::Joined);
+        }
         let (Some(status), Some(minor)) = (parsed.code, parsed.version) else {
             return Err(HeadError::Malformed);
         };
@@ -131,6 +138,18 @@
             fields,
         }))
     }
+
+    /// Whether the peer goes on with a further response to the same request.
+    pub(super) fn is_interim(&self) -> bool {
+        (100..200).contains(&self.status)
+    }
+}
+
+/// Length of the complete head of a response; `None` if more bytes are needed.
+pub(super) fn complete_response_len(buffer: &[u8]) -> Result<Option<usize>, HeadError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut parsed = httparse::Response::new(&mut headers);
+    complete_len(parsed.parse(buffer), buffer.len(), MAX_RESPONSE_HEAD)
 }
 
 /// Length of a complete head; `None` if more bytes are needed.
--- /dev/null
+++ b/lib/src/http1/reader.rs
@@ -0,0 +1,294 @@
+//! Finds the response to a request among the bytes of a connection.
+//!
+//! A faulty peer may send more than the response to each request: whole responses that belong to no request, and
+//! bytes that are no whole response. HTTP/1.1 delimits a message only by what the message states, so whatever
+//! follows one that breaks off is read as its rest: a head may come out that has the status of one response and the
+//! fields of the next. Whether a request ran, and whether its answer is a success, must not be concluded from such a
+//! head.
+//!
+//! Every response begins with its status line, so a head that was joined from several contains the status lines of
+//! all but the first. The last one begins the response that the end of the head belongs to. It is taken for that
+//! response only if the line in which it stands cannot be a line of a head: then no reading but this one is left.
+//! Otherwise, as when it stands in a reason phrase or in a field of any text, neither reading is certain, and
+//! nothing is concluded. The same holds for bytes that are no head.
+//!
+//! A response behind bytes that are no whole response is delivered, but what it states about the request not having
+//! run proves nothing; see [`Attributed::is_intact`].
+
+use bytes::{Buf as _, BytesMut};
+
+use super::head::complete_response_len;
+use super::status_line::{begins_status_line, find_status_line, last_status_line};
+use super::{Body, HeadError, Response};
+
+/// Responses and parts of responses that are skipped before a connection is given up.
+const MAX_STRAYS: u32 = 3;
+/// Informational responses that are skipped before a connection is given up.
+const MAX_INTERIM: u32 = 8;
+/// Bytes of one body that are skipped.
+const MAX_SKIPPED_BYTES: usize = 256 * 1024;
+
+/// Which request a response names by its id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Named {
+    /// The one that waits for a response.
+    Expected,
+    /// Another one.
+    Other,
+    /// None, or several, so that it belongs to no request.
+    Nothing,
+}
+
+/// What an adapter knows of the responses to one request.
+pub trait ResponseRules {
+    /// Which request a response names.
+    fn named(&self, response: &Response) -> Named;
+    /// Whether the values of a field have a format that excludes a status line; names are case-insensitive.
+    fn is_formatted(&self, field: &[u8]) -> bool;
+}
+
+/// Reason for which a response cannot be found on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ReadError {
+    /// What was received is no response, and none is found behind it.
+    #[error("what was received is no response: {0}")]
+    Head(#[from] HeadError),
+    /// A head contains a second status line where it may be text.
+    #[error("a head may consist of two")]
+    Ambiguous,
+    /// The body of a response to no request contains the head of a response that names this one.
+    #[error("the body of another response contains a response")]
+    Swallowed,
+    /// Too much was received that belongs to no request.
+    #[error("too much was received that belongs to no request")]
+    TooMany,
+}
+
+/// The response to a request, found by a [`ResponseReader`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Attributed {
+    head: Response,
+    is_intact: bool,
+}
+
+impl Attributed {
+    /// Head of the response.
+    pub fn head(&self) -> &Response {
+        &self.head
+    }
+
+    /// The same without what is known of its connection.
+    pub fn into_head(self) -> Response {
+        self.head
+    }
+
+    /// Whether all bytes before it on its connection were whole responses, so that it is one.
+    pub fn is_intact(&self) -> bool {
+        self.is_intact
+    }
+}
+
+/// What was read next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ResponsePart {
+    /// Head of the response to the request.
+    Own(Attributed),
+    /// Head of a whole response that belongs to no request in progress; its body is skipped.
+    Stray(Response, Named),
+    /// So many bytes that are no whole response were skipped.
+    Fragment(usize),
+}
+
+/// Reads what is received on a connection until the response to one request.
+#[derive(Debug)]
+pub struct ResponseReader {
+    strays: u32,
+    interim: u32,
+    is_intact: bool,
+    skipped: Option<SkippedBody>,
+}
+
+impl Default for ResponseReader {
+    fn default() -> Self {
+        Self {
+            strays: 0,
+            interim: 0,
+            is_intact: true,
+            skipped: None,
+        }
+    }
+}
+
+impl ResponseReader {
+    /// Takes what is next off the buffer; `None` if more bytes are needed.
+    ///
+    /// # Errors
+    /// If the response cannot be found on this connection any more. Whether the request ran is unknown then.
+    pub fn next(
+        &mut self,
+        buffer: &mut BytesMut,
+        rules: &impl ResponseRules,
+    ) -> Result<Option<ResponsePart>, ReadError> {
+        loop {
+            if let Some(body) = &mut self.skipped {
+                match body.skip(buffer, rules)? {
+                    Skipped::Part => return Ok(None),
+                    Skipped::Whole => self.skipped = None,
+                    Skipped::Broken => {
+                        self.skipped = None;
+                        return self.skip_fragment(buffer, 0, HeadError::Malformed);
+                    }
+                }
+            }
+            let len = match complete_response_len(buffer) {
+                Ok(Some(len)) => len,
+                Ok(None) => return Ok(None),
+                Err(error) => return self.skip_fragment(buffer, 1, error),
+            };
+            if let Some(at) = last_status_line(&buffer[..len]) {
+                if !is_cut(&buffer[..at], rules) {
+                    return Err(ReadError::Ambiguous);
+                }
+                return self.drop_fragment(buffer, at);
+            }
+            let Some(head) = Response::take(buffer)? else {
+                return Ok(None);
+            };
+            if head.is_interim() {
+                self.interim += 1;
+                if self.interim > MAX_INTERIM {
+                    return Err(ReadError::TooMany);
+                }
+                continue;
+            }
+            let named = rules.named(&head);
+            if named == Named::Expected {
+                let is_intact = self.is_intact;
+                return Ok(Some(ResponsePart::Own(Attributed { head, is_intact })));
+            }
+            self.count_stray()?;
+            self.skipped = Some(SkippedBody::new(&head));
+            return Ok(Some(ResponsePart::Stray(head, named)));
+        }
+    }
+
+    /// Skips bytes that begin no response, up to the next status line at `from` or later.
+    fn skip_fragment(
+        &mut self,
+        buffer: &mut BytesMut,
+        from: usize,
+        error: HeadError,
+    ) -> Result<Option<ResponsePart>, ReadError> {
+        match find_status_line(buffer, from) {
+            Some(at) if error != HeadError::TooLarge => self.drop_fragment(buffer, at),
+            // The next bytes tell whether a response begins here.
+            None if error == HeadError::Malformed && begins_status_line(buffer) => Ok(None),
+            _ => Err(error.into()),
+        }
+    }
+
+    fn drop_fragment(
+        &mut self,
+        buffer: &mut BytesMut,
+        len: usize,
+    ) -> Result<Option<ResponsePart>, ReadError> {
+        buffer.advance(len);
+        self.is_intact = false;
+        self.count_stray()?;
+        Ok(Some(ResponsePart::Fragment(len)))
+    }
+
+    fn count_stray(&mut self) -> Result<(), ReadError> {
+        self.strays += 1;
+        if self.strays > MAX_STRAYS {
+            return Err(ReadError::TooMany);
+        }
+        Ok(())
+    }
+}
+
+/// Whether the line that these bytes begin cannot go on with a status line, so that it was cut.
+fn is_cut(bytes: &[u8], rules: &impl ResponseRules) -> bool {
+    let line = bytes.rsplit(|byte| *byte == b'\n').next();
+    let mut parts = line.unwrap_or_default().splitn(2, |byte| *byte == b':');
+    match (parts.next(), parts.next()) {
+        (Some(name), Some(_)) => rules.is_formatted(name),
+        // Only a status line has no colon in a head that could be parsed.
+        _ => false,
+    }
+}
+
+/// How much of a body was skipped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Skipped {
+    /// More of it is expected.
+    Part,
+    /// The whole.
+    Whole,
+    /// It is malformed from here on.
+    Broken,
+}
+
+/// A body that is skipped.
+#[derive(Debug)]
+struct SkippedBody {
+    body: Body,
+    /// The last bytes of it, from a status line on if there is one.
+    tail: BytesMut,
+    len: usize,
+}
+
+impl SkippedBody {
+    fn new(head: &Response) -> Self {
+        Self {
+            body: Body::new(head.framing),
+            tail: BytesMut::new(),
+            len: 0,
+        }
+    }
+
+    fn skip(
+        &mut self,
+        buffer: &mut BytesMut,
+        rules: &impl ResponseRules,
+    ) -> Result<Skipped, ReadError> {
+        loop {
+            match self.body.take(buffer) {
+                Ok(Some(part)) => {
+                    self.len += part.len();
+                    if self.len > MAX_SKIPPED_BYTES {
+                        return Err(ReadError::TooMany);
+                    }
+                    self.tail.extend_from_slice(&part);
+                    self.search(rules)?;
+                }
+                Ok(None) if self.body.is_done() => return Ok(Skipped::Whole),
+                Ok(None) => return Ok(Skipped::Part),
+                Err(_) => return Ok(Skipped::Broken),
+            }
+        }
+    }
+
+    /// Searches the tail for the head of a response that names the expected request.
+    fn search(&mut self, rules: &impl ResponseRules) -> Result<(), ReadError> {
+        while let Some(at) = find_status_line(&self.tail, 0) {
+            self.tail.advance(at);
+            match complete_response_len(&self.tail) {
+                Ok(None) => return Ok(()),
+                Ok(Some(_)) => {
+                    let head = Response::take(&mut self.tail.clone());
+                    if let Ok(Some(head)) = head
+                        && rules.named(&head) == Named::Expected
+                    {
+                        return Err(ReadError::Swallowed);
+                    }
+                }
+                Err(_) => {}
+            }
+            self.tail.advance(1);
+        }
+        let kept = self.tail.len().min(super::status_line::LEN);
+        self.tail.advance(self.tail.len() - kept);
+        Ok(())
+    }
+}
--- a/lib/src/http1/status_line.rs
+++ b/lib/src/http1/status_line.rs
@@ -1,20 +1,35 @@
 //! Finds status lines among bytes.
 
 /// Length in bytes of a status line up to and including the byte behind the status code.
-const LEN: usize = b"HTTP/1.1 200 ".len();
-const VERSION: &[u8] = b"HTTP/1.";
+pub(super) const LEN: usize = b"HTTP/1.1 200 ".len();
+/// What status lines have in common; `0` stands for a digit.
+const PATTERN: &[u8; LEN] = b"HTTP/1.0 000 ";
 
 /// Position of the first status line that begins at `from` or later, wherever it stands in a line.
-pub fn find_status_line(bytes: &[u8], from: usize) -> Option<usize> {
+pub(super) fn find_status_line(bytes: &[u8], from: usize) -> Option<usize> {
     let rest = bytes.get(from..)?;
-    let at = rest.windows(LEN).position(is_status_line)?;
+    let at = rest.windows(LEN).position(begins_so)?;
     Some(from + at)
 }
 
-fn is_status_line(window: &[u8]) -> bool {
-    let Some(rest) = window.strip_prefix(VERSION) else {
-        return false;
-    };
-    matches!(rest, [b'0' | b'1', b' ', code @ .., end]
-        if code.iter().all(u8::is_ascii_digit) && matches!(end, b' ' | b'\r' | b'\n'))
+/// Position of the last status line that begins behind the first byte.
+pub(super) fn last_status_line(bytes: &[u8]) -> Option<usize> {
+    let rest = bytes.get(1..)?;
+    let at = rest.windows(LEN).rposition(begins_so)?;
+    Some(at + 1)
+}
+
+/// Whether bytes end with the begin of a status line that may go on.
+pub(super) fn begins_status_line(bytes: &[u8]) -> bool {
+    (1..LEN.min(bytes.len() + 1)).any(|len| begins_so(&bytes[bytes.len() - len..]))
+}
+
+/// Whether bytes are the begin of a status line.
+fn begins_so(bytes: &[u8]) -> bool {
+    let mut pairs = bytes.iter().zip(PATTERN).enumerate();
+    pairs.all(|(at, (byte, expected))| match at {
+        _ if at == LEN - 1 => matches!(byte, b' ' | b'\r' | b'\n'),
+        _ if *expected == b'0' => byte.is_ascii_digit(),
+        _ => byte == expected,
+    })
 }
--- a/lib/src/input.rs
+++ b/lib/src/input.rs
@@ -8,7 +8,8 @@
 use crate::lists::Accepted;
 use crate::load::shares::ShareRow;
 use crate::moves;
-use crate::request::{NotSent, Order};
+use crate::proof::NotSent;
+use crate::request::Order;
 use crate::routing::Event;
 
 /// An event outside the decision core.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod load;
 pub mod moves;
 pub mod prompt;
+mod proof;
 pub mod protos;
 pub mod relay;
 mod request;
@@ -37,9 +38,8 @@
 pub use ids::*;
 pub use input::{Input, ListedEndpoint, Outcome};
 pub use lists::{Accepted, Customer, Lists, MAX_PRIORITY, MAX_ROWS, Plan, ValidationError, is_id};
-pub use request::{
-    Attempt, Ending, Idempotent, NonIdempotent, NotSent, Order, Request, Running, Waiting,
-};
+pub use proof::{NotRun, NotSent};
+pub use request::{Attempt, Ending, Idempotent, NonIdempotent, Order, Request, Running, Waiting};
 pub use settings::{
     Credentials, Limits, ListFiles, Logs, Platform, Route, Service, ServiceKind, Settings,
     SettingsError,
--- a/lib/src/relay/attempts.rs
+++ b/lib/src/relay/attempts.rs
@@ -16,7 +16,7 @@
 use compact_str::CompactString;
 
 use super::selection::SelectError;
-use crate::EndpointId;
+use crate::{EndpointId, NotRun, NotSent};
 
 /// Maximum number of endpoints that a request is sent to, including those that did not run it.
 pub const MAX_ENDPOINTS: usize = 3;
@@ -44,11 +44,11 @@
     /// The whole answer was received.
     Answered,
     /// Nothing was sent, as no connection could be made.
-    NotConnected,
+    NotConnected(NotSent),
     /// The request was rejected without being run.
-    NotRun,
+    NotRun(NotRun),
     /// The daemon did not take the request, and no endpoint got it.
-    NotTaken,
+    NotTaken(NotRun),
     /// The answer was an error of the endpoint.
     Error,
     /// The connection broke.
@@ -67,9 +67,9 @@
     fn word(self) -> &'static str {
         match self {
             Self::Answered => "answered",
-            Self::NotConnected => "not connected",
-            Self::NotRun => "not run",
-            Self::NotTaken => "not taken",
+            Self::NotConnected(_) => "not connected",
+            Self::NotRun(_) => "not run",
+            Self::NotTaken(_) => "not taken",
             Self::Error => "answered with an error",
             Self::Broken => "connection broke",
             Self::Invalid => "invalid answer",
@@ -162,7 +162,7 @@
     fn was_sent(&self) -> bool {
         !matches!(
             self.end,
-            Some((_, AttemptEnd::NotConnected | AttemptEnd::NotTaken))
+            Some((_, AttemptEnd::NotConnected(_) | AttemptEnd::NotTaken(_)))
         )
     }
 
@@ -178,9 +178,10 @@
     /// Whether the request ran there, or may have. A stream begins to run with its first event.
     fn may_have_run(&self, is_stream: bool) -> bool {
         match self.end {
-            Some((_, AttemptEnd::NotConnected | AttemptEnd::NotRun | AttemptEnd::NotTaken)) => {
-                false
-            }
+            Some((
+                _,
+                AttemptEnd::NotConnected(_) | AttemptEnd::NotRun(_) | AttemptEnd::NotTaken(_),
+            )) => false,
             Some((_, AttemptEnd::TakenOver | AttemptEnd::Withdrawn)) => {
                 !is_stream || self.events > 0
             }
--- a/lib/src/request.rs
+++ b/lib/src/request.rs
@@ -13,6 +13,7 @@
 
 use crate::code::{Code, Ran};
 use crate::ids::{AttemptId, CustomerId, EndpointId, ModelId, RequestId, ServiceId, VersionId};
+use crate::proof::NotSent;
 use crate::table::Row;
 
 /// What a caller requested; it never changes after arrival.
@@ -57,12 +58,6 @@
 #[proc_macros::row]
 pub struct NonIdempotent;
 
-/// Proof that no byte of a request was sent to the endpoint.
-///
-/// Only the code that opened the connection knows, so only inputs carry it.
-#[proc_macros::row]
-pub struct NotSent;
-
 /// A request that waits for an endpoint.
 #[proc_macros::row]
 pub struct Waiting {
--- a/lib/tests/test_load_schedules.rs
+++ b/lib/tests/test_load_schedules.rs
@@ -157,7 +157,7 @@
         let outcome = match how {
             0..3 => Outcome::Complete { status: 200 },
             3 => Outcome::Complete { status: 500 },
-            4 => Outcome::Unsent(NotSent),
+            4 => Outcome::Unsent(NotSent::unconnected()),
             _ => Outcome::Failed { code: Code::Broken },
         };
         if how == 4 {
--- a/lib/tests/test_relay_attempts.rs
+++ b/lib/tests/test_relay_attempts.rs
@@ -2,20 +2,26 @@
 
 use std::time::{Duration, Instant};
 
+use poplarvale_lib::NotSent;
 use poplarvale_lib::relay::attempts::{AttemptEnd, Attempts, MAX_ENDPOINTS, Stop, Via};
 use proptest::prelude::*;
+use testutils::proofs::not_run;
 
-const ENDS: [AttemptEnd; 9] = [
-    AttemptEnd::Answered,
-    AttemptEnd::NotConnected,
-    AttemptEnd::NotRun,
-    AttemptEnd::Error,
-    AttemptEnd::Broken,
-    AttemptEnd::Invalid,
-    AttemptEnd::TimedOut,
-    AttemptEnd::TakenOver,
-    AttemptEnd::Withdrawn,
-];
+const ENDS: usize = 9;
+
+fn ends() -> [AttemptEnd; ENDS] {
+    [
+        AttemptEnd::Answered,
+        AttemptEnd::NotConnected(NotSent::unconnected()),
+        AttemptEnd::NotRun(not_run()),
+        AttemptEnd::Error,
+        AttemptEnd::Broken,
+        AttemptEnd::Invalid,
+        AttemptEnd::TimedOut,
+        AttemptEnd::TakenOver,
+        AttemptEnd::Withdrawn,
+    ]
+}
 
 /// Attempts of a stream that may be resumed.
 fn resumable(max_runs: u32, now: Instant) -> Attempts {
@@ -30,7 +36,7 @@
     let first = attempts.begin("i-1", Via::Endpoint, now);
     assert_eq!(attempts.check_next(Via::Endpoint), Err(Stop::NotRepeatable));
     assert_eq!(attempts.check_next(Via::Daemon), Err(Stop::NotRepeatable));
-    attempts.end(first, AttemptEnd::NotRun, now);
+    attempts.end(first, AttemptEnd::NotRun(not_run()), now);
     assert_eq!(attempts.check_next(Via::Endpoint), Ok(()));
     let second = attempts.begin("i-2", Via::Endpoint, now);
     attempts.end(second, AttemptEnd::Broken, now);
@@ -93,10 +99,10 @@
     let now = Instant::now();
     let mut attempts = Attempts::new(2, true, false, now);
     let first = attempts.begin("10.0.0.7", Via::Daemon, now);
-    attempts.end(first, AttemptEnd::NotRun, now);
+    attempts.end(first, AttemptEnd::NotRun(not_run()), now);
     assert_eq!(attempts.sent(), 1);
     let second = attempts.begin("10.0.0.8", Via::Daemon, now);
-    attempts.end(second, AttemptEnd::NotTaken, now);
+    attempts.end(second, AttemptEnd::NotTaken(not_run()), now);
     assert_eq!(attempts.sent(), 1);
 }
 
@@ -109,7 +115,7 @@
     let first = attempts.begin("i-1", Via::Endpoint, after(2));
     attempts.record_events(first, 7);
     let second = attempts.begin("10.0.0.7", Via::Daemon, after(1500));
-    attempts.end(second, AttemptEnd::NotRun, after(1502));
+    attempts.end(second, AttemptEnd::NotRun(not_run()), after(1502));
     assert_eq!(
         attempts.to_string(),
         "i-1 at 2: in progress after 7 events; 10.0.0.7 at 1500 to 1502: not run"
@@ -124,7 +130,7 @@
         max_runs in 1_u32..4,
         repeatable: bool,
         stream: bool,
-        steps in prop::collection::vec((0_usize..ENDS.len(), any::<bool>(), any::<bool>()), 1..12),
+        steps in prop::collection::vec((0..ENDS, any::<bool>(), any::<bool>()), 1..12),
     ) {
         let now = Instant::now();
         let mut attempts = Attempts::new(max_runs, repeatable, stream, now);
@@ -134,11 +140,11 @@
                 break;
             }
             let at = attempts.begin(&format!("i-{number}"), Via::Endpoint, now);
-            let has_run = !matches!(ENDS[end], AttemptEnd::NotConnected | AttemptEnd::NotRun);
+            let has_run = !matches!(ends()[end], AttemptEnd::NotConnected(_) | AttemptEnd::NotRun(_));
             let has_events = has_events && has_run;
             attempts.record_events(at, u64::from(has_events));
             if !stays_open {
-                attempts.end(at, ENDS[end], now);
+                attempts.end(at, ends()[end], now);
             }
             runs += u32::from(has_events);
         }
@@ -152,7 +158,7 @@
     #[test]
     fn granted_runs_are_bounded(
         max_runs in 1_u32..5,
-        steps in prop::collection::vec((0_usize..ENDS.len(), any::<bool>(), any::<bool>()), 1..12),
+        steps in prop::collection::vec((0..ENDS, any::<bool>(), any::<bool>()), 1..12),
     ) {
         let now = Instant::now();
         let mut attempts = Attempts::new(max_runs, true, false, now);
@@ -164,9 +170,9 @@
             }
             let at = attempts.begin(&format!("t-{number}"), via, now);
             if !stays_open {
-                attempts.end(at, ENDS[end], now);
+                attempts.end(at, ends()[end], now);
             }
-            let is_unused = matches!(ENDS[end], AttemptEnd::NotConnected | AttemptEnd::NotRun);
+            let is_unused = matches!(ends()[end], AttemptEnd::NotConnected(_) | AttemptEnd::NotRun(_));
             if stays_open || !is_unused {
                 granted += attempts.granted(at);
             }
--- a/lib/tests/test_routing_leaving.rs
+++ b/lib/tests/test_routing_leaving.rs
@@ -379,7 +379,7 @@
                 })
             }
             Action::Whole(at) => self.end(at, Outcome::Complete { status: 200 }),
-            Action::Unsent(at) => self.end(at, Outcome::Unsent(NotSent)),
+            Action::Unsent(at) => self.end(at, Outcome::Unsent(NotSent::unconnected())),
             Action::Broken(at) => self.end(at, Outcome::Failed { code: Code::Broken }),
             Action::Leaving(at, seconds) => {
                 self.noticed.insert(name(at));
--- a/lib/tests/traces/driver.rs
+++ b/lib/tests/traces/driver.rs
@@ -304,7 +304,7 @@
         let outcome = match done.result {
             JobResult::Complete => Outcome::Complete { status: 200 },
             JobResult::Failed => Outcome::Failed { code: Code::Broken },
-            JobResult::Refused => Outcome::Unsent(NotSent),
+            JobResult::Refused => Outcome::Unsent(NotSent::unconnected()),
         };
         let daemon = (issuer(attempt) - INCARNATION) as usize;
         let input = Input::Ended {
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod plain;
 pub mod platform;
 pub mod process;
+pub mod proofs;
 mod replay;
 pub mod retry_bound;
 pub mod serve;
