stream: take the events of a chunk only at its end

Callers could get an event that no endpoint sent: one that breaks off in its chunk is completed by whatever the endpoint sends next on the connection, as a rejection whose empty line ends the event. The chunk turned out malformed only behind it, when the event was on its way; a stream that may be resumed went on after it.

The same cause as that of joined heads, bytes that are taken for a part of a message by their place. The end of a chunk shows that its bytes are its own, so its events are taken only then. Endpoints send an event in a chunk of its own, which arrives as a whole, so nothing waits.

The test fails before: the caller gets `data: pieHTTP/1.1 503 Service Unavailable` and the rest of the stream after it; now the event as the second endpoint sends it, or an end that shows that the stream is incomplete.

--- a/daemon/src/relay/stream.rs
+++ b/daemon/src/relay/stream.rs
@@ -77,6 +77,10 @@
     pub(crate) conn: BufferedStream,
     pub(crate) response: EndpointResponse,
     body: Body,
+    /// What was received of a chunk that has not ended.
+    chunk: BytesMut,
+    /// Number of chunks that have.
+    ended: u64,
     events: Events,
     /// Complete events that are not forwarded yet.
     ready: BytesMut,
@@ -96,6 +100,8 @@
             body: Body::new(response.head.framing),
             conn,
             response,
+            chunk: BytesMut::new(),
+            ended: 0,
             events: Events::after(last),
             ready: BytesMut::new(),
             held,
@@ -143,23 +149,41 @@
         self.events.last()
     }
 
+    /// Takes the events that are complete. Those of a chunk are only taken at its end, which shows that no bytes of
+    /// another response stand in it.
     fn parse(&mut self) -> Result<(), ExchangeError> {
-        let taken = self.body.take(&mut self.conn.buffer);
-        let mut part = taken.map_err(|_error| ExchangeError::Invalid)?;
-        while let Some(bytes) = part {
-            let events = self.events.push(&bytes).map_err(|error| {
-                log::warn!("stream: invalid stream from the endpoint, {error}; attempt ended.");
-                ExchangeError::Invalid
-            })?;
-            self.ready.put_slice(&events);
+        loop {
             let taken = self.body.take(&mut self.conn.buffer);
-            part = taken.map_err(|_error| ExchangeError::Invalid)?;
+            if self.ended != self.body.ended_chunks() {
+                self.ended = self.body.ended_chunks();
+                self.parse_chunk()?;
+            }
+            let taken = taken.map_err(|_error| ExchangeError::Invalid)?;
+            let Some(bytes) = taken else {
+                break;
+            };
+            self.chunk.put_slice(&bytes);
+            if self.response.head.framing != Framing::Chunked {
+                self.parse_chunk()?;
+            }
         }
-        let held = self.held.set(self.events.partial_len());
+        let held = self.events.partial_len() + self.chunk.len();
+        let held = self.held.set(held);
         held.map_err(|_error| ExchangeError::TooLong)?;
         if self.is_done() && self.events.has_partial() {
             return Err(ExchangeError::Broken);
         }
         Ok(())
     }
+
+    /// Takes the events of what was received of a chunk.
+    fn parse_chunk(&mut self) -> Result<(), ExchangeError> {
+        let events = self.events.push(&self.chunk).map_err(|error| {
+            log::warn!("stream: invalid stream from the endpoint, {error}; attempt ended.");
+            ExchangeError::Invalid
+        })?;
+        self.chunk.clear();
+        self.ready.put_slice(&events);
+        Ok(())
+    }
 }
--- a/daemon/tests/test_relay_strays.rs
+++ b/daemon/tests/test_relay_strays.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use poplarvale_standin::{
-    Endpoint, SeenRequest, Step, ask, plain, rejection_text, rejection_without_id, request,
+    Endpoint, SeenRequest, Step, ask, event, event_text, plain, rejection_text,
+    rejection_without_id, request, stream,
 };
 
 use crate::relay_site::Site;
@@ -144,3 +145,40 @@
     }
     assert!(hidden.is_empty(), "bytes and status: {hidden:?}");
 }
+
+/// Text that closes no event by itself.
+fn long_line() -> String {
+    "piece ".repeat(60)
+}
+
+/// Guards against an event that breaks off in its chunk and is completed by another response.
+#[actix_web::test]
+async fn an_event_that_breaks_off_is_not_completed_by_a_response() {
+    let script = |seen: &SeenRequest| {
+        let whole = format!("id: 1\ndata: {}\n\n", long_line());
+        let size = format!("{:x}\r\n", whole.len());
+        if seen.last_event() == "0" {
+            let end = Step::Send(format!("{size}{whole}\r\n0\r\n\r\n"));
+            return vec![stream(seen), end];
+        }
+        let broken = Step::Send(format!("{size}id: 1\ndata: pie"));
+        let stray = Step::Send(rejection_text("i-1", ""));
+        vec![
+            stream(seen),
+            event(0),
+            broken,
+            Step::Wait(CUT_TIME),
+            stray,
+            Step::Wait(RUN_TIME),
+        ]
+    };
+    let one = Endpoint::start("i-1", script).await;
+    let other = Endpoint::start("i-2", script).await;
+    let site = Site::start(&[&one, &other]).await;
+    let answer = ask(site.address(), &request("GET", "/resume/a", "r1", "")).await;
+    let answer = answer.expect("an answer");
+    let whole = format!("{}id: 1\ndata: {}\n\n", event_text(0), long_line());
+    assert_eq!((answer.complete, answer.body), (true, whole));
+    let answer = ask(site.address(), &request("GET", "/stream/a", "r2", "")).await;
+    assert!(answer.is_ok_and(|answer| !answer.complete && answer.body == event_text(0)));
+}
--- a/lib/src/http1/body.rs
+++ b/lib/src/http1/body.rs
@@ -22,7 +22,11 @@
 
 /// Decoder of one body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Body(State);
+pub struct Body {
+    state: State,
+    /// Number of chunks that were read to their end.
+    ended: u64,
+}
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -45,17 +49,24 @@
 impl Body {
     /// A decoder for a body with this framing.
     pub fn new(framing: Framing) -> Self {
-        Self(match framing {
+        let state = match framing {
             Framing::None | Framing::Length(0) => State::Done,
             Framing::Length(length) => State::Length(length),
             Framing::Chunked => State::ChunkSize,
             Framing::Close => State::UntilClose,
-        })
+        };
+        Self { state, ended: 0 }
     }
 
     /// Whether the whole body was read.
     pub fn is_done(&self) -> bool {
-        self.0 == State::Done
+        self.state == State::Done
+    }
+
+    /// Number of chunks that were read to their end. What was taken of the next one may end with bytes of another
+    /// message, if the peer broke off in it.
+    pub fn ended_chunks(&self) -> u64 {
+        self.ended
     }
 
     /// Takes the next available part of the body off the buffer; `None` if more bytes
@@ -65,14 +76,14 @@
     /// If a chunk is malformed.
     pub fn take(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, BodyError> {
         loop {
-            match self.0 {
+            match self.state {
                 State::Done => return Ok(None),
                 State::UntilClose if buffer.is_empty() => return Ok(None),
                 State::UntilClose => return Ok(Some(buffer.split().freeze())),
                 State::Length(left) => {
                     return Ok(take(buffer, left).inspect(|part| {
                         let left = left - part.len() as u64;
-                        self.0 = if left == 0 {
+                        self.state = if left == 0 {
                             State::Done
                         } else {
                             State::Length(left)
@@ -82,7 +93,7 @@
                 State::ChunkData(left) => {
                     return Ok(take(buffer, left).inspect(|part| {
                         let left = left - part.len() as u64;
-                        self.0 = if left == 0 {
+                        self.state = if left == 0 {
                             State::ChunkEnd
                         } else {
                             State::ChunkData(left)
@@ -97,12 +108,13 @@
                         return Err(BodyError::Chunk);
                     }
                     buffer.advance(2);
-                    self.0 = State::ChunkSize;
+                    self.ended += 1;
+                    self.state = State::ChunkSize;
                 }
                 State::ChunkSize => match httparse::parse_chunk_size(buffer) {
                     Ok(httparse::Status::Complete((len, size))) => {
                         buffer.advance(len);
-                        self.0 = if size == 0 {
+                        self.state = if size == 0 {
                             State::Trailer(0)
                         } else {
                             State::ChunkData(size)
@@ -120,7 +132,7 @@
                         return Ok(None);
                     };
                     buffer.advance(end + 2);
-                    self.0 = if end == 0 {
+                    self.state = if end == 0 {
                         State::Done
                     } else {
                         State::Trailer(lines + 1)
@@ -135,9 +147,9 @@
     /// # Errors
     /// If the body is incomplete.
     pub fn finish(&mut self) -> Result<(), BodyError> {
-        match self.0 {
+        match self.state {
             State::Done | State::UntilClose => {
-                self.0 = State::Done;
+                self.state = State::Done;
                 Ok(())
             }
             _ => Err(BodyError::Truncated),
