http1: read no other message as the trailer of a body

Callers got 504 for an answer that had arrived: where an endpoint breaks off behind the last chunk and sends the beginning of another response, its lines were read as a trailer, and the answer waited for the empty line until the deadline.

A line behind the last chunk is a trailer only if it is a field line without a status line in it. If it is none, the data is complete nonetheless, as the last chunk is the end of it: the answer is passed on, the bytes stay in the buffer, and the connection is not used again. A caller's request with such a trailer is rejected.

The test fails before (504 after 3 s) for an answer and for a stream.

--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -2,7 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 use poplarvale_lib::NotSent;
-use poplarvale_lib::http1::{Body, Named, ReadError, Response, ResponsePart, ResponseReader};
+use poplarvale_lib::http1::{
+    Body, BodyError, Named, ReadError, Response, ResponsePart, ResponseReader,
+};
 use poplarvale_lib::relay::attempts::AttemptEnd;
 use poplarvale_platform::{ResponseMeta, ResponsesTo, read_response_meta, states_not_run};
 use tokio::io::AsyncWriteExt as _;
@@ -229,10 +231,14 @@
     let mut body = Body::new(head.framing);
     let mut bytes = BytesMut::new();
     loop {
-        while let Some(part) = body
-            .take(&mut conn.buffer)
-            .map_err(|_error| ExchangeError::Invalid)?
-        {
+        loop {
+            let part = match body.take(&mut conn.buffer) {
+                Ok(Some(part)) => part,
+                Ok(None) => break,
+                // All data was received; the bytes that follow stay in the buffer.
+                Err(BodyError::Trailer) => return Ok(bytes.freeze()),
+                Err(_) => return Err(ExchangeError::Invalid),
+            };
             let len = bytes.len() + part.len();
             memory.set(len).map_err(|_error| ExchangeError::TooLong)?;
             bytes.extend_from_slice(&part);
--- a/daemon/src/relay/stream.rs
+++ b/daemon/src/relay/stream.rs
@@ -7,7 +7,7 @@
 use std::io;
 
 use bytes::{BufMut as _, Bytes, BytesMut};
-use poplarvale_lib::http1::{Body, Framing};
+use poplarvale_lib::http1::{Body, BodyError, Framing};
 use poplarvale_lib::relay::sse::Events;
 use poplarvale_platform::response_head;
 use tokio::io::AsyncWriteExt as _;
@@ -153,7 +153,11 @@
     /// another response stand in it.
     fn parse(&mut self) -> Result<(), ExchangeError> {
         loop {
-            let taken = self.body.take(&mut self.conn.buffer);
+            let taken = match self.body.take(&mut self.conn.buffer) {
+                // All events were received; the bytes that follow stay in the buffer.
+                Err(BodyError::Trailer) => Ok(None),
+                taken => taken,
+            };
             if self.ended != self.body.ended_chunks() {
                 self.ended = self.body.ended_chunks();
                 self.parse_chunk()?;
--- a/daemon/tests/test_relay_strays.rs
+++ b/daemon/tests/test_relay_strays.rs
@@ -182,3 +182,28 @@
     let answer = ask(site.address(), &request("GET", "/stream/a", "r2", "")).await;
     assert!(answer.is_ok_and(|answer| !answer.complete && answer.body == event_text(0)));
 }
+
+/// Guards against an answer that waits for its trailer until the deadline, as another response has taken its place.
+#[actix_web::test]
+async fn an_answer_does_not_wait_for_a_trailer_behind_a_response() {
+    let stray = rejection_text("i-1", "");
+    let stray = Step::Send(stray[..40].to_owned());
+    let endpoint = Endpoint::start("i-1", move |seen| {
+        let end = Step::Send("0\r\n".into());
+        vec![
+            stream(seen),
+            event(0),
+            end,
+            stray.clone(),
+            Step::Wait(Duration::from_secs(5)),
+        ]
+    })
+    .await;
+    let site = Site::start(&[&endpoint]).await;
+    for (path, id) in [("/safe/a", "r1"), ("/stream/a", "r2")] {
+        let answer = ask(site.address(), &request("GET", path, id, "")).await;
+        let answer = answer.expect("an answer");
+        assert_eq!((answer.status, answer.body), (200, event_text(0)), "{path}");
+        assert!(answer.complete);
+    }
+}
--- a/lib/src/http1/body.rs
+++ b/lib/src/http1/body.rs
@@ -3,6 +3,7 @@
 use bytes::{Buf as _, Bytes, BytesMut};
 
 use super::Framing;
+use super::status_line::find_status_line;
 
 /// Maximum length in bytes of a chunk size line and of a trailer line.
 const MAX_LINE: usize = 1024;
@@ -15,6 +16,9 @@
     /// A chunk is malformed.
     #[error("a chunk of the body is malformed")]
     Chunk,
+    /// Behind the last chunk stands what is no trailer. All data was received.
+    #[error("the trailer of the body is malformed")]
+    Trailer,
     /// The connection ended before the body did.
     #[error("the connection ended before the body did")]
     Truncated,
@@ -131,6 +135,10 @@
                         }
                         return Ok(None);
                     };
+                    if !is_trailer(&buffer[..end]) {
+                        self.state = State::Done;
+                        return Err(BodyError::Trailer);
+                    }
                     buffer.advance(end + 2);
                     self.state = if end == 0 {
                         State::Done
@@ -157,6 +165,22 @@
     }
 }
 
+/// Whether a line is empty or a field line of a trailer.
+fn is_trailer(line: &[u8]) -> bool {
+    if line.is_empty() {
+        return true;
+    }
+    let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+    let is_field =
+        !name.is_empty() && name.len() < line.len() && name.iter().copied().all(is_token);
+    is_field && find_status_line(line, 0).is_none()
+}
+
+/// Whether a byte may stand in the name of a field.
+fn is_token(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
 /// Takes up to `left` bytes off the buffer; none if it is empty.
 fn take(buffer: &mut BytesMut, left: u64) -> Option<Bytes> {
     if buffer.is_empty() {
