wire: take no body that another response has completed

Callers could get a success with a body that is not the endpoint's: where an endpoint breaks off in a body whose length it stated and sends another response, the beginning of that one completes it. Nothing in HTTP/1.1 shows this; a body of a length may hold any bytes.

A body in which a response begins, with a field that only responses of endpoints have, is not taken as whole; what was received behind the body counts as well. The request's outcome is unknown then. A text about HTTP in a body passes, as it has no such field.

The test fails before: 200 with `begin HTTP/1.1 503 Service Unavailable` for a body of 60 bytes.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -137,7 +137,7 @@
     record_pace(state, &endpoint, &response);
     if let Some(proof) = response.meta.not_run {
         record_not_run(state, job, choice, &sent, &response);
-        drain_rejection(state, sent.address, conn, &response).await;
+        drain_rejection(state, job, sent.address, conn, &response).await;
         return Err(AttemptEnd::NotRun(proof));
     }
     if job.route.retry_policy.is_stream() && response.head.status == OK && response.meta.sealed {
@@ -576,7 +576,7 @@
     conn: &mut BufferedStream,
     response: &EndpointResponse,
 ) -> Result<Bytes, ExchangeError> {
-    let body = read_body(conn, &response.head, state.held.begin()).await?;
+    let body = read_body(conn, &response.head, &job.head.id, state.held.begin()).await?;
     if !job.route.retry_policy.allows_retry() && response.is_promise() {
         return Err(ExchangeError::Unproven);
     }
@@ -686,12 +686,13 @@
 /// Reads the body of a rejection, so that its connection can be reused.
 async fn drain_rejection(
     state: &Rc<State>,
+    job: &Job<'_>,
     address: SocketAddr,
     mut conn: BufferedStream,
     response: &EndpointResponse,
 ) {
     let until = Instant::now() + FULL_PAUSE;
-    let body = read_body(&mut conn, &response.head, state.held.begin());
+    let body = read_body(&mut conn, &response.head, &job.head.id, state.held.begin());
     if let Ok(Ok(_)) = timeout_at(until, body).await {
         keep_connection(state, address, conn, response);
     }
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -3,7 +3,8 @@
 use bytes::{Bytes, BytesMut};
 use poplarvale_lib::NotSent;
 use poplarvale_lib::http1::{
-    Body, BodyError, Named, ReadError, Response, ResponsePart, ResponseReader,
+    Body, BodyError, Framing, Named, ReadError, Response, ResponsePart, ResponseReader,
+    contains_response,
 };
 use poplarvale_lib::relay::attempts::AttemptEnd;
 use poplarvale_platform::{ResponseMeta, ResponsesTo, read_response_meta, states_not_run};
@@ -218,11 +219,27 @@
     ExchangeError::Invalid
 }
 
-/// Reads a complete body; `memory` bounds its length.
+/// Reads the complete body of a response to the request with this id; `memory` bounds its length.
 ///
 /// # Errors
-/// If the connection ends before the body does, or the body is malformed or too long.
+/// If the connection ends before the body does, or the body is malformed, completed by another response or too long.
 pub(crate) async fn read_body(
+    conn: &mut BufferedStream,
+    head: &Response,
+    id: &str,
+    memory: Held,
+) -> Result<Bytes, ExchangeError> {
+    let body = read_framed(conn, head, memory).await?;
+    // The ends of chunks show by themselves that no other bytes stand in them.
+    let is_chunked = head.framing == Framing::Chunked;
+    if !is_chunked && contains_response(&body, &conn.buffer, &ResponsesTo(id)) {
+        return Err(ExchangeError::Invalid);
+    }
+    Ok(body)
+}
+
+/// Reads a body to the end that its framing states.
+async fn read_framed(
     conn: &mut BufferedStream,
     head: &Response,
     mut memory: Held,
--- a/daemon/tests/test_relay_strays.rs
+++ b/daemon/tests/test_relay_strays.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use poplarvale_standin::{
-    Endpoint, SeenRequest, Step, ask, event, event_text, plain, rejection_text,
+    Endpoint, SeenRequest, Step, ask, event, event_text, head, plain, rejection_text,
     rejection_without_id, request, stream,
 };
 
@@ -207,3 +207,26 @@
         assert!(answer.complete);
     }
 }
+
+/// Guards against a body that breaks off and is completed by another response.
+#[actix_web::test]
+async fn a_body_that_breaks_off_is_not_completed_by_a_response() {
+    let stray = rejection_text("i-1", "");
+    let own = "Content-Length: 60\r\n";
+    let endpoint = Endpoint::start("i-1", move |seen| {
+        let own = format!("{own}\r\nbegin ");
+        let Step::Send(head) = head(&seen.id(), "") else {
+            return Vec::new();
+        };
+        let broken = head.trim_end().to_owned() + "\r\n" + &own;
+        vec![
+            Step::Send(broken),
+            Step::Wait(CUT_TIME),
+            Step::Send(stray.clone()),
+        ]
+    })
+    .await;
+    let site = Site::start(&[&endpoint]).await;
+    let answer = ask(site.address(), &request("POST", "/once/a", "r1", "")).await;
+    assert_eq!(answer.expect("an answer").status, 502);
+}
--- a/lib/src/http1.rs
+++ b/lib/src/http1.rs
@@ -16,4 +16,6 @@
 pub use body::{Body, BodyError};
 pub use fields::{Field, Fields};
 pub use head::{Framing, HeadError, Request, Response};
-pub use reader::{Attributed, Named, ReadError, ResponsePart, ResponseReader, ResponseRules};
+pub use reader::{
+    Attributed, Named, ReadError, ResponsePart, ResponseReader, ResponseRules, contains_response,
+};
--- a/lib/src/http1/reader.rs
+++ b/lib/src/http1/reader.rs
@@ -45,6 +45,8 @@
     fn named(&self, response: &Response) -> Named;
     /// Whether the values of a field have a format that excludes a status line; names are case-insensitive.
     fn is_formatted(&self, field: &[u8]) -> bool;
+    /// Whether a head has a field by which only the peer itself tells what it sends.
+    fn is_marked(&self, response: &Response) -> bool;
 }
 
 /// Reason for which a response cannot be found on a connection.
@@ -207,6 +209,26 @@
     }
 }
 
+/// Whether a marked response begins in a body, which is then not whole. `behind` is what was received behind it.
+///
+/// A body whose length is stated ends there, whatever its bytes are. If the peer breaks off in it and sends another
+/// response, the beginning of that one completes it.
+pub fn contains_response(body: &[u8], behind: &[u8], rules: &impl ResponseRules) -> bool {
+    if find_status_line(body, 0).is_none() && behind.is_empty() {
+        return false;
+    }
+    let all = [body, behind].concat();
+    let mut from = 0;
+    while let Some(at) = find_status_line(&all, from).filter(|at| *at < body.len()) {
+        let head = Response::take(&mut BytesMut::from(&all[at..]));
+        if head.is_ok_and(|head| head.is_some_and(|head| rules.is_marked(&head))) {
+            return true;
+        }
+        from = at + 1;
+    }
+    false
+}
+
 /// Whether the line that these bytes begin cannot go on with a status line, so that it was cut.
 fn is_cut(bytes: &[u8], rules: &impl ResponseRules) -> bool {
     let line = bytes.rsplit(|byte| *byte == b'\n').next();
--- a/lib/testutils/src/proofs.rs
+++ b/lib/testutils/src/proofs.rs
@@ -15,6 +15,10 @@
     fn is_formatted(&self, _field: &[u8]) -> bool {
         false
     }
+
+    fn is_marked(&self, _response: &Response) -> bool {
+        false
+    }
 }
 
 /// Proof that a request was not run, of a whole rejection.
