wire: find an answer behind a reason phrase that breaks off

A caller got 502 for an answer that was received whole, where the bytes before it broke off in the reason phrase of their status line: 20 of the 129 places at which a rejection of 130 bytes can break off. A status line there was always taken for text.

A reason that begins as the usual one of its status and goes on as a status line is no text that a peer sends, so it is cut there. What remains in doubt is a status line directly behind the code, and one in a field of any text, such as `Server`.

--- a/lib/src/http1/reader.rs
+++ b/lib/src/http1/reader.rs
@@ -9,8 +9,7 @@
 //! Every response begins with its status line, so a head that was joined from several contains the status lines of
 //! all but the first. The last one begins the response that the end of the head belongs to. It is taken for that
 //! response only if the line in which it stands cannot be a line of a head: then no reading but this one is left.
-//! Otherwise, as when it stands in a reason phrase or in a field of any text, neither reading is certain, and
-//! nothing is concluded. The same holds for bytes that are no head.
+//! Otherwise, as when it stands in a field of any text, neither reading is certain, and nothing is concluded. The same holds for bytes that are no head.
 //!
 //! A response behind bytes that are no whole response is delivered, but what it states about the request not having
 //! run proves nothing; see [`Attributed::is_intact`].
@@ -18,7 +17,9 @@
 use bytes::{Buf as _, BytesMut};
 
 use super::head::complete_response_len;
-use super::status_line::{begins_status_line, find_status_line, last_status_line};
+use super::status_line::{
+    begins_status_line, find_status_line, last_status_line, split_status_line,
+};
 use super::{Body, HeadError, Response};
 
 /// Responses and parts of responses that are skipped before a connection is given up.
@@ -45,6 +46,8 @@
     fn named(&self, response: &Response) -> Named;
     /// Whether the values of a field have a format that excludes a status line; names are case-insensitive.
     fn is_formatted(&self, field: &[u8]) -> bool;
+    /// Whether the reason phrase of a status begins so.
+    fn is_reason(&self, status: &[u8], begin: &[u8]) -> bool;
     /// Whether a head has a field by which only the peer itself tells what it sends.
     fn is_marked(&self, response: &Response) -> bool;
 }
@@ -232,12 +235,13 @@
 /// Whether the line that these bytes begin cannot go on with a status line, so that it was cut.
 fn is_cut(bytes: &[u8], rules: &impl ResponseRules) -> bool {
     let line = bytes.rsplit(|byte| *byte == b'\n').next();
-    let mut parts = line.unwrap_or_default().splitn(2, |byte| *byte == b':');
-    match (parts.next(), parts.next()) {
-        (Some(name), Some(_)) => rules.is_formatted(name),
-        // Only a status line has no colon in a head that could be parsed.
-        _ => false,
+    let line = line.unwrap_or_default();
+    if let Some((status, reason)) = split_status_line(line) {
+        return rules.is_reason(status, reason);
     }
+    let mut parts = line.splitn(2, |byte| *byte == b':');
+    let name = parts.next().unwrap_or_default();
+    parts.next().is_some() && rules.is_formatted(name)
 }
 
 /// How much of a body was skipped.
--- a/lib/src/http1/status_line.rs
+++ b/lib/src/http1/status_line.rs
@@ -2,6 +2,8 @@
 
 /// Length in bytes of a status line up to and including the byte behind the status code.
 pub(super) const LEN: usize = b"HTTP/1.1 200 ".len();
+/// Length in bytes of the version and the space behind it.
+const VERSION_LEN: usize = b"HTTP/1.1 ".len();
 /// What status lines have in common; `0` stands for a digit.
 const PATTERN: &[u8; LEN] = b"HTTP/1.0 000 ";
 
@@ -33,3 +35,10 @@
         _ => byte == expected,
     })
 }
+
+/// Status code and reason phrase of a status line; `None` if the bytes begin with none.
+pub(super) fn split_status_line(line: &[u8]) -> Option<(&[u8], &[u8])> {
+    let (begin, reason) = line.split_at_checked(LEN)?;
+    let code = VERSION_LEN..LEN - 1;
+    begins_so(begin).then(|| (&begin[code], reason))
+}
--- a/lib/testutils/src/proofs.rs
+++ b/lib/testutils/src/proofs.rs
@@ -16,6 +16,10 @@
         false
     }
 
+    fn is_reason(&self, _status: &[u8], _begin: &[u8]) -> bool {
+        false
+    }
+
     fn is_marked(&self, _response: &Response) -> bool {
         false
     }
