soak: have endpoints break off their own answers and streams

The run on what endpoints send beyond their responses lacked what the two last faults were about: an answer or a stream that breaks off at any byte and is followed by a whole rejection on the open connection. Two in a hundred answers do so now.

--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -229,11 +229,7 @@
             }
             _ => {
                 let pause = Step::Wait(Duration::from_millis(roll % 20));
-                let mut steps = vec![pause, answer(seen, &fields)];
-                if !work.faultless.get() {
-                    steps.extend(work.strays.after(seen));
-                }
-                steps
+                with_strays(&work, seen, vec![pause, answer(seen, &fields)])
             }
         }
     })
@@ -284,11 +280,23 @@
         steps.push(Step::Close);
         return steps;
     }
-    let mut steps = silence::events(work, seen, first, end);
-    if !work.faultless.get() && !ends_with_connection(seen) {
-        steps.extend(work.strays.after(seen));
+    let steps = silence::events(work, seen, first, end);
+    if ends_with_connection(seen) {
+        return steps;
+    }
+    with_strays(work, seen, steps)
+}
+
+/// An answer and what the endpoint sends behind it, or in place of a part of it.
+fn with_strays(work: &Work, seen: &SeenRequest, mut answer: Vec<Step>) -> Vec<Step> {
+    if work.faultless.get() {
+        return answer;
+    }
+    if let Some(broken) = work.strays.break_off(seen, &answer) {
+        return broken;
     }
-    steps
+    answer.extend(work.strays.after(seen));
+    answer
 }
 
 /// Different ports that are free now at all loopback addresses; daemons of other runs listen at
--- a/daemon/tests/soak/strays.rs
+++ b/daemon/tests/soak/strays.rs
@@ -1,5 +1,5 @@
 //! Endpoints in the soak that send more than their responses: whole responses that belong to no request, ones that
-//! break off at any byte, doubled ones, and other bytes.
+//! break off at any byte, doubled ones, and other bytes. Their own responses break off, too.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -14,21 +14,25 @@
 const MAX_DELAY_MS: u64 = 200;
 /// Share of the answers that something follows while nothing else is asked of the endpoints, in percent.
 const USUAL_SHARE: u64 = 6;
-/// Share in a run that is about them, and share of the requests that fail there, in percent.
+/// Share in a run that is about them, and shares of the requests that fail and of the answers that break off there,
+/// in percent.
 const HIGH_SHARE: u64 = 20;
 const FAILED_SHARE: u64 = 30;
+const BROKEN_SHARE: u64 = 2;
 /// Distinguishes the choices for one request.
 const FOLLOWS: usize = 100;
 const KIND: usize = 101;
 const CUT: usize = 102;
 const DELAY: usize = 103;
 const FAILS: usize = 104;
+const BREAKS: usize = 105;
 
 /// What endpoints send beyond their responses, and which requests they have answered with success.
 #[derive(Clone, Debug)]
 pub(super) struct Strays {
     share: Rc<Cell<u64>>,
     failed_share: Rc<Cell<u64>>,
+    broken_share: Rc<Cell<u64>>,
     succeeded: Rc<RefCell<BTreeSet<String>>>,
 }
 
@@ -37,6 +41,7 @@
         Self {
             share: Rc::new(Cell::new(USUAL_SHARE)),
             failed_share: Rc::default(),
+            broken_share: Rc::default(),
             succeeded: Rc::default(),
         }
     }
@@ -47,6 +52,7 @@
     pub(super) fn raise(&self) {
         self.share.set(HIGH_SHARE);
         self.failed_share.set(FAILED_SHARE);
+        self.broken_share.set(BROKEN_SHARE);
     }
 
     /// What an endpoint sends after its answer to a request.
@@ -72,6 +78,22 @@
         vec![delay, stray]
     }
 
+    /// An answer that breaks off, with a whole response behind it; `None` if it does not.
+    pub(super) fn break_off(&self, seen: &SeenRequest, answer: &[Step]) -> Option<Vec<Step>> {
+        let id = seen.id();
+        if super::roll(&id, BREAKS) >= self.broken_share.get() {
+            return None;
+        }
+        let texts = answer.iter().filter_map(|step| match step {
+            Step::Send(text) => Some(text.as_str()),
+            _ => None,
+        });
+        let text = texts.collect::<String>();
+        let cut = super::roll(&id, CUT) as usize;
+        let broken = broken_off(&text, (text.len() - 1) * cut / 100);
+        Some(vec![broken, Step::Send(rejection_text("i-1", ""))])
+    }
+
     /// The answer of an endpoint that fails a request; `None` if it does not.
     pub(super) fn fail(&self, seen: &SeenRequest) -> Option<Vec<Step>> {
         let fails = super::roll(&seen.id(), FAILS) < self.failed_share.get();
