wire: search a body for responses without copying it

The search for a response that completes a body joined the body and what was received behind it, so a long body took its memory twice for a moment, which its bound on held bytes does not count. It now copies what may be a head, 32 KB at most, and only where a status line stands.

--- a/daemon/src/relay/metrics.rs
+++ b/daemon/src/relay/metrics.rs
@@ -53,7 +53,7 @@
 
 fn stray_counter(meter: &Meter) -> Counter<u64> {
     let counter = meter.u64_counter("poplarvale_relay_strays");
-    let text = "Responses that belong to no request in progress, by whether they name a request";
+    let text = "Responses and parts of responses that belong to no request in progress, by kind";
     counter.with_description(text).build()
 }
 
--- a/lib/src/http1/head.rs
+++ b/lib/src/http1/head.rs
@@ -8,7 +8,7 @@
 /// Maximum number of header fields in a message.
 const MAX_FIELDS: usize = 96;
 /// Maximum size of a response head in bytes; endpoints send a few hundred.
-const MAX_RESPONSE_HEAD: usize = 32 * 1024;
+pub(super) const MAX_RESPONSE_HEAD: usize = 32 * 1024;
 
 /// Reason for which a head is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
--- a/lib/src/http1/reader.rs
+++ b/lib/src/http1/reader.rs
@@ -16,9 +16,9 @@
 
 use bytes::{Buf as _, BytesMut};
 
-use super::head::complete_response_len;
+use super::head::{MAX_RESPONSE_HEAD, complete_response_len};
 use super::status_line::{
-    begins_status_line, find_status_line, last_status_line, split_status_line,
+    STATUS_LINE_LEN, begins_status_line, find_status_line, last_status_line, split_status_line,
 };
 use super::{Body, HeadError, Response};
 
@@ -217,19 +217,23 @@
 /// A body whose length is stated ends there, whatever its bytes are. If the peer breaks off in it and sends another
 /// response, the beginning of that one completes it.
 pub fn contains_response(body: &[u8], behind: &[u8], rules: &impl ResponseRules) -> bool {
-    if find_status_line(body, 0).is_none() && behind.is_empty() {
-        return false;
-    }
-    let all = [body, behind].concat();
+    let begins_at = |at: usize| {
+        let bytes = body[at..].iter().chain(behind);
+        let mut bytes: BytesMut = bytes.take(MAX_RESPONSE_HEAD).copied().collect();
+        let head = Response::take(&mut bytes);
+        head.is_ok_and(|head| head.is_some_and(|head| rules.is_marked(&head)))
+    };
     let mut from = 0;
-    while let Some(at) = find_status_line(&all, from).filter(|at| *at < body.len()) {
-        let head = Response::take(&mut BytesMut::from(&all[at..]));
-        if head.is_ok_and(|head| head.is_some_and(|head| rules.is_marked(&head))) {
+    while let Some(at) = find_status_line(body, from) {
+        if begins_at(at) {
             return true;
         }
         from = at + 1;
     }
-    false
+    // One that ends behind the body.
+    let from = from.max((body.len() + 1).saturating_sub(STATUS_LINE_LEN));
+    let end = [&body[from..], &behind[..behind.len().min(STATUS_LINE_LEN)]].concat();
+    find_status_line(&end, 0).is_some_and(|at| from + at < body.len() && begins_at(from + at))
 }
 
 /// Whether the line that these bytes begin cannot go on with a status line, so that it was cut.
@@ -313,7 +317,7 @@
             }
             self.tail.advance(1);
         }
-        let kept = self.tail.len().min(super::status_line::LEN);
+        let kept = self.tail.len().min(STATUS_LINE_LEN);
         self.tail.advance(self.tail.len() - kept);
         Ok(())
     }
