http1: conclude nothing where a skipped body has taken a part of a response

An extra response broke off in its body, and the reader skipped the beginning of the endpoint's own response as the rest of it. What was left of that was no head, so the reader looked for the next status line, which was that of the second response.

Bytes behind a skipped body that begin no response show that the body broke off, and then it has taken an unknown part of what followed. The outcome of the request is unknown. Between two chunks nothing is taken, so a response that begins there is read.

--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -17,8 +17,8 @@
 const FORWARDING_SEEDS: [u64; 1] = [1];
 /// Time during which faults are injected in such a run, longer than a window of the retry budget.
 const FORWARDING_TIME: Duration = Duration::from_secs(14);
-/// Seeds of the run in which endpoints send more than their responses.
-const STRAYS_SEEDS: [u64; 1] = [1];
+/// Seeds of the run in which endpoints send more than their responses; in the second, a stray took a part of one.
+const STRAYS_SEEDS: [u64; 2] = [1, 127];
 /// Time during which they do so beside no other fault, and beside others.
 const STRAYS_TIME: Duration = Duration::from_secs(10);
 /// Time during which faults are injected in a run.
--- a/lib/src/http1/reader.rs
+++ b/lib/src/http1/reader.rs
@@ -11,6 +11,9 @@
 //! response only if the line in which it stands cannot be a line of a head: then no reading but this one is left.
 //! Otherwise, as when it stands in a field of any text, neither reading is certain, and nothing is concluded. The same holds for bytes that are no head.
 //!
+//! A body that is skipped may have broken off as well, and then takes the beginning of the next response. So nothing
+//! is concluded where no response begins behind it, or one that names the request begins within it.
+//!
 //! A response behind bytes that are no whole response is delivered, but what it states about the request not having
 //! run proves nothing; see [`Attributed::is_intact`].
 
@@ -61,8 +64,8 @@
     /// A head contains a second status line where it may be text.
     #[error("a head may consist of two")]
     Ambiguous,
-    /// The body of a response to no request contains the head of a response that names this one.
-    #[error("the body of another response contains a response")]
+    /// The body of a response to no request broke off and has taken a part of the next response.
+    #[error("the body of another response contains a part of a response")]
     Swallowed,
     /// Too much was received that belongs to no request.
     #[error("too much was received that belongs to no request")]
@@ -138,18 +141,24 @@
             if let Some(body) = &mut self.skipped {
                 match body.skip(buffer, rules)? {
                     Skipped::Part => return Ok(None),
-                    Skipped::Whole => self.skipped = None,
-                    Skipped::Broken => {
+                    Skipped::Whole => {}
+                    // It broke off between two chunks.
+                    Skipped::Broken if find_status_line(buffer, 0) == Some(0) => {
                         self.skipped = None;
-                        return self.skip_fragment(buffer, 0, HeadError::Malformed);
+                        return self.drop_fragment(buffer, 0);
                     }
+                    Skipped::Broken => return Err(ReadError::Swallowed),
                 }
             }
             let len = match complete_response_len(buffer) {
                 Ok(Some(len)) => len,
                 Ok(None) => return Ok(None),
-                Err(error) => return self.skip_fragment(buffer, 1, error),
+                Err(_) if self.skipped.as_ref().is_some_and(SkippedBody::has_bytes) => {
+                    return Err(ReadError::Swallowed);
+                }
+                Err(error) => return self.skip_fragment(buffer, error),
             };
+            self.skipped = None;
             if let Some(at) = last_status_line(&buffer[..len]) {
                 if !is_cut(&buffer[..at], rules) {
                     return Err(ReadError::Ambiguous);
@@ -177,14 +186,13 @@
         }
     }
 
-    /// Skips bytes that begin no response, up to the next status line at `from` or later.
+    /// Skips bytes that begin no response, up to the next status line.
     fn skip_fragment(
         &mut self,
         buffer: &mut BytesMut,
-        from: usize,
         error: HeadError,
     ) -> Result<Option<ResponsePart>, ReadError> {
-        match find_status_line(buffer, from) {
+        match find_status_line(buffer, 1) {
             Some(at) if error != HeadError::TooLarge => self.drop_fragment(buffer, at),
             // The next bytes tell whether a response begins here.
             None if error == HeadError::Malformed && begins_status_line(buffer) => Ok(None),
@@ -277,6 +285,10 @@
         }
     }
 
+    fn has_bytes(&self) -> bool {
+        self.len > 0
+    }
+
     fn skip(
         &mut self,
         buffer: &mut BytesMut,
