--- a/lib/tests/test_docs.rs
+++ b/lib/tests/test_docs.rs
@@ -111,7 +111,7 @@
 /// Sources of the test files of this name; two packages may have one each.
 fn sources(file: &str) -> Vec<String> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
-    ["lib", "daemon", "cli"]
+    ["lib", "daemon", "cli", "platform"]
         .iter()
         .map(|package| root.join(package).join("tests").join(format!("{file}.rs")))
         .filter_map(|path| fs::read_to_string(path).ok())
