http1: take no quoted parameter for a value that was cut

A status line in a quoted parameter, as in a Content-Type, is text that a head may hold, so whether it is one head or two is not certain. It was read as two, so a failure of such a kind would have got the status in the parameter.

--- a/lib/src/http1/reader.rs
+++ b/lib/src/http1/reader.rs
@@ -9,7 +9,8 @@
 //! Every response begins with its status line, so a head that was joined from several contains the status lines of
 //! all but the first. The last one begins the response that the end of the head belongs to. It is taken for that
 //! response only if the line in which it stands cannot be a line of a head: then no reading but this one is left.
-//! Otherwise, as when it stands in a field of any text, neither reading is certain, and nothing is concluded. The same holds for bytes that are no head.
+//! Otherwise, as when it stands in a field of any text, neither reading is certain, and nothing is concluded. Bytes that
+//! are no head are skipped up to the next status line.
 //!
 //! A body that is skipped may have broken off as well, and then takes the beginning of the next response. So nothing
 //! is concluded where no response begins behind it, or one that names the request begins within it.
@@ -220,7 +221,8 @@
     }
 }
 
-/// Whether a marked response begins in a body, which is then not whole. `behind` is what was received behind it.
+/// Whether a response begins in a body that has a field by which only the peer tells what it sends, so that the body is
+/// not whole. `behind` is what was received behind the body.
 ///
 /// A body whose length is stated ends there, whatever its bytes are. If the peer breaks off in it and sends another
 /// response, the beginning of that one completes it.
@@ -253,7 +255,9 @@
     }
     let mut parts = line.splitn(2, |byte| *byte == b':');
     let name = parts.next().unwrap_or_default();
-    parts.next().is_some() && rules.is_formatted(name)
+    // A quoted parameter may be any text.
+    let has_format = |value: &[u8]| !value.contains(&b'"') && rules.is_formatted(name);
+    parts.next().is_some_and(has_format)
 }
 
 /// How much of a body was skipped.
