--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -23,6 +23,7 @@
 use testutils::process::Process;
 use testutils::retry_bound::{Ms, RetryBound};
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 
 use crate::relay_site::{ROUTES, is_ready, until};
 use crate::reports;
@@ -534,6 +535,12 @@
     report
 }
 
+/// Starts the callers of short requests.
+fn start_callers(soak: &Rc<Soak>, random: &mut Rng) -> Vec<JoinHandle<()>> {
+    let callers = (0..CALLERS).map(|_| call(Rc::clone(soak), random.fork(), &SHORT_REQUESTS));
+    callers.map(actix_web::rt::spawn).collect()
+}
+
 /// Runs one seed in which the first daemon forwards requests now and then, beside daemons that stand still,
 /// end or get the configuration late.
 pub(crate) async fn run_forwarding_seed(seed: u64, time: Duration) -> Report {
@@ -541,12 +548,7 @@
     let soak = Rc::new(Soak::start_with(&folder, true).await);
     soak.until_ready().await;
     let mut random = Rng::with_seed(seed);
-    let mut tasks: Vec<_> = (0..CALLERS)
-        .map(|_| {
-            let caller = call(Rc::clone(&soak), random.fork(), &SHORT_REQUESTS);
-            actix_web::rt::spawn(caller)
-        })
-        .collect();
+    let mut tasks = start_callers(&soak, &mut random);
     tasks.extend(probes::start(&soak));
     forwarding::inject(&soak, &mut random, time).await;
     end_faults(&soak);
@@ -570,12 +572,7 @@
     let mut random = Rng::with_seed(seed);
     // Requests of each seed have ids of their own, which choose what endpoints do with them.
     soak.last_number.set(seed << SEED_BITS);
-    let tasks: Vec<_> = (0..CALLERS)
-        .map(|_| {
-            let caller = call(Rc::clone(&soak), random.fork(), &SHORT_REQUESTS);
-            actix_web::rt::spawn(caller)
-        })
-        .collect();
+    let tasks = start_callers(&soak, &mut random);
     tokio::time::sleep(time).await;
     forwarding::inject(&soak, &mut random, time).await;
     end_faults(&soak);
