http1: reject statuses that HTTP does not define

Callers saw: an endpoint answered with status 000, and its caller got that as an answer (MIXED), written by the daemon as `HTTP/1.1 0 Status`, with the seal of the endpoint.

Cause: the parser takes any three digits for a status, and nothing after it checks the range. 000 is below 500, so the attempt counted as a success, a request that may be repeated was not repeated, and the response was passed on. 001 to 099 and 600 to 999 were passed on too.

Why this works: all readers of responses (endpoints, other daemons, the store, the platform's services) get their heads from one parser, which now rejects such a head as malformed: the attempt fails, a request that may run again is sent elsewhere, another one gets 502.

--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -34,6 +34,7 @@
 mod test_relay_limit;
 mod test_relay_links;
 mod test_relay_log;
+mod test_relay_malformed;
 mod test_relay_odd_entries;
 mod test_relay_partition;
 mod test_relay_quota;
--- /dev/null
+++ b/daemon/tests/test_relay_malformed.rs
@@ -0,0 +1,46 @@
+//! Responses of endpoints that are not valid HTTP, and what their callers get.
+
+use poplarvale_standin::{Endpoint, SeenRequest, Step, ask, request, response};
+
+use crate::relay_site::Site;
+
+/// Statuses that HTTP does not define.
+const INVALID_STATUSES: [&str; 5] = ["000", "001", "099", "600", "999"];
+
+/// Endpoint whose responses are these, with the request's id in place of `ID`.
+async fn endpoint_with(id: &str, text: &str) -> Endpoint {
+    let text = text.to_owned();
+    let script = move |seen: &SeenRequest| vec![Step::Send(text.replace("ID", &seen.id()))];
+    Endpoint::start(id, script).await
+}
+
+/// Asserts that callers do not get a response with this text: a request that may not be repeated fails, and another one
+/// is sent to the second endpoint, which is sound.
+async fn assert_kept_back(text: &str) {
+    let broken = endpoint_with("i-1", text).await;
+    let site = Site::start(&[&broken]).await;
+    let answer = ask(site.address(), &request("POST", "/once/a", "r1", "")).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, 502, "{text:?}: {}", answer.body);
+    let sound = endpoint_with("i-2", &response("ID", 200, "sound")).await;
+    let site = Site::start(&[&broken, &sound]).await;
+    for number in 0..4 {
+        let text = request("GET", "/safe/a", &format!("s{number}"), "");
+        let answer = ask(site.address(), &text).await.expect("an answer");
+        assert_eq!(
+            (answer.status, answer.body.as_str()),
+            (200, "sound"),
+            "{text:?}"
+        );
+    }
+    assert!(broken.seen().len() > 1, "only the sound endpoint was asked");
+}
+
+/// Guards against a response whose status is none of HTTP and that its caller gets as an answer.
+#[actix_web::test]
+async fn a_response_with_an_invalid_status_reaches_no_caller() {
+    for status in INVALID_STATUSES {
+        let text = response("ID", 200, "done").replace("200", status);
+        assert_kept_back(&text).await;
+    }
+}
--- a/lib/src/http1/head.rs
+++ b/lib/src/http1/head.rs
@@ -1,5 +1,7 @@
 //! Parsing of request and response heads.
 
+use std::ops::RangeInclusive;
+
 use bytes::{Bytes, BytesMut};
 
 use super::Fields;
@@ -9,6 +11,8 @@
 const MAX_FIELDS: usize = 96;
 /// Maximum size of a response head in bytes; endpoints send a few hundred.
 pub(super) const MAX_RESPONSE_HEAD: usize = 32 * 1024;
+/// Status codes that HTTP defines.
+const STATUSES: RangeInclusive<u16> = 100..=599;
 
 /// Reason for which a head is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -113,7 +117,7 @@
     pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>, HeadError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut parsed = httparse::Response::new(&mut headers);
-        let Some(len) = complete_len(parsed.parse(buffer), buffer.len(), MAX_RESPONSE_HEAD)? else {
+        let Some(len) = parse_response(&mut parsed, buffer)? else {
             return Ok(None);
         };
         if last_status_line(&buffer[..len]).is_some() {
@@ -148,8 +152,20 @@
 /// Length of the complete head of a response; `None` if more bytes are needed.
 pub(super) fn complete_response_len(buffer: &[u8]) -> Result<Option<usize>, HeadError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
-    let mut parsed = httparse::Response::new(&mut headers);
-    complete_len(parsed.parse(buffer), buffer.len(), MAX_RESPONSE_HEAD)
+    parse_response(&mut httparse::Response::new(&mut headers), buffer)
+}
+
+/// Parses the head of a response; returns its length, `None` if more bytes are needed.
+fn parse_response<'b>(
+    parsed: &mut httparse::Response<'_, 'b>,
+    buffer: &'b [u8],
+) -> Result<Option<usize>, HeadError> {
+    let len = complete_len(parsed.parse(buffer), buffer.len(), MAX_RESPONSE_HEAD)?;
+    // The parser takes any three digits.
+    if len.is_some() && !parsed.code.is_some_and(|status| STATUSES.contains(&status)) {
+        return Err(HeadError::Malformed);
+    }
+    Ok(len)
 }
 
 /// Length of a complete head; `None` if more bytes are needed.
--- a/lib/src/http1/reader.rs
+++ b/lib/src/http1/reader.rs
@@ -157,7 +157,7 @@
                 Err(_) if self.skipped.as_ref().is_some_and(SkippedBody::has_bytes) => {
                     return Err(ReadError::Swallowed);
                 }
-                Err(error) => return self.skip_fragment(buffer, error),
+                Err(error) => return self.skip_fragment(buffer, error, rules),
             };
             self.skipped = None;
             if let Some(at) = last_status_line(&buffer[..len]) {
@@ -192,8 +192,11 @@
         &mut self,
         buffer: &mut BytesMut,
         error: HeadError,
+        rules: &impl ResponseRules,
     ) -> Result<Option<ResponsePart>, ReadError> {
+        let is_head = find_status_line(buffer, 0) == Some(0);
         match find_status_line(buffer, 1) {
+            Some(at) if is_head && !is_cut(&buffer[..at], rules) => Err(ReadError::Ambiguous),
             Some(at) if error != HeadError::TooLarge => self.drop_fragment(buffer, at),
             // The next bytes tell whether a response begins here.
             None if error == HeadError::Malformed && begins_status_line(buffer) => Ok(None),
@@ -246,18 +249,21 @@
     find_status_line(&end, 0).is_some_and(|at| from + at < body.len() && begins_at(from + at))
 }
 
-/// Whether the line that these bytes begin cannot go on with a status line, so that it was cut.
+/// Whether the line that these bytes end in cannot go on with a status line, so that it was cut or none has begun.
 fn is_cut(bytes: &[u8], rules: &impl ResponseRules) -> bool {
     let line = bytes.rsplit(|byte| *byte == b'\n').next();
     let line = line.unwrap_or_default();
+    if line.ends_with(b"\r") {
+        return true;
+    }
     if let Some((status, reason)) = split_status_line(line) {
         return rules.is_reason(status, reason);
     }
     let mut parts = line.splitn(2, |byte| *byte == b':');
     let name = parts.next().unwrap_or_default();
-    // A quoted parameter may be any text.
+    // A quoted parameter may be any text, and the name of a field contains no status line.
     let has_format = |value: &[u8]| !value.contains(&b'"') && rules.is_formatted(name);
-    parts.next().is_some_and(has_format)
+    parts.next().is_none_or(has_format)
 }
 
 /// How much of a body was skipped.
--- a/lib/tests/test_http1.rs
+++ b/lib/tests/test_http1.rs
@@ -7,6 +7,10 @@
 /// Maximum size of a request head in bytes.
 const MAX_HEAD: usize = 4096;
 
+fn response(text: &str) -> Result<Option<Response>, HeadError> {
+    Response::take(&mut BytesMut::from(text))
+}
+
 fn request(text: &str) -> Result<Option<Request>, HeadError> {
     Request::take(&mut BytesMut::from(text), MAX_HEAD)
 }
@@ -38,6 +42,20 @@
     assert_eq!(request(folded), Err(HeadError::Malformed));
 }
 
+/// Guards against a response whose status is none of HTTP and that is taken for an answer.
+#[test]
+fn statuses_that_are_none_of_http_are_rejected() {
+    for status in 0..1000 {
+        let text = format!("HTTP/1.1 {status:03} X\r\nContent-Length: 0\r\n\r\n");
+        let head = response(&text).map(|head| head.map(|head| head.status));
+        if (100..600).contains(&status) {
+            assert_eq!(head, Ok(Some(status)));
+        } else {
+            assert_eq!(head, Err(HeadError::Malformed), "{status}");
+        }
+    }
+}
+
 #[test]
 fn a_head_over_the_limit_is_rejected_before_it_is_complete() {
     let long = format!("GET / HTTP/1.1\r\nA: {}", "b".repeat(MAX_HEAD));
