http1: reject lines of responses without a carriage return

Callers saw: an endpoint sent a head in which the name of a field began with a line feed. The caller got 200 with a body that was not the endpoint's: the rest of the head, cut to the length of the body (`Name` in place of `done`), or waited until its deadline (504) where the request's id stood behind that line.

Cause: the parser also takes a bare line feed for the end of a line, so one where a name begins ends the head. Requests were checked for it, responses were not. All other bytes that may not stand in a name or value were rejected before: each of the 256, at each place of names and values of 1 to 70 bytes.

Evidence: on the code before, test_relay_malformed::a_response_with_a_malformed_field_name_reaches_no_caller got 200 and the body `Name`; test_http1::{field_names_with_other_bytes_are_rejected, field_values_with_control_bytes_are_rejected, response_lines_without_a_carriage_return_are_rejected} and the property test_responses::nothing_is_concluded_of_a_malformed_response failed, the latter with a 200 whose body began with the seal.

Why this works: the check of lines is the one of requests, in the one parser of response heads, so a line feed alone ends no line for any reader.

--- a/daemon/tests/test_relay_malformed.rs
+++ b/daemon/tests/test_relay_malformed.rs
@@ -44,3 +44,25 @@
         assert_kept_back(&text).await;
     }
 }
+
+/// Guards against a field name with a blank or a control byte: its caller gets the line, or a body that begins with the
+/// rest of the head.
+#[actix_web::test]
+async fn a_response_with_a_malformed_field_name_reaches_no_caller() {
+    let whole = response("ID", 200, "done");
+    for byte in [' ', '\t', '\n', '\r', '\0', '\u{1}', '\u{b}', '\u{7f}'] {
+        for name in ["{}Name", "Na{}me", "Name{}"] {
+            let field = name.replace("{}", &byte.to_string()) + ": b\r\n";
+            // Behind the other fields, and before them.
+            for at in [whole.find("\r\n\r\n"), whole.find("Poplarvale")] {
+                let at = at.expect("the response has a head");
+                let (begin, end) = whole.split_at(at);
+                let text = match end.strip_prefix("\r\n") {
+                    Some(end) => format!("{begin}\r\n{field}{end}"),
+                    None => format!("{begin}{field}{end}"),
+                };
+                assert_kept_back(&text).await;
+            }
+        }
+    }
+}
--- a/lib/src/http1/head.rs
+++ b/lib/src/http1/head.rs
@@ -160,12 +160,15 @@
     parsed: &mut httparse::Response<'_, 'b>,
     buffer: &'b [u8],
 ) -> Result<Option<usize>, HeadError> {
-    let len = complete_len(parsed.parse(buffer), buffer.len(), MAX_RESPONSE_HEAD)?;
+    let Some(len) = complete_len(parsed.parse(buffer), buffer.len(), MAX_RESPONSE_HEAD)? else {
+        return Ok(None);
+    };
+    check_lines(&buffer[..len])?;
     // The parser takes any three digits.
-    if len.is_some() && !parsed.code.is_some_and(|status| STATUSES.contains(&status)) {
+    if !parsed.code.is_some_and(|status| STATUSES.contains(&status)) {
         return Err(HeadError::Malformed);
     }
-    Ok(len)
+    Ok(Some(len))
 }
 
 /// Length of a complete head; `None` if more bytes are needed.
@@ -185,7 +188,7 @@
 }
 
 /// Rejects lines that end without a carriage return: implementations differ on whether
-/// that ends a line, so a field could be hidden from one of them.
+/// that ends a line, so a field could be hidden from one of them, or a head end before its last field.
 fn check_lines(head: &[u8]) -> Result<(), HeadError> {
     let bare = |at: usize| head[at] == b'\n' && (at == 0 || head[at - 1] != b'\r');
     if (0..head.len()).any(bare) {
--- a/lib/tests/test_http1.rs
+++ b/lib/tests/test_http1.rs
@@ -56,6 +56,70 @@
     }
 }
 
+/// Whether a byte may stand in the name of a field.
+fn is_token(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+/// A response with this field and others before and behind it.
+fn response_with_field(field: &[u8]) -> BytesMut {
+    let mut text = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n".to_vec();
+    text.extend_from_slice(field);
+    text.extend_from_slice(b"\r\nServer: w\r\n\r\ndone");
+    BytesMut::from(&*text)
+}
+
+/// Guards against a field name with a byte that may not stand in it: the field is passed on as it is, or the head ends
+/// before it, so that the rest of the head is taken for the body.
+#[test]
+fn field_names_with_other_bytes_are_rejected() {
+    // The parser compares up to 32 bytes at once.
+    for len in [1, 7, 8, 9, 16, 17, 33, 70] {
+        for at in 0..len {
+            for byte in (0..=u8::MAX).filter(|byte| !is_token(*byte)) {
+                let mut field = vec![b'a'; len];
+                field[at] = byte;
+                field.extend_from_slice(b": b");
+                let head = Response::take(&mut response_with_field(&field));
+                // A colon ends the name.
+                if byte == b':' && at > 0 {
+                    assert!(matches!(head, Ok(Some(_))), "{field:?}: {head:?}");
+                } else {
+                    assert_eq!(head, Err(HeadError::Malformed), "{field:?}");
+                }
+            }
+        }
+    }
+}
+
+/// Guards against a control byte in a value, which may end the line for the next reader.
+#[test]
+fn field_values_with_control_bytes_are_rejected() {
+    for len in [1, 7, 8, 9, 16, 17, 33, 70] {
+        for at in 0..len {
+            for byte in (0..=u8::MAX).filter(|byte| byte.is_ascii_control() && *byte != b'\t') {
+                let mut field = b"Name: ".to_vec();
+                field.resize(field.len() + len, b'a');
+                let first = field.len() - len;
+                field[first + at] = byte;
+                let head = Response::take(&mut response_with_field(&field));
+                assert_eq!(head, Err(HeadError::Malformed), "{field:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a line of a response that ends without a carriage return.
+#[test]
+fn response_lines_without_a_carriage_return_are_rejected() {
+    let whole = "HTTP/1.1 200 OK\r\nServer: w\r\nContent-Length: 4\r\n\r\n";
+    assert!(matches!(response(whole), Ok(Some(_))));
+    for (at, _) in whole.match_indices('\r') {
+        let bare = [&whole[..at], &whole[at + 1..]].concat();
+        assert_eq!(response(&bare), Err(HeadError::Malformed), "{bare:?}");
+    }
+}
+
 #[test]
 fn a_head_over_the_limit_is_rejected_before_it_is_complete() {
     let long = format!("GET / HTTP/1.1\r\nA: {}", "b".repeat(MAX_HEAD));
