http1: take no line without a size for the last chunk

Callers saw: an endpoint broke off a body in chunks with an empty line where the size of the next chunk was due, and its caller got the part before it as a complete answer, or as a complete stream.

Cause: the parser takes a size line without digits (empty, blank or an extension only) for a size of 0, the last chunk, and any bytes, control bytes too, for an extension. Found while looking for other places where a response that is not valid HTTP is read as one.

Evidence: on the code before, test_relay_malformed::{an_answer_whose_last_chunk_has_no_size_reaches_no_caller (200, `begin`), a_stream_whose_last_chunk_has_no_size_is_not_complete (complete)} and test_http1::lines_that_state_no_size_end_no_body failed.

Why this works: a size line has to begin with a digit and to contain no control byte and no status line, as lines of the trailer do; otherwise the body is malformed there, and the attempt or the stream ends as broken off. The decoder is one for responses and requests.

--- a/daemon/tests/test_relay_malformed.rs
+++ b/daemon/tests/test_relay_malformed.rs
@@ -1,9 +1,15 @@
 //! Responses of endpoints that are not valid HTTP, and what their callers get.
 
-use poplarvale_standin::{Endpoint, SeenRequest, Step, ask, request, response};
+use std::time::Duration;
+
+use poplarvale_standin::{
+    Endpoint, SeenRequest, Step, ask, event, event_text, request, response, stream,
+};
 
 use crate::relay_site::Site;
 
+/// Time from an event to what follows it.
+const EVENT_TIME: Duration = Duration::from_millis(40);
 /// Statuses that HTTP does not define.
 const INVALID_STATUSES: [&str; 5] = ["000", "001", "099", "600", "999"];
 
@@ -66,3 +72,26 @@
         }
     }
 }
+
+/// Guards against an answer in chunks that breaks off and looks complete, as an empty line is taken for the last chunk.
+#[actix_web::test]
+async fn an_answer_whose_last_chunk_has_no_size_reaches_no_caller() {
+    let head = response("ID", 200, "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    for line in ["", ";a=b", " "] {
+        assert_kept_back(&format!("{head}5\r\nbegin\r\n{line}\r\n\r\n")).await;
+    }
+}
+
+/// Guards against a stream that breaks off in the same way.
+#[actix_web::test]
+async fn a_stream_whose_last_chunk_has_no_size_is_not_complete() {
+    let endpoint = Endpoint::start("i-1", |seen| {
+        let end = Step::Send("\r\n\r\n".to_owned());
+        vec![stream(seen), event(0), Step::Wait(EVENT_TIME), end]
+    })
+    .await;
+    let site = Site::start(&[&endpoint]).await;
+    let answer = ask(site.address(), &request("GET", "/stream/a", "r1", "")).await;
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.complete, answer.body), (false, event_text(0)));
+}
--- a/lib/src/http1/body.rs
+++ b/lib/src/http1/body.rs
@@ -117,6 +117,9 @@
                 }
                 State::ChunkSize => match httparse::parse_chunk_size(buffer) {
                     Ok(httparse::Status::Complete((len, size))) => {
+                        if !is_chunk_line(&buffer[..len]) {
+                            return Err(BodyError::Chunk);
+                        }
                         buffer.advance(len);
                         self.state = if size == 0 {
                             State::Trailer(0)
@@ -165,6 +168,16 @@
     }
 }
 
+/// Whether a line that the parser takes for the size line of a chunk is one: it also takes a line without digits for a
+/// size of 0, and any bytes for an extension.
+fn is_chunk_line(line: &[u8]) -> bool {
+    let line = line.strip_suffix(b"\r\n").unwrap_or(line);
+    let is_text = |byte: &u8| *byte == b'\t' || !byte.is_ascii_control();
+    line.first().is_some_and(u8::is_ascii_hexdigit)
+        && line.iter().all(is_text)
+        && find_status_line(line, 0).is_none()
+}
+
 /// Whether a line is empty or a field line of a trailer.
 fn is_trailer(line: &[u8]) -> bool {
     if line.is_empty() {
--- a/lib/tests/test_http1.rs
+++ b/lib/tests/test_http1.rs
@@ -154,6 +154,40 @@
     }
 }
 
+/// Guards against a body that breaks off and looks complete, as a line without a size is taken for the last chunk.
+#[test]
+fn lines_that_state_no_size_end_no_body() {
+    let lines = [
+        "",
+        " ",
+        "\t",
+        ";",
+        ";a=b",
+        " 0",
+        "x",
+        "-0",
+        "+0",
+        "0;\n",
+        "0;\0",
+        "0;a\u{1}",
+        "0;\u{7f}",
+        "0;HTTP/1.1 200 OK",
+    ];
+    for line in lines {
+        let mut body = Body::new(Framing::Chunked);
+        let mut buffer = BytesMut::from(format!("5\r\nhello\r\n{line}\r\n\r\n").as_str());
+        assert_eq!(body.take(&mut buffer), Ok(Some("hello".into())));
+        assert_eq!(body.take(&mut buffer), Err(BodyError::Chunk), "{line:?}");
+        assert!(!body.is_done());
+    }
+    for line in ["0", "00", "0 ", "0\t", "0;a=b", "0 ; a=\"b c\"", "0;\u{e9}"] {
+        let mut body = Body::new(Framing::Chunked);
+        let mut buffer = BytesMut::from(format!("{line}\r\n\r\n").as_str());
+        assert_eq!(body.take(&mut buffer), Ok(None), "{line:?}");
+        assert!(body.is_done());
+    }
+}
+
 #[test]
 fn bytes_after_an_answer_stay_in_the_buffer() {
     let text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n";
