exchange: take no end during an upload for the end of an answer

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body, ended its side of the connection and reset it while the upload was on its way. The caller got the part as a complete answer, and as a complete stream.

Cause: the end of a connection was taken for the end of a body without a length, whatever had become of the request. The kernel reports the end before the reset that follows it, and the error of that reset is not returned by reads any more. A reset alone was handled before: no write follows the head of an answer, so the error reaches the next read.

Change: at the end of its connection an answer without a length is complete only if the whole request was sent, the connection has no error, and nothing of what was sent is unacknowledged. Why this works: the segment that ends a connection acknowledges what its sender has received by then, so bytes that are unacknowledged at the end were not received when the endpoint ended its answer. The check costs two calls of the system and no time.

Ruled out: waiting until the connection is closed on both sides.

No library has a safe function for the number of unacknowledged bytes, so there is one call with `unsafe`. Where the system does not tell it, an end without an error counts as before.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -581,7 +581,7 @@
     conn: &mut BufferedStream,
     response: &EndpointResponse,
 ) -> Result<Bytes, ExchangeError> {
-    let body = read_body(conn, &response.head, &job.head.id, state.held.begin()).await?;
+    let body = read_body(conn, response, &job.head.id, state.held.begin()).await?;
     if !job.route.retry_policy.allows_retry() && response.is_promise() {
         return Err(ExchangeError::Unproven);
     }
@@ -697,7 +697,7 @@
     response: &EndpointResponse,
 ) {
     let until = Instant::now() + FULL_PAUSE;
-    let body = read_body(&mut conn, &response.head, &job.head.id, state.held.begin());
+    let body = read_body(&mut conn, response, &job.head.id, state.held.begin());
     if let Ok(Ok(_)) = timeout_at(until, body).await {
         keep_connection(state, address, conn, response);
     }
--- a/daemon/src/relay/buffered_stream.rs
+++ b/daemon/src/relay/buffered_stream.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsRawFd as _;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -55,6 +56,22 @@
         Ok(Self::new(stream))
     }
 
+    /// Whether a peer that has ended the connection had received all that was sent on it by then. With its end it
+    /// acknowledges what it has received.
+    pub(crate) fn is_received(&self) -> bool {
+        // A reset may have followed the end.
+        if !matches!(self.stream.take_error(), Ok(None)) {
+            return false;
+        }
+        match unacknowledged(&self.stream) {
+            Ok(bytes) => bytes == 0,
+            Err(error) => {
+                log::debug!("wire: the system does not tell what was received, {error}.");
+                true
+            }
+        }
+    }
+
     /// Whether an idle connection can be used again: it is open, and nothing was received on it
     /// since the last exchange.
     pub(crate) fn is_clean(&self) -> bool {
@@ -80,6 +97,21 @@
     }
 }
 
+/// Number of bytes that were sent on a connection and are not acknowledged.
+#[expect(
+    unsafe_code,
+    reason = "no library has a safe function for this request to the system"
+)]
+fn unacknowledged(stream: &TcpStream) -> io::Result<libc::c_int> {
+    let mut bytes = 0;
+    // SAFETY: the descriptor is open as long as the stream is borrowed, and this request writes one integer.
+    let result = unsafe { libc::ioctl(stream.as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
+    if result < 0 {
+        return Err(io::Error::last_os_error());
+    }
+    Ok(bytes)
+}
+
 /// Reads more bytes into a buffer; returns their number, 0 at the end of the connection.
 pub(crate) async fn fill(read: &mut ReadHalf<'_>, buffer: &mut BytesMut) -> io::Result<usize> {
     buffer.reserve(READ_BYTES);
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -89,6 +89,26 @@
         PROMISES.contains(&self.head.status)
     }
 
+    /// Handles the end of its connection.
+    ///
+    /// A body without a length ends with the connection. If the endpoint had not received the whole request by then, it
+    /// has given up, and the body may be a part: the reset that tells so follows the end of what it sent.
+    ///
+    /// # Errors
+    /// If the body is not complete.
+    pub(crate) fn finish(
+        &self,
+        conn: &BufferedStream,
+        body: &mut Body,
+    ) -> Result<(), ExchangeError> {
+        let is_delimited = self.head.framing != Framing::Close;
+        let is_whole = is_delimited || self.request_sent && conn.is_received();
+        if !is_whole {
+            return Err(ExchangeError::Broken);
+        }
+        body.finish().map_err(|_error| ExchangeError::Broken)
+    }
+
     /// Whether its connection can serve a further request, once the body was read.
     pub(crate) fn is_reusable(&self, conn: &BufferedStream) -> bool {
         self.head.keep_alive && self.request_sent && self.all_named && conn.buffer.is_empty()
@@ -225,13 +245,13 @@
 /// If the connection ends before the body does, or the body is malformed, completed by another response or too long.
 pub(crate) async fn read_body(
     conn: &mut BufferedStream,
-    head: &Response,
+    response: &EndpointResponse,
     id: &str,
     memory: Held,
 ) -> Result<Bytes, ExchangeError> {
-    let body = read_framed(conn, head, memory).await?;
+    let body = read_framed(conn, response, memory).await?;
     // The ends of chunks show by themselves that no other bytes stand in them.
-    let is_chunked = head.framing == Framing::Chunked;
+    let is_chunked = response.head.framing == Framing::Chunked;
     if !is_chunked && contains_response(&body, &conn.buffer, &ResponsesTo(id)) {
         return Err(ExchangeError::Invalid);
     }
@@ -241,11 +261,10 @@
 /// Reads a body to the end that its framing states.
 async fn read_framed(
     conn: &mut BufferedStream,
-    head: &Response,
+    response: &EndpointResponse,
     mut memory: Held,
 ) -> Result<Bytes, ExchangeError> {
-    let (mut read, _write) = conn.stream.split();
-    let mut body = Body::new(head.framing);
+    let mut body = Body::new(response.head.framing);
     let mut bytes = BytesMut::new();
     loop {
         loop {
@@ -263,9 +282,10 @@
         if body.is_done() {
             return Ok(bytes.freeze());
         }
+        let (mut read, _write) = conn.stream.split();
         let more = fill(&mut read, &mut conn.buffer).await;
         if more.map_err(|_error| ExchangeError::Broken)? == 0 {
-            body.finish().map_err(|_error| ExchangeError::Broken)?;
+            response.finish(conn, &mut body)?;
         }
     }
 }
--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -132,7 +132,7 @@
             AttemptEnd::NotRun(proof)
         };
         let why = record_not_taken(state, job, daemon, &response);
-        if read_body(&mut conn, &response.head, &job.head.id, state.held.begin())
+        if read_body(&mut conn, &response, &job.head.id, state.held.begin())
             .await
             .is_ok()
         {
@@ -150,7 +150,7 @@
     if is_unproven && !job.route.retry_policy.allows_retry() {
         return failed(state, job, daemon, ExchangeError::Unproven);
     }
-    match read_body(&mut conn, &response.head, &job.head.id, state.held.begin()).await {
+    match read_body(&mut conn, &response, &job.head.id, state.held.begin()).await {
         Ok(body) => {
             log_done(state, job, daemon);
             keep_connection(state, daemon, conn, &response);
--- a/daemon/src/relay/stream.rs
+++ b/daemon/src/relay/stream.rs
@@ -122,7 +122,7 @@
     pub(crate) async fn read(&mut self) -> Result<(), ExchangeError> {
         let (mut read, _write) = self.conn.stream.split();
         match fill(&mut read, &mut self.conn.buffer).await {
-            Ok(0) => self.body.finish().map_err(|_error| ExchangeError::Broken)?,
+            Ok(0) => self.response.finish(&self.conn, &mut self.body)?,
             Ok(_) => {}
             Err(_) => return Err(ExchangeError::Broken),
         }
--- a/daemon/tests/test_relay_answers.rs
+++ b/daemon/tests/test_relay_answers.rs
@@ -4,17 +4,22 @@
 use std::time::Duration;
 
 use poplarvale_standin::{
-    Endpoint, SeenRequest, Step, ask, event, event_text, plain, rejection, request, response,
-    stream, without_length,
+    Endpoint, SeenRequest, Step, ask, config, event, event_text, head, plain, rejection, request,
+    response, stream, without_length,
 };
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::TcpSocket;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-use crate::relay_site::{Site, store_with};
+use crate::relay_site::{ROUTES, Site, store_with};
 
 /// Body that does not fit into the receive buffer of a silent endpoint.
 const LONG_BODY_BYTES: usize = 60_000;
+/// Longest body that a configuration allows; longer than what connections hold.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Time after the begin of an answer.
+const PART_TIME: Duration = Duration::from_millis(50);
 
 fn end() -> Step {
     Step::Send("0\r\n\r\n".into())
@@ -172,16 +177,21 @@
     assert!(start.elapsed() < Duration::from_millis(3400));
 }
 
-/// Starts an endpoint that reads nothing for a time after it accepted a connection, and then
-/// answers its request. Its receive buffer is too small for a long request.
-fn start_silent(silence: Duration) -> SocketAddr {
+/// A listener whose connections receive little before it is read.
+fn listen_with_short_buffer() -> TcpListener {
     const RECEIVE_BUFFER_BYTES: u32 = 4096;
     let socket = TcpSocket::new_v4().expect("a socket");
     let sized = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
     sized.expect("the buffer size is allowed");
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     socket.bind(any).expect("a free port");
-    let listener = socket.listen(8).expect("a free port");
+    socket.listen(8).expect("a free port")
+}
+
+/// Starts an endpoint that reads nothing for a time after it accepted a connection, and then
+/// answers its request. Its receive buffer is too small for a long request.
+fn start_silent(silence: Duration) -> SocketAddr {
+    let listener = listen_with_short_buffer();
     let address = listener.local_addr().expect("it is bound");
     actix_web::rt::spawn(async move {
         let (mut stream, _) = listener.accept().await.expect("a daemon connects");
@@ -215,12 +225,17 @@
     let store = store_with(&[]).await;
     store.put("servers/i-1", entry.as_bytes());
     let site = Site::with_grace(store, 3).await;
-    let length = format!("Content-Length: {LONG_BODY_BYTES}\r\n");
-    let text = request("POST", "/once/a", "r1", &length) + &"x".repeat(LONG_BODY_BYTES);
+    let text = long_request("/once/a", "r1", LONG_BODY_BYTES);
     let answer = ask(site.address(), &text).await.expect("an answer");
     assert_eq!((answer.status, answer.body.as_str()), (200, "done"));
 }
 
+/// Text of a request with a body of this many bytes.
+fn long_request(path: &str, id: &str, body_bytes: usize) -> String {
+    let length = format!("Content-Length: {body_bytes}\r\n");
+    request("POST", path, id, &length) + &"x".repeat(body_bytes)
+}
+
 /// An answer has neither a length nor chunks and ends with its connection. It is whole.
 #[actix_web::test]
 async fn an_answer_without_length_is_passed_on_whole() {
@@ -309,3 +324,106 @@
     let answer = ask(site.address(), &request("GET", "/stream/a", "r1", "")).await;
     assert!(answer.is_ok_and(|answer| answer.status == 502));
 }
+
+/// How an endpoint ends a connection after the begin of an answer.
+#[derive(Clone, Copy, Debug)]
+enum Ending {
+    /// By a reset.
+    Reset,
+    /// By an end of what it sends, with a reset right behind it.
+    EndAndReset,
+    /// By an end of what it sends, with a reset after a time in which it reads nothing.
+    End,
+}
+
+/// Starts an endpoint that answers each request without a length once it has read its head, and gives the connection
+/// up in the middle of the answer. It runs in a thread of its own, so that the daemon may see the end before the reset.
+fn start_hasty(ending: Ending) -> SocketAddr {
+    let (send, receive) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        actix_web::rt::System::new().block_on(async move {
+            let listener = listen_with_short_buffer();
+            let address = listener.local_addr().expect("it is bound");
+            send.send(address).expect("the test waits");
+            while let Ok((stream, _)) = listener.accept().await {
+                actix_web::rt::spawn(answer_hastily(stream, ending));
+            }
+        });
+    });
+    receive.recv().expect("the thread listens")
+}
+
+async fn answer_hastily(mut stream: TcpStream, ending: Ending) {
+    let mut bytes = vec![0; 1024];
+    // Some connections are only opened, to see whether the endpoint accepts them.
+    if !matches!(stream.read(&mut bytes).await, Ok(len) if len > 0) {
+        return;
+    }
+    let text = String::from_utf8_lossy(&bytes);
+    let id = text
+        .lines()
+        .find_map(|line| line.strip_prefix("Poplarvale-Request-Id: "));
+    let Step::Send(begin) = head(id.expect("the request has an id"), "") else {
+        return;
+    };
+    let begin = begin + &event_text(0);
+    let sent = stream.write_all(begin.as_bytes()).await;
+    sent.expect("the connection is open");
+    tokio::time::sleep(PART_TIME).await;
+    if !matches!(ending, Ending::Reset) {
+        stream.shutdown().await.expect("the connection is open");
+    }
+    if matches!(ending, Ending::End) {
+        tokio::time::sleep(PART_TIME).await;
+    }
+    let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    reset.expect("a connection can be reset");
+}
+
+/// Guards against a part of an answer without a length that looks complete, as its endpoint gave up before it had
+/// received the whole request: the reset that tells so comes behind the end of what it sent.
+#[actix_web::test]
+async fn an_answer_without_length_to_a_part_of_a_request_is_not_complete() {
+    let other = Endpoint::start("i-1", |_| Vec::new()).await;
+    let limits = config(2, &ROUTES, 0).replace("65536", &MAX_BODY_BYTES.to_string());
+    for ending in [Ending::Reset, Ending::EndAndReset, Ending::End] {
+        let address = start_hasty(ending).to_string();
+        let entry = other.entry("app", "ready");
+        let entry = entry.replace(&other.address.to_string(), &address);
+        for body_bytes in [LONG_BODY_BYTES, 1024 * 1024, MAX_BODY_BYTES] {
+            for path in ["/once/a", "/stream/a"] {
+                let store = store_with(&[]).await;
+                store.put("op/config", limits.as_bytes());
+                store.put("servers/i-1", entry.as_bytes());
+                let site = Site::with_grace(store, 3).await;
+                let text = long_request(path, "r1", body_bytes);
+                let answer = ask(site.address(), &text).await.expect("an answer");
+                let is_kept_back = answer.status == 502 || !answer.complete;
+                assert!(is_kept_back, "{ending:?} {body_bytes} {path}: {answer:?}");
+            }
+        }
+    }
+}
+
+/// Guards against an answer without length that is lost although its endpoint has received the whole request.
+#[actix_web::test]
+async fn an_answer_without_length_to_a_long_request_is_passed_on_whole() {
+    let script = |seen: &SeenRequest| {
+        let pause = Step::Wait(PART_TIME);
+        let rest = Step::Send(event_text(1));
+        vec![
+            without_length(seen, &event_text(0)),
+            pause,
+            rest,
+            Step::Close,
+        ]
+    };
+    let endpoint = Endpoint::start("i-1", script).await;
+    let site = Site::start(&[&endpoint]).await;
+    for path in ["/once/a", "/stream/a"] {
+        let text = long_request(path, "r1", LONG_BODY_BYTES);
+        let answer = ask(site.address(), &text).await.expect("an answer");
+        assert_eq!((answer.status, answer.complete), (200, true), "{path}");
+        assert_eq!(answer.body, event_text(0) + &event_text(1), "{path}");
+    }
+}
