exchange: a part that needs no request ids

`Sending` sends a request while what comes back is read, and `read_framed` reads a body to its end, both without the state of the relay and without rules of the platform, so that calls of plain services can be made the same way. What is logged and counted is as before; the line of a failed attempt now names what was found in place of a response.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -7,7 +7,7 @@
 //! drops the connection to the endpoint, which cancels the work there.
 
 mod attempt;
-mod buffered_stream;
+pub(crate) mod buffered_stream;
 mod caller;
 mod catalog;
 mod checkpoint;
@@ -17,9 +17,9 @@
 mod duties;
 mod era;
 mod evacuation;
-mod exchange;
+pub(crate) mod exchange;
 mod forward;
-mod held;
+pub(crate) mod held;
 mod logging;
 mod metrics;
 mod peers;
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -4,7 +4,7 @@
 use poplarvale_lib::NotSent;
 use poplarvale_lib::http1::{
     Body, BodyError, Framing, Named, ReadError, Response, ResponsePart, ResponseReader,
-    contains_response,
+    ResponseRules, contains_response,
 };
 use poplarvale_lib::relay::attempts::AttemptEnd;
 use poplarvale_platform::{ResponseMeta, ResponsesTo, read_response_meta, states_not_run};
@@ -45,6 +45,9 @@
     /// What was received is malformed or not a response to this request.
     #[error("the response is malformed or does not belong to this request")]
     Invalid,
+    /// The response cannot be told from what else was received.
+    #[error("no response was found, {0}")]
+    Unread(#[from] ReadError),
     /// The status tells callers that the request did not run, but the endpoint does not state so.
     #[error("its status would promise that the request did not run, which it does not state")]
     Unproven,
@@ -60,7 +63,7 @@
             Self::NotSent(proof) => AttemptEnd::NotConnected(proof),
             Self::Broken => AttemptEnd::Broken,
             Self::TimedOut => AttemptEnd::TimedOut,
-            Self::Invalid | Self::Unproven | Self::TooLong => AttemptEnd::Invalid,
+            Self::Invalid | Self::Unread(_) | Self::Unproven | Self::TooLong => AttemptEnd::Invalid,
         }
     }
 }
@@ -91,9 +94,6 @@
 
     /// Handles the end of its connection.
     ///
-    /// A body without a length ends with the connection. If the endpoint had not received the whole request by then, it
-    /// has given up, and the body may be a part: the reset that tells so follows the end of what it sent.
-    ///
     /// # Errors
     /// If the body is not complete.
     pub(crate) fn finish(
@@ -101,12 +101,7 @@
         conn: &BufferedStream,
         body: &mut Body,
     ) -> Result<(), ExchangeError> {
-        let is_delimited = self.head.framing != Framing::Close;
-        let is_whole = is_delimited || self.request_sent && conn.is_received();
-        if !is_whole {
-            return Err(ExchangeError::Broken);
-        }
-        body.finish().map_err(|_error| ExchangeError::Broken)
+        finish(conn, self.head.framing, self.request_sent, body)
     }
 
     /// Whether its connection can serve a further request, once the body was read.
@@ -161,49 +156,84 @@
     request: &Outgoing,
     id: &str,
 ) -> Result<EndpointResponse, ExchangeError> {
-    let (mut read, mut write) = conn.stream.split();
-    let buffer = &mut conn.buffer;
-    let mut written = 0;
+    let mut sending = Sending::new(conn, request);
     let mut skipped = 0;
     let mut all_named = true;
-    let mut reader = ResponseReader::default();
     loop {
-        loop {
-            let part = reader.next(buffer, &ResponsesTo(id));
-            match part.map_err(|error| invalid(state, id, error))? {
-                None => break,
-                Some(ResponsePart::Own(response)) => {
-                    return Ok(EndpointResponse {
-                        meta: read_response_meta(&response),
-                        is_intact: response.is_intact(),
-                        head: response.into_head(),
-                        request_sent: written == request.len(),
-                        all_named,
-                        skipped,
-                    });
-                }
-                Some(ResponsePart::Stray(head, named)) => {
-                    record_stray(state, id, &head, named);
-                    all_named &= named != Named::Nothing;
-                }
-                Some(ResponsePart::Fragment(bytes)) => {
-                    record_fragment(state, id, bytes);
-                    all_named = false;
-                }
+        let part = sending.next(&ResponsesTo(id)).await;
+        match part.inspect_err(|error| record_unread(state, id, *error))? {
+            ResponsePart::Own(response) => {
+                return Ok(EndpointResponse {
+                    meta: read_response_meta(&response),
+                    is_intact: response.is_intact(),
+                    head: response.into_head(),
+                    request_sent: sending.is_sent(),
+                    all_named,
+                    skipped,
+                });
+            }
+            ResponsePart::Stray(head, named) => {
+                record_stray(state, id, &head, named);
+                all_named &= named != Named::Nothing;
             }
-            skipped += 1;
+            ResponsePart::Fragment(bytes) => {
+                record_fragment(state, id, bytes);
+                all_named = false;
+            }
+        }
+        skipped += 1;
+    }
+}
+
+/// A request that is sent while what comes back is read.
+#[derive(Debug)]
+pub(crate) struct Sending<'r> {
+    conn: &'r mut BufferedStream,
+    request: &'r Outgoing,
+    written: usize,
+    reader: ResponseReader,
+}
+
+impl<'r> Sending<'r> {
+    /// Begins to send a request; what is in the buffer of the connection was received before.
+    pub(crate) fn new(conn: &'r mut BufferedStream, request: &'r Outgoing) -> Self {
+        Self {
+            conn,
+            request,
+            written: 0,
+            reader: ResponseReader::default(),
         }
-        tokio::select! {
-            // What is received before the first byte was sent is no response to it.
-            biased;
-            more = write.write(request.rest(written)), if written < request.len() => match more {
-                Ok(len) if len > 0 => written += len,
-                _ => return Err(broken(written)),
-            },
-            more = fill(&mut read, buffer) => match more {
-                Ok(len) if len > 0 && written > 0 => {}
-                _ => return Err(broken(written)),
-            },
+    }
+
+    /// Whether the whole request was sent.
+    pub(crate) fn is_sent(&self) -> bool {
+        self.written == self.request.len()
+    }
+
+    /// Reads the next response, or part of one, and sends more of the request until then.
+    pub(crate) async fn next(
+        &mut self,
+        rules: &impl ResponseRules,
+    ) -> Result<ResponsePart, ExchangeError> {
+        let (mut read, mut write) = self.conn.stream.split();
+        let buffer = &mut self.conn.buffer;
+        loop {
+            if let Some(part) = self.reader.next(buffer, rules)? {
+                return Ok(part);
+            }
+            let rest = self.request.rest(self.written);
+            tokio::select! {
+                // What is received before the first byte was sent is no response to it.
+                biased;
+                more = write.write(rest), if !rest.is_empty() => match more {
+                    Ok(len) if len > 0 => self.written += len,
+                    _ => return Err(broken(self.written)),
+                },
+                more = fill(&mut read, buffer) => match more {
+                    Ok(len) if len > 0 && self.written > 0 => {}
+                    _ => return Err(broken(self.written)),
+                },
+            }
         }
     }
 }
@@ -233,10 +263,11 @@
 }
 
 /// Records that the response to a request cannot be told from what else was received.
-fn invalid(state: &State, id: &str, error: ReadError) -> ExchangeError {
-    state.measure(|metrics| metrics.record_stray("not told apart"));
-    log::info!(request = id; "wire: found no response, {error}.");
-    ExchangeError::Invalid
+fn record_unread(state: &State, id: &str, error: ExchangeError) {
+    if let ExchangeError::Unread(error) = error {
+        state.measure(|metrics| metrics.record_stray("not told apart"));
+        log::info!(request = id; "wire: found no response, {error}.");
+    }
 }
 
 /// Reads the complete body of a response to the request with this id; `memory` bounds its length.
@@ -249,22 +280,27 @@
     id: &str,
     memory: Held,
 ) -> Result<Bytes, ExchangeError> {
-    let body = read_framed(conn, response, memory).await?;
+    let framing = response.head.framing;
+    let body = read_framed(conn, (framing, response.request_sent), memory).await?;
     // The ends of chunks show by themselves that no other bytes stand in them.
-    let is_chunked = response.head.framing == Framing::Chunked;
+    let is_chunked = framing == Framing::Chunked;
     if !is_chunked && contains_response(&body, &conn.buffer, &ResponsesTo(id)) {
         return Err(ExchangeError::Invalid);
     }
     Ok(body)
 }
 
-/// Reads a body to the end that its framing states.
-async fn read_framed(
+/// Reads a body to the end that its framing states; `memory` bounds its length, and the flag is whether the whole
+/// request was sent when the response began.
+///
+/// # Errors
+/// If the connection ends before the body does, or the body is malformed or too long.
+pub(crate) async fn read_framed(
     conn: &mut BufferedStream,
-    response: &EndpointResponse,
+    (framing, request_sent): (Framing, bool),
     mut memory: Held,
 ) -> Result<Bytes, ExchangeError> {
-    let mut body = Body::new(response.head.framing);
+    let mut body = Body::new(framing);
     let mut bytes = BytesMut::new();
     loop {
         loop {
@@ -285,7 +321,24 @@
         let (mut read, _write) = conn.stream.split();
         let more = fill(&mut read, &mut conn.buffer).await;
         if more.map_err(|_error| ExchangeError::Broken)? == 0 {
-            response.finish(conn, &mut body)?;
+            finish(conn, framing, request_sent, &mut body)?;
         }
     }
 }
+
+/// Handles the end of the connection of a response.
+///
+/// A body without a length ends with the connection. If the endpoint had not received the whole request by then, it has
+/// given up, and the body may be a part: the reset that tells so follows the end of what it sent.
+fn finish(
+    conn: &BufferedStream,
+    framing: Framing,
+    request_sent: bool,
+    body: &mut Body,
+) -> Result<(), ExchangeError> {
+    let is_whole = framing != Framing::Close || request_sent && conn.is_received();
+    if !is_whole {
+        return Err(ExchangeError::Broken);
+    }
+    body.finish().map_err(|_error| ExchangeError::Broken)
+}
