attempt: read responses of plain services as the relay does

Callers saw: a plain service answered with status 600 or 999, with a head in which a field began with a line feed (body `Name` in place of `done`), or with lines without a carriage return, and its caller got that as an answer; a service gave up in the middle of an answer without a length, before it had received a long request, and the caller got the part as the whole.

Cause: calls of plain services were made by hyper, which takes any three digits from 100 on, bare line feeds and any end of a connection. It offers no way to see the bytes, so this cannot be checked behind it.

Evidence: test_plain::malformed_responses_of_plain_services_reach_no_caller (600) and an_answer_of_a_plain_service_to_a_part_of_a_request_is_not_complete (`Close`, 200, `begin`) failed on the code before. Status 000 and empty chunk sizes were rejected before.

Why this works: these calls now use the sending, the parser and the decoder of the relay, so what holds there holds here. A connection that breaks before a byte was written is now told as not sent. hyper checked the target of a request; that check stays (test_plain::a_path_with_an_encoded_line_end_is_not_sent, green before and after). hyper, hyper-util and http-body-util are not needed any more.

Engines (`awc`) were left: only a 200 counts there, each event names its attempt and position, and only the end marker completes an answer.

--- a/daemon/src/attempt/plain.rs
+++ b/daemon/src/attempt/plain.rs
@@ -3,28 +3,27 @@
 //! Non-idempotent requests need two distinctions that awc does not make. It reports a connection
 //! that broke after the request was read as one that was never established, so a booking that ran
 //! would be reported as not run. And it reports a truncated chunked response as one that ended, so
-//! half an answer would count as complete. hyper distinguishes both, and a connection made here is
-//! known to be established before anything is written.
+//! half an answer would count as complete. Requests are sent and responses read as by the relay, which
+//! distinguishes both and takes nothing malformed for an answer.
 
-use std::error::Error;
-use std::net::SocketAddr;
-
-use bytes::Bytes;
-use compact_str::CompactString;
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{HeaderMap, Request, Response};
-use hyper_util::rt::TokioIo;
+use actix_web::http::Uri;
+use bytes::{BufMut as _, Bytes, BytesMut};
+use compact_str::{CompactString, format_compact};
+use poplarvale_lib::http1::{Named, Response, ResponsePart, ResponseRules};
 use poplarvale_lib::{Code, NotSent, Outcome, Send, hex};
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use super::{CONNECT_TIMEOUT, piece_outcome};
 use crate::answer::Head;
 use crate::headers::forwardable;
 use crate::job::Job;
+use crate::relay::buffered_stream::BufferedStream;
+use crate::relay::exchange::{ExchangeError, Outgoing, Sending, read_framed};
+use crate::relay::held::HeldBytes;
+
+/// Methods whose requests state the length of their body, also if that is empty.
+const METHODS_WITH_BODY: [&str; 3] = ["PATCH", "POST", "PUT"];
 
 /// Request to a plain service.
 pub(super) struct Call<'a> {
@@ -35,82 +34,107 @@
     pub(super) max_bytes: usize,
 }
 
-/// A connection that closes when the call ends or is cancelled.
-struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    task: JoinHandle<()>,
-}
+/// Rules of a connection that serves one request, so that any response is its own.
+struct OnlyRequest;
+
+impl ResponseRules for OnlyRequest {
+    fn named(&self, _response: &Response) -> Named {
+        Named::Expected
+    }
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
+    fn is_formatted(&self, _field: &[u8]) -> bool {
+        false
+    }
+
+    fn is_reason(&self, _status: &[u8], _begin: &[u8]) -> bool {
+        false
+    }
+
+    fn is_marked(&self, _response: &Response) -> bool {
+        false
     }
 }
 
 pub(super) async fn run(job: &Job, send: &Send, call: Call<'_>) -> Outcome {
-    let Ok(request) = request(job, send, &call) else {
-        // hyper rejected a header that the server's library accepted; nothing was sent.
+    // Percent encoding was decoded, so a target may contain what ends a request line.
+    if call.target.parse::<Uri>().is_err() {
+        return Outcome::Unsent(NotSent::unconnected());
+    }
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(send.address)).await;
+    let Ok(Ok(stream)) = connected else {
         return Outcome::Unsent(NotSent::unconnected());
     };
-    let mut connection = match connect(send.address).await {
-        Ok(connection) => connection,
-        Err(proof) => return Outcome::Unsent(proof),
-    };
-    let Ok(response) = connection.sender.send_request(request).await else {
-        return Outcome::Failed { code: Code::Broken };
-    };
-    read_response(job, send, response, call.max_bytes).await
-}
-
-async fn connect(address: SocketAddr) -> Result<Connection, NotSent> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = stream.map_err(|_late| NotSent::unconnected())?;
-    let stream = stream.map_err(|_refused| NotSent::unconnected())?;
-    let made = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = made.map_err(|_broken| NotSent::unconnected())?;
-    let task = actix::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!("attempt: connection to {address} failed: {error}.");
+    let mut conn = BufferedStream::new(stream);
+    match exchange(&mut conn, job, send, &call).await {
+        Ok((head, body)) => add_answer(job, send, &head, body),
+        Err(ExchangeError::NotSent(proof)) => Outcome::Unsent(proof),
+        Err(error) => {
+            log::debug!("attempt: call of {} failed: {error}.", send.address);
+            let code = match error {
+                ExchangeError::TooLong => Code::LargeAnswer,
+                _ => Code::Broken,
+            };
+            Outcome::Failed { code }
         }
-    });
-    Ok(Connection { sender, task })
+    }
 }
 
-fn request(
+/// Sends the request and reads the complete response.
+async fn exchange(
+    conn: &mut BufferedStream,
     job: &Job,
     send: &Send,
     call: &Call<'_>,
-) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
-    let mut request = Request::builder()
-        .method(call.method.as_str())
-        .uri(call.target.as_str())
-        .header("host", send.address.to_string())
-        .header("x-attempt-id", hex(send.attempt).as_str());
+) -> Result<(Response, Bytes), ExchangeError> {
+    let request = Outgoing::new(request_head(job, send, call), &job.body);
+    let mut sending = Sending::new(conn, &request);
+    let head = match sending.next(&OnlyRequest).await? {
+        ResponsePart::Own(response) if response.is_intact() => response.into_head(),
+        _ => return Err(ExchangeError::Invalid),
+    };
+    let request_sent = sending.is_sent();
+    let memory = HeldBytes::of_answer(call.max_bytes).begin();
+    let body = read_framed(conn, (head.framing, request_sent), memory).await?;
+    Ok((head, body))
+}
+
+fn request_head(job: &Job, send: &Send, call: &Call<'_>) -> BytesMut {
+    let mut out = BytesMut::with_capacity(1024);
+    let Call { method, target, .. } = call;
+    let begin = format_compact!(
+        "{method} {target} HTTP/1.1\r\nhost: {}\r\nx-attempt-id: {}\r\n",
+        send.address,
+        hex(send.attempt)
+    );
+    out.put_slice(begin.as_bytes());
     for (name, value) in call.headers {
-        request = request.header(name.as_str(), value.as_ref());
+        out.put_slice(name.as_bytes());
+        out.put_slice(b": ");
+        out.put_slice(value);
+        out.put_slice(b"\r\n");
     }
-    request.body(Full::new(job.body.clone()))
+    if !job.body.is_empty() || METHODS_WITH_BODY.contains(&method.as_str()) {
+        let length = format_compact!("content-length: {}\r\n", job.body.len());
+        out.put_slice(length.as_bytes());
+    }
+    out.put_slice(b"\r\n");
+    out
 }
 
-async fn read_response(
-    job: &Job,
-    send: &Send,
-    response: Response<Incoming>,
-    max_bytes: usize,
-) -> Outcome {
-    let status = response.status().as_u16();
-    let (parts, body) = response.into_parts();
+fn add_answer(job: &Job, send: &Send, response: &Response, body: Bytes) -> Outcome {
+    let status = response.status;
+    let fields = response.fields.0.iter();
+    let names = fields.map(|(name, value)| {
+        let name = String::from_utf8_lossy(name).to_ascii_lowercase();
+        (name, value)
+    });
+    let names: Vec<(String, &Bytes)> = names.collect();
+    let pairs = names
+        .iter()
+        .map(|(name, value)| (name.as_str(), value.as_ref()));
     let head = Head {
         status,
-        headers: forwardable(pairs(&parts.headers)),
-    };
-    let body = match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
-            return Outcome::Failed {
-                code: body_error(&*error),
-            };
-        }
+        headers: forwardable(pairs),
     };
     let added = job
         .answer
@@ -121,18 +145,3 @@
         Err(error) => piece_outcome(error),
     }
 }
-
-fn pairs(headers: &HeaderMap) -> impl Iterator<Item = (&str, &[u8])> {
-    headers
-        .iter()
-        .map(|(name, value)| (name.as_str(), value.as_bytes()))
-}
-
-/// Code for a response body that could not be read.
-fn body_error(error: &(dyn Error + 'static)) -> Code {
-    if error.is::<LengthLimitError>() {
-        Code::LargeAnswer
-    } else {
-        Code::Broken
-    }
-}
--- a/daemon/src/relay/held.rs
+++ b/daemon/src/relay/held.rs
@@ -70,6 +70,11 @@
         Self::new(MAX_SHORT_BYTES, 1.0, MAX_SHORT_BYTES)
     }
 
+    /// Creates the bound for one answer of at most so many bytes.
+    pub(crate) fn of_answer(max_bytes: usize) -> Rc<Self> {
+        Self::new(max_bytes, 1.0, max_bytes)
+    }
+
     fn new(one: usize, long_share: f64, all: usize) -> Rc<Self> {
         Rc::new(Self {
             sum: Cell::new(0),
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -14,6 +14,7 @@
 mod test_operators;
 mod test_path;
 mod test_peers;
+mod test_plain;
 mod test_platform;
 mod test_probe;
 mod test_relay_announced;
