--- a/daemon/src/attempt/plain.rs
+++ b/daemon/src/attempt/plain.rs
@@ -9,7 +9,7 @@
 use actix_web::http::Uri;
 use bytes::{BufMut as _, Bytes, BytesMut};
 use compact_str::{CompactString, format_compact};
-use poplarvale_lib::http1::{Named, Response, ResponsePart, ResponseRules};
+use poplarvale_lib::http1::{OnlyRequest, Response, ResponsePart};
 use poplarvale_lib::{Code, NotSent, Outcome, Send, hex};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -34,27 +34,6 @@
     pub(super) max_bytes: usize,
 }
 
-/// Rules of a connection that serves one request, so that any response is its own.
-struct OnlyRequest;
-
-impl ResponseRules for OnlyRequest {
-    fn named(&self, _response: &Response) -> Named {
-        Named::Expected
-    }
-
-    fn is_formatted(&self, _field: &[u8]) -> bool {
-        false
-    }
-
-    fn is_reason(&self, _status: &[u8], _begin: &[u8]) -> bool {
-        false
-    }
-
-    fn is_marked(&self, _response: &Response) -> bool {
-        false
-    }
-}
-
 pub(super) async fn run(job: &Job, send: &Send, call: Call<'_>) -> Outcome {
     // Percent encoding was decoded, so a target may contain what ends a request line.
     if call.target.parse::<Uri>().is_err() {
--- a/lib/src/http1.rs
+++ b/lib/src/http1.rs
@@ -17,5 +17,6 @@
 pub use fields::{Field, Fields};
 pub use head::{Framing, HeadError, Request, Response};
 pub use reader::{
-    Attributed, Named, ReadError, ResponsePart, ResponseReader, ResponseRules, contains_response,
+    Attributed, Named, OnlyRequest, ReadError, ResponsePart, ResponseReader, ResponseRules,
+    contains_response,
 };
--- a/lib/src/http1/reader.rs
+++ b/lib/src/http1/reader.rs
@@ -56,6 +56,28 @@
     fn is_marked(&self, response: &Response) -> bool;
 }
 
+/// Rules of a connection that serves one request, so that any response is its own.
+#[derive(Clone, Copy, Debug)]
+pub struct OnlyRequest;
+
+impl ResponseRules for OnlyRequest {
+    fn named(&self, _response: &Response) -> Named {
+        Named::Expected
+    }
+
+    fn is_formatted(&self, _field: &[u8]) -> bool {
+        false
+    }
+
+    fn is_reason(&self, _status: &[u8], _begin: &[u8]) -> bool {
+        false
+    }
+
+    fn is_marked(&self, _response: &Response) -> bool {
+        false
+    }
+}
+
 /// Reason for which a response cannot be found on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ReadError {
--- a/lib/testutils/src/proofs.rs
+++ b/lib/testutils/src/proofs.rs
@@ -2,28 +2,7 @@
 
 use bytes::BytesMut;
 use poplarvale_lib::NotRun;
-use poplarvale_lib::http1::{Named, Response, ResponsePart, ResponseReader, ResponseRules};
-
-/// Takes every response for that of the request.
-struct OnlyRequest;
-
-impl ResponseRules for OnlyRequest {
-    fn named(&self, _response: &Response) -> Named {
-        Named::Expected
-    }
-
-    fn is_formatted(&self, _field: &[u8]) -> bool {
-        false
-    }
-
-    fn is_reason(&self, _status: &[u8], _begin: &[u8]) -> bool {
-        false
-    }
-
-    fn is_marked(&self, _response: &Response) -> bool {
-        false
-    }
-}
+use poplarvale_lib::http1::{OnlyRequest, ResponsePart, ResponseReader};
 
 /// Proof that a request was not run, of a whole rejection.
 ///
