http1: find malformed responses in bodies that they completed

Callers would have seen: an endpoint breaks off in a body with a length and sends another response, whose status HTTP does not define or whose lines lack a carriage return; the beginning of that one is delivered as the end of the body.

Cause: since such a head is malformed, and the search for responses in bodies read heads by the same rules, so it no longer found them.

Why this works: where the question is whether bytes are a part of another response, all that the parser reads as a head counts again, as before. What is taken for an answer has to pass the stricter check.

--- a/lib/src/http1/head.rs
+++ b/lib/src/http1/head.rs
@@ -115,17 +115,34 @@
     /// # Errors
     /// If the bytes are not one head with unambiguous framing.
     pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>, HeadError> {
+        Self::take_checked(buffer, |status, head| {
+            check_response(status, head)?;
+            match last_status_line(head) {
+                Some(_) => Err(HeadError::Joined),
+                None => Ok(()),
+            }
+        })
+    }
+
+    /// Like [`Response::take`], also if the parser takes more for a head than HTTP does.
+    pub(super) fn take_lenient(buffer: &mut BytesMut) -> Result<Option<Self>, HeadError> {
+        Self::take_checked(buffer, |_, _| Ok(()))
+    }
+
+    /// Takes a head whose status and bytes pass a check.
+    fn take_checked(
+        buffer: &mut BytesMut,
+        check: impl FnOnce(u16, &[u8]) -> Result<(), HeadError>,
+    ) -> Result<Option<Self>, HeadError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut parsed = httparse::Response::new(&mut headers);
-        let Some(len) = parse_response(&mut parsed, buffer)? else {
+        let Some(len) = complete_len(parsed.parse(buffer), buffer.len(), MAX_RESPONSE_HEAD)? else {
             return Ok(None);
         };
-        if last_status_line(&buffer[..len]).is_some() {
-            return Err(HeadError::Joined);
-        }
         let (Some(status), Some(minor)) = (parsed.code, parsed.version) else {
             return Err(HeadError::Malformed);
         };
+        check(status, &buffer[..len])?;
         let base = buffer.as_ptr() as usize;
         let spans = spans(base, parsed.headers);
         let head = buffer.split_to(len).freeze();
@@ -152,23 +169,22 @@
 /// Length of the complete head of a response; `None` if more bytes are needed.
 pub(super) fn complete_response_len(buffer: &[u8]) -> Result<Option<usize>, HeadError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
-    parse_response(&mut httparse::Response::new(&mut headers), buffer)
+    let mut parsed = httparse::Response::new(&mut headers);
+    let len = complete_len(parsed.parse(buffer), buffer.len(), MAX_RESPONSE_HEAD)?;
+    if let (Some(len), Some(status)) = (len, parsed.code) {
+        check_response(status, &buffer[..len])?;
+    }
+    Ok(len)
 }
 
-/// Parses the head of a response; returns its length, `None` if more bytes are needed.
-fn parse_response<'b>(
-    parsed: &mut httparse::Response<'_, 'b>,
-    buffer: &'b [u8],
-) -> Result<Option<usize>, HeadError> {
-    let Some(len) = complete_len(parsed.parse(buffer), buffer.len(), MAX_RESPONSE_HEAD)? else {
-        return Ok(None);
-    };
-    check_lines(&buffer[..len])?;
-    // The parser takes any three digits.
-    if !parsed.code.is_some_and(|status| STATUSES.contains(&status)) {
-        return Err(HeadError::Malformed);
+/// Rejects what the parser takes for the head of a response and HTTP does not.
+fn check_response(status: u16, head: &[u8]) -> Result<(), HeadError> {
+    check_lines(head)?;
+    if STATUSES.contains(&status) {
+        Ok(())
+    } else {
+        Err(HeadError::Malformed)
     }
-    Ok(Some(len))
 }
 
 /// Length of a complete head; `None` if more bytes are needed.
--- a/lib/src/http1/reader.rs
+++ b/lib/src/http1/reader.rs
@@ -10,7 +10,7 @@
 //! all but the first. The last one begins the response that the end of the head belongs to. It is taken for that
 //! response only if the line in which it stands cannot be a line of a head: then no reading but this one is left.
 //! Otherwise, as when it stands in a field of any text, neither reading is certain, and nothing is concluded. Bytes that
-//! are no head are skipped up to the next status line.
+//! are no head, or a malformed one, are skipped up to the next status line by the same rule.
 //!
 //! A body that is skipped may have broken off as well, and then takes the beginning of the next response. So nothing
 //! is concluded where no response begins behind it, or one that names the request begins within it.
@@ -255,7 +255,7 @@
     let begins_at = |at: usize| {
         let bytes = body[at..].iter().chain(behind);
         let mut bytes: BytesMut = bytes.take(MAX_RESPONSE_HEAD).copied().collect();
-        let head = Response::take(&mut bytes);
+        let head = Response::take_lenient(&mut bytes);
         head.is_ok_and(|head| head.is_some_and(|head| rules.is_marked(&head)))
     };
     let mut from = 0;
@@ -347,17 +347,12 @@
     fn search(&mut self, rules: &impl ResponseRules) -> Result<(), ReadError> {
         while let Some(at) = find_status_line(&self.tail, 0) {
             self.tail.advance(at);
-            match complete_response_len(&self.tail) {
+            match Response::take_lenient(&mut self.tail.clone()) {
                 Ok(None) => return Ok(()),
-                Ok(Some(_)) => {
-                    let head = Response::take(&mut self.tail.clone());
-                    if let Ok(Some(head)) = head
-                        && rules.named(&head) == Named::Expected
-                    {
-                        return Err(ReadError::Swallowed);
-                    }
+                Ok(Some(head)) if rules.named(&head) == Named::Expected => {
+                    return Err(ReadError::Swallowed);
                 }
-                Err(_) => {}
+                Ok(Some(_)) | Err(_) => {}
             }
             self.tail.advance(1);
         }
