--- a/daemon/src/attempt/plain.rs
+++ b/daemon/src/attempt/plain.rs
@@ -9,7 +9,7 @@
 use actix_web::http::Uri;
 use bytes::{BufMut as _, Bytes, BytesMut};
 use compact_str::{CompactString, format_compact};
-use poplarvale_lib::http1::{OnlyRequest, Response, ResponsePart};
+use poplarvale_lib::http1::{Field, OnlyRequest, Response, ResponsePart};
 use poplarvale_lib::{Code, NotSent, Outcome, Send, hex};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -102,13 +102,12 @@
 
 fn add_answer(job: &Job, send: &Send, response: &Response, body: Bytes) -> Outcome {
     let status = response.status;
-    let fields = response.fields.0.iter();
-    let names = fields.map(|(name, value)| {
+    let lowercase = |(name, value): &Field| {
         let name = String::from_utf8_lossy(name).to_ascii_lowercase();
-        (name, value)
-    });
-    let names: Vec<(String, &Bytes)> = names.collect();
-    let pairs = names
+        (name, value.clone())
+    };
+    let fields: Vec<(String, Bytes)> = response.fields.0.iter().map(lowercase).collect();
+    let pairs = fields
         .iter()
         .map(|(name, value)| (name.as_str(), value.as_ref()));
     let head = Head {
