--- a/daemon/tests/test_relay_answers.rs
+++ b/daemon/tests/test_relay_answers.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use poplarvale_standin::{
-    Endpoint, SeenRequest, Step, ask, config, event, event_text, head, plain, rejection, request,
-    response, stream, without_length,
+    Endpoint, SeenRequest, Step, ask, config, event, event_text, head, id_field, plain, rejection,
+    request, response, stream, without_length,
 };
 
 use socket2::SockRef;
@@ -362,7 +362,7 @@
     let text = String::from_utf8_lossy(&bytes);
     let id = text
         .lines()
-        .find_map(|line| line.strip_prefix("Poplarvale-Request-Id: "));
+        .find_map(|line| line.strip_prefix(&id_field("")));
     let Step::Send(begin) = head(id.expect("the request has an id"), "") else {
         return;
     };
--- a/daemon/tests/test_relay_malformed.rs
+++ b/daemon/tests/test_relay_malformed.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use poplarvale_standin::{
-    Endpoint, SeenRequest, Step, ask, event, event_text, request, response, stream,
+    Endpoint, SeenRequest, Step, ask, event, event_text, id_field, request, response, stream,
 };
 
 use crate::relay_site::Site;
@@ -60,7 +60,7 @@
         for name in ["{}Name", "Na{}me", "Name{}"] {
             let field = name.replace("{}", &byte.to_string()) + ": b\r\n";
             // Behind the other fields, and before them.
-            for at in [whole.find("\r\n\r\n"), whole.find("Poplarvale")] {
+            for at in [whole.find("\r\n\r\n"), whole.find(&id_field("ID"))] {
                 let at = at.expect("the response has a head");
                 let (begin, end) = whole.split_at(at);
                 let text = match end.strip_prefix("\r\n") {
