watch: a daemon that becomes a watcher reads the daemons' keys again

A daemon that becomes a watcher goes on with a watch from the revision of its feed. The feed has only the registry, so a removal of the leader's key before that revision was never seen: the daemon went on with the name of a holder that was gone, and is_vacant said no until the key changed again.

Ruled out: a lease that the store kept; the key was gone. The keys are now read again at that moment, one call.

--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -166,6 +166,8 @@
         if !was_watcher {
             // What the former watchers knew of the store is as old as their last feed.
             state.store_failed(state.connectivity.get().last_answer());
+            // Feeds have only the registry, and a watch returns only later changes.
+            state.read_own.set(false);
         }
         state.read_store.notify_one();
     }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -52,7 +52,7 @@
     pub(crate) config_due: Notify,
     /// Whether this daemon reads the configuration from the store, as no other one has it.
     pub(crate) reads_config: Cell<bool>,
-    /// Whether the keys that daemons write were read since the start.
+    /// Whether the keys that daemons write were read since the start or, by a watcher, since it became one.
     pub(crate) read_own: Cell<bool>,
     pub(crate) endpoints: RefCell<EndpointTable>,
     pub(crate) quota: RefCell<Quota>,
