relay: a daemon that is not fed reads the store itself

Cause: what a daemon knows of the store came from the two watchers of its zone, chosen by rank. Candidates that were lost with them counted as running, as the dead had listed them, and their silence counted only from when they were chosen: 1 to 1.25 s a pair.

A daemon whose last known answer of the store is 1.4 s old now reads the changes itself, spread over 0.2 s by a hash of its address, and feeds its zone. The bound rests only on what the daemon itself can see. After failures it waits 1 to 4 s.

With it: - answers that others got no longer count as answers to this daemon, or watchers that the store does not answer would not be passed over; - a new watcher no longer takes the silence of the former ones for an outage; a failed call counts from the last answer that is known; - changes of the operators after the known revision no longer make the next watch count as incomplete.

Ruled out: passing over all silent candidates at once, and a second way for the registry from other zones; both depend on who is believed to run.

--- a/daemon/src/relay/peers.rs
+++ b/daemon/src/relay/peers.rs
@@ -5,6 +5,7 @@
 //! - its counts of runs to the duty holder,
 //! - as a watcher, the sums of its zone to the watchers of the other zones,
 //! - as a watcher, the sums of the fleet and the changes of the store to the daemons of its zone,
+//! - what it read of the store though it is no watcher, to the daemons of its zone,
 //! - who runs and who watches to a few random daemons, and to those that ask for it.
 //!
 //! All parts are whole states: a datagram that is lost, late or duplicated does no harm. What is
@@ -97,6 +98,9 @@
             send_zone_use(&state, &socket, &left, now);
             send_to_members(&state, &socket, &mut schedule, &left, now);
         }
+        if state.feeds_zone.take() {
+            send_to_zone(&state, &socket, &left, now);
+        }
         send_runs(&state, &socket, &mut schedule, now);
         if now >= schedule.partners {
             schedule.partners = now + send_to_partners(&state, &socket, now);
@@ -164,8 +168,6 @@
         let role = if was_watcher { "no longer " } else { "" };
         log::info!("peers: this daemon is {role}a watcher of its zone.");
         if !was_watcher {
-            // What the former watchers knew of the store is as old as their last feed.
-            state.store_failed(state.connectivity.get().last_answer());
             // Feeds have only the registry, and a watch returns only later changes.
             state.read_own.set(false);
         }
@@ -291,6 +293,21 @@
     }
 }
 
+/// Sends the changes of the store to all daemons of this zone, whoever its watchers are.
+fn send_to_zone(state: &State, socket: &UdpSocket, left: &[u32], now: Instant) {
+    let Some(feed) = state.store_progress.borrow().feed(now) else {
+        return;
+    };
+    let mut digest = header(state, now);
+    digest.left = left.to_vec();
+    digest.news = Some(news(state, feed, now));
+    let bytes = digest.encode_to_vec();
+    let daemons = state.peers.borrow().local_addresses();
+    for daemon in daemons {
+        send_to(state, socket, daemon, &bytes);
+    }
+}
+
 /// What this daemon misses of the registry, if it does not know what the store held a moment ago.
 fn pull(state: &State, now: Instant) -> Option<digest::Pull> {
     let progress = state.store_progress.borrow();
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -79,6 +79,9 @@
     pub(crate) read_store: Notify,
     /// Whether a watcher has to read everything again, as it may have missed changes.
     pub(crate) reads_all: Cell<bool>,
+    /// Whether the next digest goes to all daemons of the zone, with what this daemon read of the
+    /// registry though it is no watcher.
+    pub(crate) feeds_zone: Cell<bool>,
     /// What this daemon reported of itself lately.
     pub(crate) sent_uses: RefCell<SentUses>,
     /// Address of the duty holder and its fencing token, as digests report it.
@@ -104,6 +107,8 @@
     /// Notified when a check whether a service is reached may be due.
     pub(crate) check_due: Notify,
     pub(crate) connectivity: Cell<Connectivity>,
+    /// When the store last answered this daemon itself; its start before that.
+    answered: Cell<Instant>,
     /// When a part of a response of the store last arrived.
     pub(crate) receiving: Cell<Option<Instant>>,
     pub(crate) metrics: Option<Metrics>,
@@ -175,6 +180,7 @@
             store_progress: RefCell::default(),
             read_store: Notify::new(),
             reads_all: Cell::new(false),
+            feeds_zone: Cell::new(false),
             sent_uses: RefCell::default(),
             holder: Cell::new(None),
             eras: Rc::default(),
@@ -192,6 +198,7 @@
             links: RefCell::default(),
             check_due: Notify::new(),
             connectivity: Cell::new(Connectivity::new(started)),
+            answered: Cell::new(started),
             receiving: Cell::new(None),
             metrics: Metrics::new(),
             sampler: Sampler::new(started),
@@ -241,22 +248,35 @@
 
     /// Records that the store answered a call.
     pub(crate) fn store_answered(&self, now: Instant) {
+        self.answered.set(now);
+        self.record_fed(now);
+    }
+
+    /// Records that the store answered another daemon, which fed this one.
+    pub(crate) fn record_fed(&self, answered: Instant) {
         let mut connectivity = self.connectivity.get();
-        connectivity.record_answer(now);
+        connectivity.record_answer(answered);
         self.connectivity.set(connectivity);
     }
 
-    /// When the store last answered this daemon, or sent a part of an answer. A watcher on a slow link
-    /// must not be passed over while it receives a long one.
+    /// When the store last answered this daemon itself, or sent a part of an answer. A watcher on a slow
+    /// link must not be passed over while it receives a long one.
     pub(crate) fn store_heard(&self) -> Instant {
-        let answered = self.connectivity.get().last_answer();
+        let answered = self.answered.get();
         self.receiving.get().map_or(answered, |at| at.max(answered))
     }
 
     /// Records that the store did not answer a call that was started at `began`.
     pub(crate) fn store_failed(&self, began: Instant) {
         let mut connectivity = self.connectivity.get();
-        connectivity.record_failure(began, Instant::now());
+        let fed = connectivity.last_answer();
+        // What others were answered tells nothing of the time after their last answer.
+        let from = if fed > self.answered.get() {
+            fed.min(began)
+        } else {
+            began
+        };
+        connectivity.record_failure(from, Instant::now());
         self.connectivity.set(connectivity);
     }
 
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -3,7 +3,10 @@
 //! Only the watchers of a zone do so, and send what they read to the others: the registry as a feed of
 //! changes, the configuration on request. The store answers a watch as soon as
 //! something changes, and each call is paid for, so the next watch starts after a pause and
-//! returns all changes since the last one in a single answer.
+//! returns all changes since the last one in a single answer. Another daemon reads the changes itself
+//! when [`refresh`] tells, and feeds them to its zone.
+//!
+//! [`refresh`]: poplarvale_lib::relay::refresh
 
 use std::fmt::{self, Display, Formatter};
 use std::rc::Rc;
@@ -16,6 +19,7 @@
 use poplarvale_lib::relay::listing::Listing;
 use poplarvale_lib::relay::membership::WATCHERS;
 use poplarvale_lib::relay::quota::name_hash;
+use poplarvale_lib::relay::refresh::Refresh;
 use poplarvale_lib::relay::rollout::Order;
 use poplarvale_lib::{EndpointId, Revision, era_of};
 use poplarvale_platform::{
@@ -34,12 +38,19 @@
 use super::startup;
 use super::state::State;
 
-/// How long the store may hold a watch open. A connection on which the store stopped answering
+/// How long the store may hold a watch open at most. A connection on which the store stopped answering
 /// stays unanswered after the store's return, so this bounds how long a daemon does not know
 /// that endpoints left.
-const WATCH_TIME: Duration = Duration::from_millis(800);
-/// How much longer than [`WATCH_TIME`] an answer may take, for the network and a slow store.
+const MAX_WATCH_TIME: Duration = Duration::from_millis(800);
+/// How long it may do so at least.
+const MIN_WATCH_TIME: Duration = Duration::from_millis(100);
+/// How much longer than a watch may be held its answer may take, for the network and a slow store.
 const WATCH_SLACK: Duration = Duration::from_millis(600);
+/// Time between two answers of the store to a watcher if nothing changes. With the time until the next
+/// digest it is shorter than [`MAX_FED_AGE`], so that fed daemons need not read the store.
+///
+/// [`MAX_FED_AGE`]: poplarvale_lib::relay::refresh::MAX_FED_AGE
+const ANSWER_INTERVAL: Duration = Duration::from_millis(1100);
 /// Timeout until the first byte of a page of a list. A call that an unresponsive store does not
 /// answer delays the next attempt by this time. Together with [`MAX_RETRY_DELAY`] this bounds how late
 /// a daemon notices the store's return: operators and leaving endpoints rely on two seconds. A
@@ -52,7 +63,7 @@
 /// Added to the pause for each other daemon, up to [`MAX_PAUSE`]. The daemon that is first to see
 /// an endpoint leave sends that to the others at once, so together they watch often enough.
 const PAUSE_PER_PEER: Duration = Duration::from_millis(12);
-const MAX_PAUSE: Duration = Duration::from_millis(1300);
+const MAX_PAUSE: Duration = Duration::from_secs(1);
 /// Delay after a failed call, doubled after each further failure up to [`MAX_RETRY_DELAY`].
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(700);
@@ -84,8 +95,10 @@
     Config,
     /// The operators' keys and the whole registry.
     All,
-    /// The changes after a revision.
+    /// The changes after a revision, as they come.
     Watch(Revision),
+    /// The changes after a revision up to now, as no watcher feeds them.
+    Refresh(Revision),
     /// Nothing until this moment.
     Wait(Instant),
 }
@@ -97,6 +110,7 @@
             Self::Config => "reading the operators' keys",
             Self::All => "reading all keys",
             Self::Watch(_) => "watching for changes",
+            Self::Refresh(_) => "reading the changes",
             Self::Wait(_) => "waiting",
         })
     }
@@ -108,9 +122,11 @@
     let mut delay = RETRY_DELAY;
     let mut failing = false;
     let mut next_watch = Instant::now();
+    let mut refresh = Refresh::new(state.peers.borrow().own_address());
     loop {
         let began = Instant::now();
-        let task = next_task(&state, next_watch, began);
+        let task = next_task(&state, next_watch, &refresh, began);
+        let was_ready = state.start.is_ready();
         if task == Task::All {
             state.start.begin_read(began);
         }
@@ -130,7 +146,12 @@
                     () = state.start.until_received() => continue,
                 }
             }
-            Task::Watch(after) => watch_once(&state, &mut client, after).await,
+            Task::Watch(after) => watch_once(&state, &mut client, after, watch_time(&state)).await,
+            Task::Refresh(after) => {
+                // Nothing is known of a connection that was not used for long.
+                client = Client::of_store(&state);
+                read_changes(&state, &mut client, after).await
+            }
             Task::Wait(until) => {
                 tokio::select! {
                     () = tokio::time::sleep_until(until.into()) => {}
@@ -151,6 +172,10 @@
                 state.measure(|metrics| metrics.record_call("store", "done"));
                 delay = RETRY_DELAY;
                 next_watch = now + watch_pause(&state);
+                refresh.record_answer();
+                if was_ready && matches!(task, Task::Refresh(_) | Task::All) {
+                    feed_zone(&state);
+                }
             }
             Err(error) => {
                 state.measure(|metrics| metrics.record_call("store", "failed"));
@@ -175,6 +200,7 @@
                 if !state.connectivity.get().is_reachable() {
                     state.reads_all.set(true);
                 }
+                refresh.record_failure(Instant::now(), fastrand::f64());
                 tokio::time::sleep(delay).await;
                 delay = (delay * 2).min(MAX_RETRY_DELAY);
             }
@@ -183,7 +209,7 @@
 }
 
 /// What this daemon has to read next, where a watcher's next watch is due at `next_watch`.
-fn next_task(state: &State, next_watch: Instant, now: Instant) -> Task {
+fn next_task(state: &State, next_watch: Instant, refresh: &Refresh, now: Instant) -> Task {
     if !state.read_own.get() {
         return Task::Own;
     }
@@ -201,7 +227,15 @@
     }
     let peers = state.peers.borrow();
     if !peers.is_watcher() {
-        return Task::Wait(now + MAX_WAIT);
+        let Some(answered) = progress.answered_at() else {
+            return Task::Wait(now + MAX_WAIT);
+        };
+        let due = refresh.due(answered);
+        return match progress.watch_from() {
+            _ if now < due => Task::Wait(due),
+            Some(after) if !state.reads_all.get() => Task::Refresh(after),
+            Some(_) | None => Task::All,
+        };
     }
     // A daemon that has just started does not know yet which daemons rank before it.
     let discovered = state.started + DISCOVERY_TIME;
@@ -210,7 +244,7 @@
     }
     let lacks_config = |known| !progress.has_config_until(known);
     let (local, remote) = peers.config_sources(progress.config_revision(), now);
-    match progress.revision() {
+    match progress.watch_from() {
         // A watch goes on from the registry's revision and does not return earlier changes.
         Some(known) if lacks_config(known) && local.is_empty() && remote.is_empty() => Task::Config,
         Some(_) if now < next_watch => Task::Wait(next_watch),
@@ -225,6 +259,23 @@
     state.quarantined.notify_one();
 }
 
+/// Has the daemons of this zone fed what this daemon read though it is no watcher.
+fn feed_zone(state: &State) {
+    if !state.peers.borrow().is_watcher() {
+        log::info!(
+            "store: no watcher feeds this daemon; it has read the store and feeds its zone."
+        );
+        state.feeds_zone.set(true);
+        state.digest_due.notify_one();
+    }
+}
+
+/// How long the store may hold the next watch open.
+fn watch_time(state: &State) -> Duration {
+    let time = ANSWER_INTERVAL.saturating_sub(watch_pause(state));
+    time.clamp(MIN_WATCH_TIME, MAX_WATCH_TIME)
+}
+
 /// Pause until the next watch of a daemon that watches the store itself.
 fn watch_pause(state: &State) -> Duration {
     let peers = state.peers.borrow();
@@ -411,11 +462,16 @@
     }
 }
 
-/// Waits for the changes after a revision once and applies them.
-async fn watch_once(state: &State, client: &mut Client, after: u64) -> Result<(), WatchError> {
+/// Waits for the changes after a revision once, for so long, and applies them.
+async fn watch_once(
+    state: &State,
+    client: &mut Client,
+    after: Revision,
+    time: Duration,
+) -> Result<(), WatchError> {
     let is_complete = state.store_progress.borrow().has_config_until(after);
-    let call = watch(WATCH_PREFIX, after, WATCH_TIME);
-    let reply: Reply = client.call(&call, WATCH_TIME + WATCH_SLACK).await?;
+    let call = watch(WATCH_PREFIX, after, time);
+    let reply: Reply = client.call(&call, time + WATCH_SLACK).await?;
     let watched = read_watch(&reply, after)?;
     let known = state.store_progress.borrow().revision();
     let mut effects = Vec::new();
@@ -440,6 +496,19 @@
     Ok(())
 }
 
+/// Reads the changes after a revision, and the operators' keys if this daemon lacks any before it.
+async fn read_changes(
+    state: &State,
+    client: &mut Client,
+    after: Revision,
+) -> Result<(), WatchError> {
+    watch_once(state, client, after, Duration::ZERO).await?;
+    if state.store_progress.borrow().needs_config() {
+        read_operators(state, client).await?;
+    }
+    Ok(())
+}
+
 /// Applies a change of any watched key; returns its effect on an endpoint, if it is one of the
 /// registry.
 fn apply_change(state: &State, change: &Change) -> Option<(EndpointId, Changed)> {
@@ -554,7 +623,12 @@
     if let Some(zones) = evacuated {
         evacuation::replace(state, zones);
         if let Some(answered) = now.checked_sub(feed.age) {
-            state.store_answered(answered);
+            state.record_fed(answered);
+        }
+        let is_back = state.connectivity.get().is_reachable();
+        if is_back && !state.peers.borrow().is_watcher() {
+            // Whoever sent the feed has read everything again.
+            state.reads_all.set(false);
         }
     }
     let own = state.endpoints.borrow().checksum();
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -39,6 +39,7 @@
 mod test_relay_odd_entries;
 mod test_relay_partition;
 mod test_relay_quota;
+mod test_relay_refresh;
 mod test_relay_restores;
 mod test_relay_retries;
 mod test_relay_rollout;
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -39,6 +39,7 @@
 pub mod prefix_cache;
 pub mod quota;
 pub mod reachability;
+pub mod refresh;
 pub mod request;
 pub(crate) mod rests;
 pub mod rollout;
--- a/lib/src/relay/change_feed.rs
+++ b/lib/src/relay/change_feed.rs
@@ -148,8 +148,12 @@
     revision: Option<Revision>,
     /// When the store last answered this daemon or, if later, the watcher that it is fed by.
     answered_at: Option<Instant>,
+    /// Whether the last pages that were merged lack changes that their sender knew.
+    is_behind: bool,
     /// Revision of the newest change of the operators that this daemon was told of.
     config_revision: Revision,
+    /// Revision of the newest of them up to [`revision`](Self::revision).
+    config_known: Revision,
     /// Revision up to which all of them are in force here.
     config_read: Option<Revision>,
     /// Last change of each endpoint, in the order of their revisions.
@@ -168,6 +172,18 @@
         self.revision
     }
 
+    /// When the store last answered this daemon or, if later, the one that it is fed by; `None`
+    /// before the registry was read.
+    pub fn answered_at(&self) -> Option<Instant> {
+        self.answered_at
+    }
+
+    /// Revision after which a watch returns all that this daemon lacks; `None` if there is none, as
+    /// the registry was not read, or some pages of it were not received.
+    pub fn watch_from(&self) -> Option<Revision> {
+        self.revision.filter(|_| !self.is_behind)
+    }
+
     /// Records that the whole registry was read, as of a revision.
     pub fn record_snapshot(
         &mut self,
@@ -211,6 +227,7 @@
         }
         self.revision = Some(revision);
         self.answered_at = Some(now);
+        self.is_behind = false;
         self.snapshot = None;
     }
 
@@ -229,6 +246,9 @@
     /// Records a change that every daemon has to learn of.
     pub fn record_config_change(&mut self, revision: Revision) {
         self.config_revision = self.config_revision.max(revision);
+        if self.revision.is_some_and(|known| revision <= known) {
+            self.config_known = self.config_known.max(revision);
+        }
     }
 
     /// Records that all changes of the operators up to a revision are in force here.
@@ -249,11 +269,22 @@
     /// Whether all changes of the operators up to a revision are in force here, as far as this daemon
     /// knows the changes up to then.
     pub fn has_config_until(&self, revision: Revision) -> bool {
-        let newest = self.config_revision;
+        // One that was told of by a daemon that knows later changes does not count.
+        let newest = if self.config_revision <= revision {
+            self.config_revision
+        } else {
+            self.config_known
+        };
         self.config_read
             .is_some_and(|read| read >= revision || (newest <= revision && read >= newest))
     }
 
+    /// Records that all changes up to the revision `until` are known, where `newest` is the newest change
+    /// of the operators. If that comes later, there may be any up to then.
+    fn record_config_known(&mut self, newest: Revision, until: Revision) {
+        self.config_known = self.config_known.max(newest.min(until));
+    }
+
     /// Whether this daemon lacks a change of the operators.
     pub fn needs_config(&self) -> bool {
         self.config_read
@@ -264,6 +295,7 @@
     pub fn record_watch(&mut self, revision: Revision, now: Instant) {
         self.revision = Some(self.revision.map_or(revision, |known| known.max(revision)));
         self.answered_at = Some(now);
+        self.record_config_known(self.config_revision, revision);
         let is_old = |row: &LogEntry| {
             let is_removal = matches!(row.change, RegistryChange::Removed(_));
             is_removal && now.saturating_duration_since(row.at) > TOMBSTONE_TIME
@@ -385,6 +417,7 @@
             return FeedAction::Ignore;
         }
         self.config_revision = self.config_revision.max(feed.config_revision);
+        let before = self.revision;
         let action = if feed.is_snapshot {
             self.merge_snapshot(feed, now)
         } else {
@@ -393,6 +426,10 @@
         if self.revision.is_some_and(|known| known >= feed.newest) {
             let answered = now.checked_sub(feed.age);
             self.answered_at = self.answered_at.max(answered);
+            self.is_behind = false;
+            self.record_config_known(feed.config_revision, feed.newest);
+        } else if self.revision != before {
+            self.is_behind = true;
         }
         action
     }
--- a/lib/src/relay/connectivity.rs
+++ b/lib/src/relay/connectivity.rs
@@ -45,11 +45,15 @@
         }
     }
 
-    /// Records an answer that came at `now`.
-    pub fn record_answer(&mut self, now: Instant) {
-        self.last_answer = self.last_answer.max(now);
+    /// Records an answer that came at `at`, to this daemon or to one that feeds it. An answer from
+    /// before the first failing call does not end an interruption.
+    pub fn record_answer(&mut self, at: Instant) {
+        self.last_answer = self.last_answer.max(at);
+        if self.failing_since.is_some_and(|first| at <= first) {
+            return;
+        }
         self.failing_since = None;
-        self.since.get_or_insert(now);
+        self.since.get_or_insert(at);
     }
 
     /// Records that a call which started at `began` got no answer.
--- a/lib/src/relay/membership.rs
+++ b/lib/src/relay/membership.rs
@@ -562,6 +562,12 @@
         })
     }
 
+    /// Addresses of all known daemons of this zone, also of those that may not run.
+    pub fn local_addresses(&self) -> Vec<Ipv4Addr> {
+        let rows = self.rows.iter().filter(|row| self.is_local(row));
+        rows.map(|row| row.address).collect()
+    }
+
     /// Watchers of the other zones.
     pub fn remote_watchers(&self) -> impl Iterator<Item = &Peer> {
         let rows = self.rows.iter().filter(|row| self.is_remote(row));
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -48,6 +48,7 @@
 mod test_relay_quarantine;
 mod test_relay_quota;
 mod test_relay_reachability;
+mod test_relay_refresh;
 mod test_relay_reserve;
 mod test_relay_rollout;
 mod test_relay_rollout_troubles;
--- a/lib/tests/test_relay_change_feed.rs
+++ b/lib/tests/test_relay_change_feed.rs
@@ -325,3 +325,39 @@
     assert!(progress.needs_config());
     assert!(progress.has_config_until(10));
 }
+
+/// Guards against a daemon that watches from a revision up to which it lacks changes that are in no watch.
+#[test]
+fn a_daemon_that_lacks_pages_does_not_watch() {
+    let now = Instant::now();
+    let (mut watcher, mut other) = pair(now);
+    assert!(other.watch_from().is_some());
+    for count in 0..500 {
+        watcher.record_change(100 + count, put(&format!("n-{count}")), now);
+    }
+    watcher.record_watch(600, now);
+    let first = page(&watcher, other.pull(), now);
+    assert!(first.revision < first.newest);
+    other.merge(&first, now);
+    assert_eq!(other.watch_from(), None);
+    while other.revision() < watcher.revision() {
+        let next = page(&watcher, other.pull(), now);
+        other.merge(&next, now);
+    }
+    assert_eq!(other.watch_from(), Some(600));
+}
+
+/// Guards against a daemon that takes a change for missed which the next watch returns, as another daemon told of it
+/// before.
+#[test]
+fn a_change_that_the_next_watch_returns_is_not_missed() {
+    let now = Instant::now();
+    let (watcher, mut other) = pair(now);
+    let known = other.revision().expect("the registry was read");
+    other.record_config_read(known - 1);
+    other.merge(&feed(&watcher, now), now);
+    assert!(other.has_config_until(known));
+    other.record_config_change(known + 2);
+    assert!(other.needs_config());
+    assert!(other.has_config_until(known));
+}
--- a/lib/tests/test_relay_connectivity.rs
+++ b/lib/tests/test_relay_connectivity.rs
@@ -123,3 +123,17 @@
     connectivity.record_answer(began + LONG);
     assert!(connectivity.is_reachable());
 }
+
+/// Guards against an outage that a daemon takes for over by what the store answered another one before it.
+#[test]
+fn an_answer_from_before_an_outage_does_not_end_it() {
+    let start = Instant::now();
+    let mut connectivity = Connectivity::new(start);
+    connectivity.record_answer(start);
+    connectivity.record_failure(start + CALM, start + LONG);
+    assert!(!connectivity.is_reachable());
+    connectivity.record_answer(start + CALM);
+    assert!(!connectivity.is_reachable());
+    connectivity.record_answer(start + LONG);
+    assert!(connectivity.is_reachable());
+}
