exchange: wait for a reset behind the end of an answer without a length

An endpoint that gives up a long request ends its side of the connection and then closes it, which resets it, as it has not read all.

Cause: the end was believed if all that was sent had been acknowledged, and the kernel of the endpoint's host acknowledges what fits into the receive buffer. The daemon now waits up to half a second for the reset where the request has a body that is not sent in one piece with its head, and not beyond the caller's deadline.

Ruled out: ending the daemon's side first, as the system takes no reset any more once both sides have ended; the offered window, as its updates may be missing. A reset in place of the end, and a status of 000, were not delivered before either.

Before: test_relay_answers::an_answer_without_length_to_an_unread_request_is_not_complete failed with a 200 on a body of 60 KB. After: it passes, with the other tests of answers.

--- a/daemon/src/attempt/plain.rs
+++ b/daemon/src/attempt/plain.rs
@@ -71,9 +71,9 @@
         ResponsePart::Own(response) if response.is_intact() => response.into_head(),
         _ => return Err(ExchangeError::Invalid),
     };
-    let request_sent = sending.is_sent();
+    let begun = sending.sent(None);
     let memory = HeldBytes::of_answer(call.max_bytes).begin();
-    let body = read_framed(conn, (head.framing, request_sent), memory).await?;
+    let body = read_framed(conn, head.framing, begun, memory).await?;
     Ok((head, body))
 }
 
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -127,7 +127,14 @@
         at: Std::now(),
         guard,
     };
-    let response = match exchange(state, &mut conn, &bytes, &job.head.id).await {
+    let response = match exchange(
+        state,
+        &mut conn,
+        &bytes,
+        (&job.head.id, job.deadline.into_std()),
+    )
+    .await
+    {
         Ok(response) => response,
         Err(error @ ExchangeError::NotSent(_)) => return Err(error.end()),
         Err(error) => return sent.fail(state, job, error),
--- a/daemon/src/relay/buffered_stream.rs
+++ b/daemon/src/relay/buffered_stream.rs
@@ -5,11 +5,11 @@
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd as _;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use socket2::SockRef;
-use tokio::io::AsyncReadExt as _;
+use tokio::io::{AsyncReadExt as _, Interest};
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
 
@@ -72,6 +72,14 @@
         }
     }
 
+    /// Whether a peer that has ended the connection resets it before some moment. That follows as soon as the peer closes
+    /// the connection without having read all that its host had received.
+    pub(crate) async fn is_reset_until(&self, until: Instant) -> bool {
+        let reset = self.stream.ready(Interest::ERROR);
+        let ended = tokio::time::timeout_at(until.into(), reset).await;
+        ended.is_ok() || !matches!(self.stream.take_error(), Ok(None))
+    }
+
     /// Whether an idle connection can be used again: it is open, and nothing was received on it
     /// since the last exchange.
     pub(crate) fn is_clean(&self) -> bool {
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -1,5 +1,7 @@
 //! Sends a request to an endpoint and reads the head of its response.
 
+use std::time::{Duration, Instant};
+
 use bytes::{Bytes, BytesMut};
 use poplarvale_lib::NotSent;
 use poplarvale_lib::http1::{
@@ -18,6 +20,14 @@
 /// takes its memory once.
 const MAX_COPIED_BYTES: usize = 16 * 1024;
 
+/// How long a reset may follow the end of a response without a length that answers a long request. An
+/// endpoint that gives up a request that it has not read ends its side of the connection before it closes
+/// it.
+const RESET_TIME: Duration = Duration::from_millis(500);
+
+/// Time for which a response is passed on before the deadline of its request.
+const DELIVERY_TIME: Duration = Duration::from_millis(50);
+
 /// Statuses that tell a caller that its request did not run and will not run.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
@@ -74,9 +84,9 @@
     pub(crate) head: Response,
     /// What the endpoint states in its own fields of the head.
     pub(crate) meta: ResponseMeta,
-    /// Whether the whole request was sent by then. If not, the connection cannot be reused: the
+    /// What was sent of the request by then. If it is a part, the connection cannot be reused: the
     /// endpoint would parse the rest of this request as a new one.
-    pub(crate) request_sent: bool,
+    pub(crate) sent: SentRequest,
     /// Whether all that was received before it were whole responses that name their requests. If not, more of that
     /// may follow.
     all_named: bool,
@@ -92,21 +102,43 @@
         PROMISES.contains(&self.head.status)
     }
 
-    /// Handles the end of its connection.
+    /// Handles the end of its connection, at which `ended` is set. It may be dropped and called again.
     ///
     /// # Errors
     /// If the body is not complete.
-    pub(crate) fn finish(
+    pub(crate) async fn finish(
         &self,
         conn: &BufferedStream,
         body: &mut Body,
+        ended: &mut Option<Instant>,
     ) -> Result<(), ExchangeError> {
-        finish(conn, self.head.framing, self.request_sent, body)
+        let ended = *ended.get_or_insert_with(Instant::now);
+        finish(conn, self.head.framing, self.sent, body, ended).await
     }
 
     /// Whether its connection can serve a further request, once the body was read.
     pub(crate) fn is_reusable(&self, conn: &BufferedStream) -> bool {
-        self.head.keep_alive && self.request_sent && self.all_named && conn.buffer.is_empty()
+        self.head.keep_alive && self.sent.is_whole && self.all_named && conn.buffer.is_empty()
+    }
+}
+
+/// What was sent of a request when its response began.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SentRequest {
+    /// Whether the whole request was sent.
+    is_whole: bool,
+    /// Whether its body is so long that an endpoint may respond before it has read it.
+    is_long: bool,
+    /// When its caller waits for the response no longer; `None` if the attempt ends then.
+    deadline: Option<Instant>,
+}
+
+impl SentRequest {
+    /// Until when a reset may follow the end of a response without a length.
+    fn reset_until(self, ended: Instant) -> Instant {
+        let until = ended + RESET_TIME;
+        let last = self.deadline.and_then(|at| at.checked_sub(DELIVERY_TIME));
+        last.map_or(until, |last| last.min(until))
     }
 }
 
@@ -154,7 +186,7 @@
     state: &State,
     conn: &mut BufferedStream,
     request: &Outgoing,
-    id: &str,
+    (id, deadline): (&str, Instant),
 ) -> Result<EndpointResponse, ExchangeError> {
     let mut sending = Sending::new(conn, request);
     let mut skipped = 0;
@@ -167,7 +199,7 @@
                     meta: read_response_meta(&response),
                     is_intact: response.is_intact(),
                     head: response.into_head(),
-                    request_sent: sending.is_sent(),
+                    sent: sending.sent(Some(deadline)),
                     all_named,
                     skipped,
                 });
@@ -205,9 +237,13 @@
         }
     }
 
-    /// Whether the whole request was sent.
-    pub(crate) fn is_sent(&self) -> bool {
-        self.written == self.request.len()
+    /// What was sent of the request so far; its caller waits until `deadline`, if that is known.
+    pub(crate) fn sent(&self, deadline: Option<Instant>) -> SentRequest {
+        SentRequest {
+            deadline,
+            is_whole: self.written == self.request.len(),
+            is_long: !self.request.body.is_empty(),
+        }
     }
 
     /// Reads the next response, or part of one, and sends more of the request until then.
@@ -281,7 +317,7 @@
     memory: Held,
 ) -> Result<Bytes, ExchangeError> {
     let framing = response.head.framing;
-    let body = read_framed(conn, (framing, response.request_sent), memory).await?;
+    let body = read_framed(conn, framing, response.sent, memory).await?;
     // The ends of chunks show by themselves that no other bytes stand in them.
     let is_chunked = framing == Framing::Chunked;
     if !is_chunked && contains_response(&body, &conn.buffer, &ResponsesTo(id)) {
@@ -290,14 +326,14 @@
     Ok(body)
 }
 
-/// Reads a body to the end that its framing states; `memory` bounds its length, and the flag is whether the whole
-/// request was sent when the response began.
+/// Reads a body to the end that its framing states; `memory` bounds its length.
 ///
 /// # Errors
 /// If the connection ends before the body does, or the body is malformed or too long.
 pub(crate) async fn read_framed(
     conn: &mut BufferedStream,
-    (framing, request_sent): (Framing, bool),
+    framing: Framing,
+    sent: SentRequest,
     mut memory: Held,
 ) -> Result<Bytes, ExchangeError> {
     let mut body = Body::new(framing);
@@ -321,22 +357,28 @@
         let (mut read, _write) = conn.stream.split();
         let more = fill(&mut read, &mut conn.buffer).await;
         if more.map_err(|_error| ExchangeError::Broken)? == 0 {
-            finish(conn, framing, request_sent, &mut body)?;
+            finish(conn, framing, sent, &mut body, Instant::now()).await?;
         }
     }
 }
 
-/// Handles the end of the connection of a response.
+/// Handles the end of the connection of a response, which came at `ended`.
 ///
 /// A body without a length ends with the connection. If the endpoint had not received the whole request by then, it has
-/// given up, and the body may be a part: the reset that tells so follows the end of what it sent.
-fn finish(
+/// given up, and the body may be a part: the reset that tells so follows the end of what it sent. The same holds if its
+/// host had received the request and the endpoint did not read it.
+async fn finish(
     conn: &BufferedStream,
     framing: Framing,
-    request_sent: bool,
+    sent: SentRequest,
     body: &mut Body,
+    ended: Instant,
 ) -> Result<(), ExchangeError> {
-    let is_whole = framing != Framing::Close || request_sent && conn.is_received();
+    let is_whole = match framing {
+        Framing::Close if !sent.is_whole || !conn.is_received() => false,
+        Framing::Close if sent.is_long => !conn.is_reset_until(sent.reset_until(ended)).await,
+        _ => true,
+    };
     if !is_whole {
         return Err(ExchangeError::Broken);
     }
--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -120,7 +120,14 @@
         },
     );
     let request = Outgoing::new(head, job.body);
-    let response = match exchange(state, &mut conn, &request, &job.head.id).await {
+    let response = match exchange(
+        state,
+        &mut conn,
+        &request,
+        (&job.head.id, job.deadline.into_std()),
+    )
+    .await
+    {
         Ok(response) => response,
         Err(error @ ExchangeError::NotSent(_)) => return not_taken(error.end(), &error),
         Err(error) => return failed(state, job, daemon, error),
--- a/daemon/src/relay/stream.rs
+++ b/daemon/src/relay/stream.rs
@@ -5,6 +5,7 @@
 //! the event after the last one that the caller has.
 
 use std::io;
+use std::time::Instant;
 
 use bytes::{BufMut as _, Bytes, BytesMut};
 use poplarvale_lib::http1::{Body, BodyError, Framing};
@@ -86,6 +87,8 @@
     ready: BytesMut,
     /// What is held of events that are not complete.
     held: Held,
+    /// When its connection ended.
+    closed: Option<Instant>,
 }
 
 impl OpenStream {
@@ -104,6 +107,7 @@
             ended: 0,
             events: Events::after(last),
             ready: BytesMut::new(),
+            closed: None,
             held,
         };
         stream.parse()?;
@@ -122,7 +126,10 @@
     pub(crate) async fn read(&mut self) -> Result<(), ExchangeError> {
         let (mut read, _write) = self.conn.stream.split();
         match fill(&mut read, &mut self.conn.buffer).await {
-            Ok(0) => self.response.finish(&self.conn, &mut self.body)?,
+            Ok(0) => {
+                let (conn, body) = (&self.conn, &mut self.body);
+                self.response.finish(conn, body, &mut self.closed).await?;
+            }
             Ok(_) => {}
             Err(_) => return Err(ExchangeError::Broken),
         }
--- a/daemon/tests/test_relay_answers.rs
+++ b/daemon/tests/test_relay_answers.rs
@@ -18,6 +18,8 @@
 const LONG_BODY_BYTES: usize = 60_000;
 /// Longest body that a configuration allows; longer than what connections hold.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Time for which an endpoint keeps a connection whose bytes it does not read.
+const UNREAD_TIME: Duration = Duration::from_millis(300);
 /// Time after the begin of an answer.
 const PART_TIME: Duration = Duration::from_millis(50);
 
@@ -334,15 +336,32 @@
     EndAndReset,
     /// By an end of what it sends, with a reset after a time in which it reads nothing.
     End,
+    /// By an end of what it sends, and after a long time by closing a connection with unread bytes.
+    EndAndClose,
+}
+
+/// How much a host receives that its endpoint does not read.
+#[derive(Clone, Copy, Debug)]
+enum ReceiveBuffer {
+    /// A few kilobytes.
+    Short,
+    /// What the system has by default.
+    Usual,
 }
 
 /// Starts an endpoint that answers each request without a length once it has read its head, and gives the connection
 /// up in the middle of the answer. It runs in a thread of its own, so that the daemon may see the end before the reset.
-fn start_hasty(ending: Ending) -> SocketAddr {
+fn start_hasty(ending: Ending, buffer: ReceiveBuffer) -> SocketAddr {
     let (send, receive) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
         actix_web::rt::System::new().block_on(async move {
-            let listener = listen_with_short_buffer();
+            let listener = match buffer {
+                ReceiveBuffer::Short => listen_with_short_buffer(),
+                ReceiveBuffer::Usual => {
+                    let bound = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+                    bound.expect("a free port")
+                }
+            };
             let address = listener.local_addr().expect("it is bound");
             send.send(address).expect("the test waits");
             while let Ok((stream, _)) = listener.accept().await {
@@ -373,8 +392,13 @@
     if !matches!(ending, Ending::Reset) {
         stream.shutdown().await.expect("the connection is open");
     }
-    if matches!(ending, Ending::End) {
-        tokio::time::sleep(PART_TIME).await;
+    match ending {
+        Ending::Reset | Ending::EndAndReset => {}
+        Ending::End => tokio::time::sleep(PART_TIME).await,
+        Ending::EndAndClose => {
+            tokio::time::sleep(UNREAD_TIME).await;
+            return;
+        }
     }
     let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
     reset.expect("a connection can be reset");
@@ -387,7 +411,7 @@
     let other = Endpoint::start("i-1", |_| Vec::new()).await;
     let limits = config(2, &ROUTES, 0).replace("65536", &MAX_BODY_BYTES.to_string());
     for ending in [Ending::Reset, Ending::EndAndReset, Ending::End] {
-        let address = start_hasty(ending).to_string();
+        let address = start_hasty(ending, ReceiveBuffer::Short).to_string();
         let entry = other.entry("app", "ready");
         let entry = entry.replace(&other.address.to_string(), &address);
         for body_bytes in [LONG_BODY_BYTES, 1024 * 1024, MAX_BODY_BYTES] {
@@ -405,6 +429,27 @@
     }
 }
 
+/// Guards against the same where the host of the endpoint has received the whole request, and the endpoint has read
+/// its head only.
+#[actix_web::test]
+async fn an_answer_without_length_to_an_unread_request_is_not_complete() {
+    let other = Endpoint::start("i-1", |_| Vec::new()).await;
+    for ending in [Ending::EndAndReset, Ending::End, Ending::EndAndClose] {
+        let address = start_hasty(ending, ReceiveBuffer::Usual).to_string();
+        let entry = other.entry("app", "ready");
+        let entry = entry.replace(&other.address.to_string(), &address);
+        for path in ["/once/a", "/safe/a", "/stream/a"] {
+            let store = store_with(&[]).await;
+            store.put("servers/i-1", entry.as_bytes());
+            let site = Site::with_grace(store, 3).await;
+            let text = long_request(path, "r1", LONG_BODY_BYTES);
+            let answer = ask(site.address(), &text).await.expect("an answer");
+            let is_kept_back = answer.status == 502 || !answer.complete;
+            assert!(is_kept_back, "{ending:?} {path}: {answer:?}");
+        }
+    }
+}
+
 /// Guards against an answer without length that is lost although its endpoint has received the whole request.
 #[actix_web::test]
 async fn an_answer_without_length_to_a_long_request_is_passed_on_whole() {
