http1, stream: a part of another response's head completes no body or event

Cause: a body was searched for whole heads only, and its stated length may be reached in the middle of one; the events of streams without chunks were not searched. The end of a body that may be the begin of a head is now decided once the rest has arrived, or after .1 s; events are searched before they are passed on.

Before: a_body_that_a_part_of_a_head_completes_reaches_no_caller (200 at one byte) and an_event_in_which_another_response_begins_reaches_no_caller failed.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -152,7 +152,9 @@
         return Err(AttemptEnd::NotRun(proof));
     }
     if job.route.retry_policy.is_stream() && response.head.status == OK && response.meta.sealed {
-        return match OpenStream::open(conn, response, at.last, state.held.begin()).await {
+        return match OpenStream::open(conn, response, (&job.head.id, at.last), state.held.begin())
+            .await
+        {
             Ok(stream) => Ok(Begun::Stream(Box::new(sent.stream(state, job, stream)))),
             Err(error) => sent.fail(state, job, error),
         };
--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -6,7 +6,7 @@
 use poplarvale_lib::NotSent;
 use poplarvale_lib::http1::{
     Body, BodyError, Framing, Named, ReadError, Response, ResponsePart, ResponseReader,
-    ResponseRules, contains_response,
+    ResponseRules, contains_response, open_response,
 };
 use poplarvale_lib::relay::attempts::AttemptEnd;
 use poplarvale_platform::{ResponseMeta, ResponsesTo, read_response_meta, states_not_run};
@@ -25,6 +25,11 @@
 /// it.
 const RESET_TIME: Duration = Duration::from_millis(500);
 
+/// How long the rest of a head may take to arrive of which the begin may complete the body of the response before it.
+const OPEN_HEAD_TIME: Duration = Duration::from_millis(100);
+/// Begin of a response. A body that ends in so much of one, of which nothing more arrives, is not taken for whole.
+const STATUS_LINE_BEGIN: &[u8] = b"HTTP/";
+
 /// Time for which a response is passed on before the deadline of its request.
 const DELIVERY_TIME: Duration = Duration::from_millis(50);
 
@@ -319,13 +324,32 @@
     let framing = response.head.framing;
     let body = read_framed(conn, framing, response.sent, memory).await?;
     // The ends of chunks show by themselves that no other bytes stand in them.
-    let is_chunked = framing == Framing::Chunked;
-    if !is_chunked && contains_response(&body, &conn.buffer, &ResponsesTo(id)) {
+    if framing != Framing::Chunked && ends_in_response(conn, &body, id).await {
         return Err(ExchangeError::Invalid);
     }
     Ok(body)
 }
 
+/// Whether a body is not whole, as another response completes it. Waits for the rest of its head, if that has not
+/// arrived.
+async fn ends_in_response(conn: &mut BufferedStream, body: &Bytes, id: &str) -> bool {
+    let until = Instant::now() + OPEN_HEAD_TIME;
+    loop {
+        if contains_response(body, &conn.buffer, &ResponsesTo(id)) {
+            return true;
+        }
+        let Some(len) = open_response(body, &conn.buffer) else {
+            return false;
+        };
+        let (mut read, _write) = conn.stream.split();
+        let more = fill(&mut read, &mut conn.buffer);
+        match tokio::time::timeout_at(until.into(), more).await {
+            Ok(Ok(more)) if more > 0 => {}
+            _ => return len >= STATUS_LINE_BEGIN.len(),
+        }
+    }
+}
+
 /// Reads a body to the end that its framing states; `memory` bounds its length.
 ///
 /// # Errors
--- a/daemon/src/relay/forward.rs
+++ b/daemon/src/relay/forward.rs
@@ -148,7 +148,9 @@
         return not_taken(end, &why);
     }
     if job.route.retry_policy.is_stream() && response.head.status == OK && response.meta.sealed {
-        return match OpenStream::open(conn, response, at.last, state.held.begin()).await {
+        return match OpenStream::open(conn, response, (&job.head.id, at.last), state.held.begin())
+            .await
+        {
             Ok(stream) => Ok(Begun::Stream(Box::new(DaemonStream { stream, daemon }))),
             Err(error) => failed(state, job, daemon, error),
         };
--- a/daemon/src/relay/stream.rs
+++ b/daemon/src/relay/stream.rs
@@ -8,9 +8,10 @@
 use std::time::Instant;
 
 use bytes::{BufMut as _, Bytes, BytesMut};
-use poplarvale_lib::http1::{Body, BodyError, Framing};
+use compact_str::CompactString;
+use poplarvale_lib::http1::{Body, BodyError, Framing, contains_response};
 use poplarvale_lib::relay::sse::Events;
-use poplarvale_platform::response_head;
+use poplarvale_platform::{ResponsesTo, response_head};
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::tcp::WriteHalf;
 
@@ -77,6 +78,8 @@
 pub(crate) struct OpenStream {
     pub(crate) conn: BufferedStream,
     pub(crate) response: EndpointResponse,
+    /// Id of the request.
+    id: CompactString,
     body: Body,
     /// What was received of a chunk that has not ended.
     chunk: BytesMut,
@@ -92,14 +95,16 @@
 }
 
 impl OpenStream {
-    /// Reads a stream until its first event is complete. `last` is the event before it.
+    /// Reads the stream that responds to the request with this id until its first event is complete. `last` is the event
+    /// before it.
     pub(crate) async fn open(
         conn: BufferedStream,
         response: EndpointResponse,
-        last: Option<u64>,
+        (id, last): (&CompactString, Option<u64>),
         held: Held,
     ) -> Result<Self, ExchangeError> {
         let mut stream = Self {
+            id: id.clone(),
             body: Body::new(response.head.framing),
             conn,
             response,
@@ -194,6 +199,12 @@
             ExchangeError::Invalid
         })?;
         self.chunk.clear();
+        // The empty line behind the head of another response ends the event in which that begins.
+        let is_chunked = self.response.head.framing == Framing::Chunked;
+        if !is_chunked && contains_response(&events, &[], &ResponsesTo(&self.id)) {
+            log::info!(request = self.id.as_str(); "stream: another response begins in an event; attempt ended.");
+            return Err(ExchangeError::Invalid);
+        }
         self.ready.put_slice(&events);
         Ok(())
     }
--- a/daemon/tests/test_relay_answers.rs
+++ b/daemon/tests/test_relay_answers.rs
@@ -472,3 +472,80 @@
         assert_eq!(answer.body, event_text(0) + &event_text(1), "{path}");
     }
 }
+
+/// A response that breaks off, and the begin of another one that completes its body by so many bytes. The rest follows
+/// a moment later.
+fn completed_by_another(seen: &SeenRequest, len: usize) -> Vec<Step> {
+    const LENGTH: usize = 100;
+    let part = "x".repeat(LENGTH - len);
+    let length = format!("Content-Length: {LENGTH}\r\n");
+    let (Step::Send(begin), other) = (
+        head(&seen.id(), &length),
+        response(&seen.id(), 200, "other"),
+    ) else {
+        return Vec::new();
+    };
+    let (first, rest) = other.split_at(len);
+    vec![
+        Step::Send(begin + &part + first),
+        Step::Wait(Duration::from_millis(20)),
+        Step::Send(rest.into()),
+        Step::Wait(Duration::from_secs(1)),
+    ]
+}
+
+/// Guards against a success whose body ends in the head of a second response, as its stated length is reached before
+/// that head has arrived.
+#[actix_web::test]
+async fn a_body_that_a_part_of_a_head_completes_reaches_no_caller() {
+    for len in [1, 4, 9, 13, 15, 30, 80] {
+        let script = move |seen: &SeenRequest| completed_by_another(seen, len);
+        let endpoint = Endpoint::start("i-1", script).await;
+        let site = Site::start(&[&endpoint]).await;
+        let answer = ask(site.address(), &request("POST", "/once/a", "r1", "")).await;
+        assert_eq!(answer.expect("an answer").status, 502, "{len} bytes");
+    }
+}
+
+/// Guards against a response that is lost as its body ends like the begin of another one.
+#[actix_web::test]
+async fn a_body_that_ends_like_a_status_line_begins_is_passed_on() {
+    for body in [
+        "the path H",
+        "over HTTP",
+        "HTTP/1.1 200 OK\n\nis how it begins",
+    ] {
+        let script = move |seen: &SeenRequest| vec![plain(seen, 200, body)];
+        let endpoint = Endpoint::start("i-1", script).await;
+        let site = Site::start(&[&endpoint]).await;
+        let answer = ask(site.address(), &request("POST", "/once/a", "r1", "")).await;
+        let answer = answer.expect("an answer");
+        assert_eq!((answer.status, answer.body.as_str()), (200, body));
+    }
+}
+
+/// Guards against an event of a stream without chunks that holds the head of a second response.
+#[actix_web::test]
+async fn an_event_in_which_another_response_begins_reaches_no_caller() {
+    let fields = ["", "Content-Length: 4000\r\n"];
+    for fields in fields {
+        let script = move |seen: &SeenRequest| {
+            let pause = || Step::Wait(Duration::from_millis(10));
+            let (Step::Send(begin), Step::Send(other)) =
+                (head(&seen.id(), fields), head(&seen.id(), fields))
+            else {
+                return Vec::new();
+            };
+            let cut = Step::Send("id: 1\ndata: a pi".to_owned() + &other);
+            let begin = Step::Send(begin + &event_text(0));
+            let rest = Step::Send(event_text(1) + &event_text(2));
+            vec![begin, pause(), cut, pause(), rest, pause(), Step::Close]
+        };
+        let endpoint = Endpoint::start("i-1", script).await;
+        let site = Site::start(&[&endpoint]).await;
+        let answer = ask(site.address(), &request("GET", "/stream/a", "r1", "")).await;
+        let answer = answer.expect("an answer");
+        assert!(!answer.complete, "{answer:?}");
+        assert!(!answer.body.contains("HTTP/1.1"), "{answer:?}");
+    }
+}
--- a/lib/src/http1.rs
+++ b/lib/src/http1.rs
@@ -18,5 +18,5 @@
 pub use head::{Framing, HeadError, Request, Response};
 pub use reader::{
     Attributed, Named, OnlyRequest, ReadError, ResponsePart, ResponseReader, ResponseRules,
-    contains_response,
+    contains_response, open_response,
 };
--- a/lib/src/http1/reader.rs
+++ b/lib/src/http1/reader.rs
@@ -22,7 +22,8 @@
 
 use super::head::{MAX_RESPONSE_HEAD, complete_response_len};
 use super::status_line::{
-    STATUS_LINE_LEN, begins_status_line, find_status_line, last_status_line, split_status_line,
+    STATUS_LINE_LEN, begins_status_line, find_status_line, last_status_line, open_status_line,
+    split_status_line,
 };
 use super::{Body, HeadError, Response};
 
@@ -271,6 +272,34 @@
     find_status_line(&end, 0).is_some_and(|at| from + at < body.len() && begins_at(from + at))
 }
 
+/// Number of bytes at the end of a body that may be the begin of another response, as too little was received behind the
+/// body to tell; `None` if there are none.
+///
+/// The length that is stated may be reached anywhere in the head of the response that completes the body.
+pub fn open_response(body: &[u8], behind: &[u8]) -> Option<usize> {
+    let is_open = |at: usize| {
+        let bytes = body[at..].iter().chain(behind);
+        let mut bytes: BytesMut = bytes.take(MAX_RESPONSE_HEAD).copied().collect();
+        bytes.len() < MAX_RESPONSE_HEAD && matches!(Response::take_lenient(&mut bytes), Ok(None))
+    };
+    let mut from = 0;
+    while let Some(at) = find_status_line(body, from) {
+        if is_open(at) {
+            return Some(body.len() - at);
+        }
+        from = at + 1;
+    }
+    // One whose status line goes on behind the body.
+    let from = from.max((body.len() + 1).saturating_sub(STATUS_LINE_LEN));
+    let end = [&body[from..], &behind[..behind.len().min(STATUS_LINE_LEN)]].concat();
+    let at = match find_status_line(&end, 0) {
+        Some(at) => Some(from + at).filter(|at| *at < body.len() && is_open(*at)),
+        None => open_status_line(&end).map(|at| from + at),
+    };
+    at.and_then(|at| body.len().checked_sub(at))
+        .filter(|len| *len > 0)
+}
+
 /// Whether the line that these bytes end in cannot go on with a status line, so that it was cut or none has begun.
 fn is_cut(bytes: &[u8], rules: &impl ResponseRules) -> bool {
     let line = bytes.rsplit(|byte| *byte == b'\n').next();
--- a/lib/src/http1/status_line.rs
+++ b/lib/src/http1/status_line.rs
@@ -23,7 +23,13 @@
 
 /// Whether bytes end with the begin of a status line that may go on.
 pub(super) fn begins_status_line(bytes: &[u8]) -> bool {
-    (1..STATUS_LINE_LEN.min(bytes.len() + 1)).any(|len| begins_so(&bytes[bytes.len() - len..]))
+    open_status_line(bytes).is_some()
+}
+
+/// Position of the longest begin of a status line in which bytes end.
+pub(super) fn open_status_line(bytes: &[u8]) -> Option<usize> {
+    let from = (bytes.len() + 1).saturating_sub(STATUS_LINE_LEN);
+    (from..bytes.len()).find(|at| begins_so(&bytes[*at..]))
 }
 
 /// Whether bytes are the begin of a status line.
--- a/lib/tests/test_http1.rs
+++ b/lib/tests/test_http1.rs
@@ -1,7 +1,9 @@
 //! Framing of HTTP/1.1 messages: where a message ends and which messages are rejected.
 
 use bytes::BytesMut;
-use poplarvale_lib::http1::{Body, BodyError, Framing, HeadError, Request, Response};
+use poplarvale_lib::http1::{
+    Body, BodyError, Framing, HeadError, Request, Response, open_response,
+};
 use proptest::prelude::*;
 
 /// Maximum size of a request head in bytes.
@@ -246,3 +248,18 @@
     buffer.extend_from_slice("X: y\r\n".repeat(1000).as_bytes());
     assert_eq!(body.take(&mut buffer), Err(BodyError::Chunk));
 }
+
+/// Guards against a body that is taken for whole though the head of another response may complete it.
+#[test]
+fn the_begin_of_a_head_at_the_end_of_a_body_is_open() {
+    let head = b"HTTP/1.1 200 OK\r\nid: r1\r\n\r\n";
+    for len in 1..head.len() {
+        let body = [b"text ", &head[..len]].concat();
+        assert_eq!(open_response(&body, b""), Some(len), "{len}");
+        let (more, rest) = head[len..].split_at((head.len() - len) / 2);
+        assert_eq!(open_response(&body, more), Some(len), "{len}");
+        assert_eq!(open_response(&body, &[more, rest].concat()), None, "{len}");
+    }
+    assert_eq!(open_response(b"text", b"HTTP/1.1"), None);
+    assert_eq!(open_response(b"HTTP/1.1 and more", b""), None);
+}
