relay: daemons wait while an answer of the store arrives at another one

Two watchers take 2 s for it on that link, and after 1.4 s each fed daemon began to read the same.

Daemons now tell in their digests while an answer is arriving that they read for their zone, and those that hear it wait for it. Who ends tells no more, so the bound does not rest on who is believed to run. Calls of the duties do not count.

That the failure came from these reads is reckoned, not traced.

--- a/daemon/src/relay/client.rs
+++ b/daemon/src/relay/client.rs
@@ -73,6 +73,8 @@
     held: Rc<HeldBytes>,
     /// State that follows the responses of the store; `None` for other services.
     store: Option<Rc<State>>,
+    /// Whether it reads the configuration and the registry.
+    is_reader: bool,
 }
 
 impl Client {
@@ -83,6 +85,7 @@
             conn: None,
             held: HeldBytes::of_short_replies(),
             store: None,
+            is_reader: false,
         }
     }
 
@@ -95,6 +98,14 @@
         }
     }
 
+    /// Creates a client that reads the configuration and the registry from the store.
+    pub(crate) fn of_reader(state: &Rc<State>) -> Self {
+        Self {
+            is_reader: true,
+            ..Self::of_store(state)
+        }
+    }
+
     /// Makes a call and waits for its response, for at most `limit` each for a new connection and
     /// for the head of the response, and then as long as the body makes progress.
     pub(crate) async fn call(&mut self, call: &Call, limit: Duration) -> Result<Reply, CallError> {
@@ -129,7 +140,11 @@
     /// Records that the store is sending a response; a rejection is none.
     fn record_progress(&self, head: &Response) {
         if let Some(state) = self.store.as_ref().filter(|_| head.status == OK) {
-            state.receiving.set(Some(Instant::now()));
+            let now = Some(Instant::now());
+            state.receiving.set(now);
+            if self.is_reader {
+                state.reading.set(now);
+            }
         }
     }
 }
--- a/daemon/src/relay/peers/apply.rs
+++ b/daemon/src/relay/peers/apply.rs
@@ -68,6 +68,9 @@
         (peers.own_location().zone, peers.is_watcher())
     };
     let is_local = digest.zone == own_zone;
+    if is_local && digest.receiving {
+        state.peer_receiving.set(Some(now));
+    }
     let source = if is_local && digest.own.is_some() {
         Source::Zone
     } else {
--- a/daemon/src/relay/peers/encode.rs
+++ b/daemon/src/relay/peers/encode.rs
@@ -55,6 +55,7 @@
         watcher: peers.is_watcher(),
         closing: peers.is_closing(),
         blind: peers.is_blind(now),
+        receiving: state.is_receiving(now),
         cut_off: cut_off(state),
         config_revision: progress.config_revision(),
         config_read: progress.config_read().unwrap_or_default(),
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use compact_str::CompactString;
 use poplarvale_lib::relay::answer_times::AnswerTimes;
@@ -39,6 +39,8 @@
 use super::upstream::Upstreams;
 
 const MEGABYTE: u64 = 1024 * 1024;
+/// Longest time between two parts of an answer that is arriving.
+const RECEIVING_TIME: Duration = Duration::from_millis(300);
 
 /// State of one daemon. All tasks run on one thread, and none holds a borrow across an `await`.
 #[derive(Debug)]
@@ -111,6 +113,10 @@
     answered: Cell<Instant>,
     /// When a part of a response of the store last arrived.
     pub(crate) receiving: Cell<Option<Instant>>,
+    /// The same of what this daemon reads for its zone: the configuration and the registry.
+    pub(crate) reading: Cell<Option<Instant>>,
+    /// When another daemon of the zone last told that the store is sending it an answer.
+    pub(crate) peer_receiving: Cell<Option<Instant>>,
     pub(crate) metrics: Option<Metrics>,
     /// Which successful requests are logged.
     pub(crate) sampler: Sampler,
@@ -200,6 +206,8 @@
             connectivity: Cell::new(Connectivity::new(started)),
             answered: Cell::new(started),
             receiving: Cell::new(None),
+            reading: Cell::new(None),
+            peer_receiving: Cell::new(None),
             metrics: Metrics::new(),
             sampler: Sampler::new(started),
             pace_sampler: Sampler::new(started),
@@ -266,6 +274,12 @@
         self.receiving.get().map_or(answered, |at| at.max(answered))
     }
 
+    /// Whether the store sent a part of what this daemon reads for its zone a moment ago.
+    pub(crate) fn is_receiving(&self, now: Instant) -> bool {
+        let at = self.reading.get();
+        at.is_some_and(|at| now.saturating_duration_since(at) < RECEIVING_TIME)
+    }
+
     /// Records that the store did not answer a call that was started at `began`.
     pub(crate) fn store_failed(&self, began: Instant) {
         let mut connectivity = self.connectivity.get();
--- a/daemon/src/relay/watch.rs
+++ b/daemon/src/relay/watch.rs
@@ -118,7 +118,7 @@
 
 /// Reads what is due until the process ends.
 pub(crate) async fn watch_store(state: Rc<State>) {
-    let mut client = Client::of_store(&state);
+    let mut client = Client::of_reader(&state);
     let mut delay = RETRY_DELAY;
     let mut failing = false;
     let mut next_watch = Instant::now();
@@ -149,7 +149,7 @@
             Task::Watch(after) => watch_once(&state, &mut client, after, watch_time(&state)).await,
             Task::Refresh(after) => {
                 // Nothing is known of a connection that was not used for long.
-                client = Client::of_store(&state);
+                client = Client::of_reader(&state);
                 read_changes(&state, &mut client, after).await
             }
             Task::Wait(until) => {
@@ -230,7 +230,7 @@
         let Some(answered) = progress.answered_at() else {
             return Task::Wait(now + MAX_WAIT);
         };
-        let due = refresh.due(answered);
+        let due = refresh.due(answered, state.peer_receiving.get());
         return match progress.watch_from() {
             _ if now < due => Task::Wait(due),
             Some(after) if !state.reads_all.get() => Task::Refresh(after),
--- a/lib/src/protos/poplarvale.relay.rs
+++ b/lib/src/protos/poplarvale.relay.rs
@@ -110,6 +110,9 @@
     /// Lives of endpoints that lately ended by themselves, whatever they ran.
     #[prost(message, repeated, tag = "42")]
     pub falls: ::prost::alloc::vec::Vec<digest::Fall>,
+    /// Whether the store is sending an answer to the sender.
+    #[prost(bool, tag = "43")]
+    pub receiving: bool,
 }
 /// Nested message and enum types in `Digest`.
 pub mod digest {
--- a/lib/src/relay/refresh.rs
+++ b/lib/src/relay/refresh.rs
@@ -7,6 +7,9 @@
 //! others it believes to run: once the store's last answer that it knows of, its own or one that it
 //! was fed, has reached [`MAX_FED_AGE`], the daemon reads the store.
 //!
+//! A long answer on a slow link takes longer than that. Reads of others at the same time would only delay it,
+//! so they wait as long as a daemon of the zone keeps telling that an answer is arriving.
+//!
 //! The daemons of a zone reach that age together. They spread their reads over [`SPREAD`], by a hash
 //! of their addresses, and whoever gets an answer feeds it to the zone, so that most others need not
 //! read. If the store does not answer, each daemon repeats its read at most once a second, and less
@@ -22,6 +25,8 @@
 pub const MAX_FED_AGE: Duration = Duration::from_millis(1400);
 /// Time over which the daemons of a zone spread their reads.
 pub const SPREAD: Duration = Duration::from_millis(200);
+/// How long a daemon waits for an answer that was arriving at another one when that last told so.
+const RECEIVING_TIME: Duration = Duration::from_millis(500);
 /// Shortest time between a failed read and the next one.
 pub const MIN_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// The same after several failures.
@@ -49,9 +54,13 @@
     }
 
     /// When the store is to be read if no later answer of it becomes known than that of `answered`.
-    pub fn due(&self, answered: Instant) -> Instant {
-        let due = answered + MAX_FED_AGE + SPREAD.mul_f64(self.place);
-        self.retry_at.map_or(due, |at| at.max(due))
+    /// `receiving` is when another daemon last told that an answer is arriving there.
+    pub fn due(&self, answered: Instant, receiving: Option<Instant>) -> Instant {
+        let spread = SPREAD.mul_f64(self.place);
+        let due = answered + MAX_FED_AGE + spread;
+        let received = receiving.map(|at| at + RECEIVING_TIME + spread);
+        due.max(received.unwrap_or(due))
+            .max(self.retry_at.unwrap_or(due))
     }
 
     /// Records that the store answered this daemon.
--- a/lib/tests/test_relay_refresh.rs
+++ b/lib/tests/test_relay_refresh.rs
@@ -25,7 +25,7 @@
 fn every_daemon_reads_in_time() {
     let now = Instant::now();
     for daemon in daemons(DAEMONS) {
-        let due = daemon.due(now);
+        let due = daemon.due(now, None);
         assert!(due >= now + MAX_FED_AGE);
         assert!(due + READ_TIME < now + APPLY_TIME);
     }
@@ -36,7 +36,7 @@
 fn a_daemon_that_was_answered_spares_the_others_their_reads() {
     const ZONE: u32 = 50;
     let now = Instant::now();
-    let mut due: Vec<Instant> = daemons(ZONE).iter().map(|row| row.due(now)).collect();
+    let mut due: Vec<Instant> = daemons(ZONE).iter().map(|row| row.due(now, None)).collect();
     due.sort_unstable();
     let reads = due.partition_point(|at| *at <= due[0] + FEED_TIME);
     assert!(reads <= 8, "{reads} reads of {ZONE} daemons");
@@ -57,7 +57,7 @@
     for mut daemon in daemons(DAEMONS) {
         for (step, count) in calls.iter_mut().enumerate() {
             let now = last + STEP * step as u32;
-            if now >= daemon.due(last) {
+            if now >= daemon.due(last, None) {
                 *count += 1;
                 daemon.record_failure(now, random.f64());
             }
@@ -78,11 +78,24 @@
 fn an_answer_ends_the_delays() {
     let now = Instant::now();
     let [mut daemon] = daemons(1).try_into().expect("one daemon");
-    let due = daemon.due(now);
+    let due = daemon.due(now, None);
     for _ in 0..5 {
         daemon.record_failure(now, 1.0);
     }
-    assert!(daemon.due(now) > due);
+    assert!(daemon.due(now, None) > due);
     daemon.record_answer();
-    assert_eq!(daemon.due(now), due);
+    assert_eq!(daemon.due(now, None), due);
+}
+
+/// Guards against reads that delay a long answer on a slow link, and against waiting for a daemon that has ended.
+#[test]
+fn a_daemon_waits_for_an_answer_that_arrives_at_another_one() {
+    let answered = Instant::now();
+    let [daemon] = daemons(1).try_into().expect("one daemon");
+    let due = daemon.due(answered, None);
+    let told = answered + MAX_FED_AGE;
+    let delayed = daemon.due(answered, Some(told));
+    assert!(delayed > due && delayed < told + Duration::from_secs(1));
+    // What was told with the last answer that is known delays nothing.
+    assert_eq!(daemon.due(answered, Some(answered)), due);
 }
