exchange: text about HTTP at the end of a body does not cost the response

A body that ends in the begin of a head was given up if nothing more arrived, also one that only speaks of HTTP. It is given up now if what there is of the head has a field by which only endpoints tell what they send, also if the rest never comes.

a_body_that_ends_like_a_status_line_begins_is_passed_on has such a text, and a_body_that_a_head_without_end_completes_reaches_no_caller the other side.

--- a/daemon/src/relay/exchange.rs
+++ b/daemon/src/relay/exchange.rs
@@ -27,8 +27,8 @@
 
 /// How long the rest of a head may take to arrive of which the begin may complete the body of the response before it.
 const OPEN_HEAD_TIME: Duration = Duration::from_millis(100);
-/// Begin of a response. A body that ends in so much of one, of which nothing more arrives, is not taken for whole.
-const STATUS_LINE_BEGIN: &[u8] = b"HTTP/";
+/// End of a head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// Time for which a response is passed on before the deadline of its request.
 const DELIVERY_TIME: Duration = Duration::from_millis(50);
@@ -334,8 +334,9 @@
 /// arrived.
 async fn ends_in_response(conn: &mut BufferedStream, body: &Bytes, id: &str) -> bool {
     let until = Instant::now() + OPEN_HEAD_TIME;
+    let rules = ResponsesTo(id);
     loop {
-        if contains_response(body, &conn.buffer, &ResponsesTo(id)) {
+        if contains_response(body, &conn.buffer, &rules) {
             return true;
         }
         let Some(len) = open_response(body, &conn.buffer) else {
@@ -345,11 +346,28 @@
         let more = fill(&mut read, &mut conn.buffer);
         match tokio::time::timeout_at(until.into(), more).await {
             Ok(Ok(more)) if more > 0 => {}
-            _ => return len >= STATUS_LINE_BEGIN.len(),
+            // The body may speak of a response, but has no field by which only the endpoint tells what it sends.
+            _ => {
+                let begin = &body[body.len() - len..];
+                let head = complete_head([begin, &conn.buffer].concat());
+                return contains_response(&head, &[], &rules);
+            }
         }
     }
 }
 
+/// Ends a head that was cut. A field of which only a part of the name was received is left out.
+fn complete_head(mut head: Vec<u8>) -> Vec<u8> {
+    let last = head.iter().rposition(|byte| *byte == b'\n');
+    if let Some(last) = last
+        && !head[last..].contains(&b':')
+    {
+        head.truncate(last + 1);
+    }
+    head.extend_from_slice(HEAD_END);
+    head
+}
+
 /// Reads a body to the end that its framing states; `memory` bounds its length.
 ///
 /// # Errors
--- a/daemon/tests/test_relay_answers.rs
+++ b/daemon/tests/test_relay_answers.rs
@@ -507,14 +507,33 @@
     }
 }
 
+/// Guards against the same where nothing more of the second response arrives.
+#[actix_web::test]
+async fn a_body_that_a_head_without_end_completes_reaches_no_caller() {
+    for ending in [Step::Wait(Duration::from_secs(1)), Step::Close] {
+        let script = move |seen: &SeenRequest| {
+            let mut steps = completed_by_another(seen, 60);
+            steps.truncate(1);
+            steps.push(ending.clone());
+            steps
+        };
+        let endpoint = Endpoint::start("i-1", script).await;
+        let site = Site::start(&[&endpoint]).await;
+        let answer = ask(site.address(), &request("POST", "/once/a", "r1", "")).await;
+        assert_eq!(answer.expect("an answer").status, 502);
+    }
+}
+
 /// Guards against a response that is lost as its body ends like the begin of another one.
 #[actix_web::test]
 async fn a_body_that_ends_like_a_status_line_begins_is_passed_on() {
-    for body in [
+    let bodies = [
         "the path H",
         "over HTTP",
         "HTTP/1.1 200 OK\n\nis how it begins",
-    ] {
+        "{\"log\":\"HTTP/1.1 200 OK\"}",
+    ];
+    for body in bodies {
         let script = move |seen: &SeenRequest| vec![plain(seen, 200, body)];
         let endpoint = Endpoint::start("i-1", script).await;
         let site = Site::start(&[&endpoint]).await;
